design, daemon: serve a job from end to end as separate processes

Cause: the project starts from an empty repository. Change: the design page, the core library with a first dispatcher and agent core, gRPC messages, HTTP and YAML adapters, both roles of zinniamuxd, and an executor stand-in.

--- /dev/null
+++ b/src/adapters/http_client.h
@@ -0,0 +1,58 @@
+// An asynchronous HTTP/1.1 client over libcurl's multi interface.
+#ifndef ZINNIAMUX_ADAPTERS_HTTP_CLIENT_H_
+#define ZINNIAMUX_ADAPTERS_HTTP_CLIENT_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "adapters/http_message.h"
+
+namespace zinniamux::adapters {
+
+// One request to send.
+struct HttpCall {
+  std::string method = "GET";
+  std::string url;
+  HttpHeaders headers;
+  std::string body;
+  std::chrono::milliseconds timeout{2000};
+  // Opens a connection for this call alone. libcurl silently sends a request again when a reused
+  // connection turns out to be closed; a call that must be sent at most once sets this.
+  bool fresh_connection = false;
+};
+
+// The outcome of a call. If `status` is 0 there was no response, and `failure` says why.
+struct HttpResult {
+  int status = 0;
+  std::string body;
+  std::string failure;
+  // The connection could not be established, so the server certainly did not get the request.
+  bool not_sent = false;
+};
+
+// Runs calls on one thread of its own.
+class HttpClient {
+ public:
+  using Callback = std::function<void(HttpResult)>;
+
+  explicit HttpClient(long max_connections_per_host = 64);
+  // Abandons calls that are still running; their callbacks get a failure.
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // `callback` is called exactly once, on the client's thread.
+  void Send(HttpCall call, Callback callback);
+  // Waits for the result. Not to be called from a callback.
+  HttpResult SendAndWait(HttpCall call);
+
+ private:
+  class Implementation;
+  std::unique_ptr<Implementation> implementation_;
+};
+
+}  // namespace zinniamux::adapters
+
+#endif  // ZINNIAMUX_ADAPTERS_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/adapters/http_message.h
@@ -0,0 +1,42 @@
+// HTTP requests and responses as plain values, so that only the server and the client adapters see
+// their libraries.
+#ifndef ZINNIAMUX_ADAPTERS_HTTP_MESSAGE_H_
+#define ZINNIAMUX_ADAPTERS_HTTP_MESSAGE_H_
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace zinniamux::adapters {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+// A request as a server receives it. `query` is the undecoded part after '?'.
+struct HttpRequest {
+  std::string method;
+  std::string path;
+  std::string query;
+  HttpHeaders headers;
+  std::string body;
+};
+
+struct HttpResponse {
+  int status = 200;
+  std::string body;
+  std::string content_type = "application/json";
+  HttpHeaders headers;
+};
+
+// Sends the response. Called exactly once, from any thread.
+using HttpResponder = std::function<void(HttpResponse)>;
+using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
+
+// The value of a query parameter, or an empty string.
+std::string QueryValue(const std::string& query, const std::string& name);
+// The value of a header, or an empty string. Names are compared without case.
+std::string HeaderValue(const HttpHeaders& headers, const std::string& name);
+
+}  // namespace zinniamux::adapters
+
+#endif  // ZINNIAMUX_ADAPTERS_HTTP_MESSAGE_H_
--- /dev/null
+++ b/src/core/agent_action.h
@@ -0,0 +1,55 @@
+// What an AgentCore asks its surroundings to do.
+#ifndef ZINNIAMUX_CORE_AGENT_ACTION_H_
+#define ZINNIAMUX_CORE_AGENT_ACTION_H_
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/dispatch_order.h"
+#include "core/executor_info.h"
+#include "core/task_record.h"
+
+namespace zinniamux::core {
+
+// Send the task to the executor; answered by AgentCore::OnTaskEnded.
+struct StartTask {
+  TaskKey key;
+  DispatchTask task;
+};
+
+struct SendRefusal {
+  std::string entry_id;
+  std::vector<TaskKey> tasks;
+  RefusalReason reason;
+  std::uint64_t epoch;
+};
+
+struct SendResults {
+  std::string entry_id;
+  std::vector<TaskOutcome> outcomes;
+};
+
+struct SendReconcileReply {
+  std::string entry_id;
+  std::vector<TaskOutcome> outcomes;
+};
+
+struct SendFenceReply {
+  std::string entry_id;
+  bool accepted;
+  std::uint64_t epoch;
+  std::vector<TaskOutcome> records;
+};
+
+// To every attached entry.
+struct BroadcastStatus {
+  ExecutorStatus status;
+};
+
+using AgentAction = std::variant<StartTask, SendRefusal, SendResults, SendReconcileReply,
+                                 SendFenceReply, BroadcastStatus>;
+
+}  // namespace zinniamux::core
+
+#endif  // ZINNIAMUX_CORE_AGENT_ACTION_H_
--- /dev/null
+++ b/src/core/dispatch_config.h
@@ -0,0 +1,57 @@
+// The part of the published configuration that steers dispatching.
+#ifndef ZINNIAMUX_CORE_DISPATCH_CONFIG_H_
+#define ZINNIAMUX_CORE_DISPATCH_CONFIG_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "core/clock.h"
+
+namespace zinniamux::core {
+
+// Limits of one team. Zero means unlimited.
+struct TeamConfig {
+  double weight = 1.0;
+  std::uint32_t max_queued_tasks = 0;
+  std::uint32_t max_running_tasks = 0;
+};
+
+// One job kind, as its job file declares it.
+struct JobConfig {
+  std::string team;
+  bool idempotent = true;
+  // First guess where a submission declares no run time.
+  std::chrono::milliseconds run_time{100};
+  // A task is abandoned after this time; its outcome is then unknown.
+  std::chrono::milliseconds time_limit{30'000};
+  std::uint32_t max_tasks = 500;
+  std::uint32_t memory_mb = 0;
+};
+
+enum class JobOrder { kFifo, kLeastRemaining };
+
+enum class PlacementPolicyKind { kLateBinding, kRandom, kRoundRobin, kLeastLoaded };
+
+struct PolicyConfig {
+  PlacementPolicyKind placement = PlacementPolicyKind::kLateBinding;
+  JobOrder job_order = JobOrder::kFifo;
+  // How long an agent may hold a result back to join it with others of the same job.
+  std::chrono::milliseconds result_hold{0};
+  // A task that was not started after this time in the queue fails its job if nothing of it ran.
+  std::chrono::milliseconds queue_time_limit{30'000};
+  // Answers and start records are kept this long after a job's end.
+  std::chrono::milliseconds retention{60'000};
+};
+
+// A complete configuration. Invariant: `version` never decreases within a process.
+struct DispatchConfig {
+  std::uint64_t version = 0;
+  std::map<std::string, TeamConfig> teams;
+  std::map<std::string, JobConfig> jobs;
+  PolicyConfig policy;
+};
+
+}  // namespace zinniamux::core
+
+#endif  // ZINNIAMUX_CORE_DISPATCH_CONFIG_H_
--- /dev/null
+++ b/src/core/table_store.h
@@ -0,0 +1,69 @@
+// Rows and transactions of the platform's table service, as the decision code sees them.
+#ifndef ZINNIAMUX_CORE_TABLE_STORE_H_
+#define ZINNIAMUX_CORE_TABLE_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/error_kind.h"
+
+namespace zinniamux::core {
+
+// One row. `version` increases with every write of the row; 0 stands for a row that does not exist.
+struct TableRow {
+  std::string key;
+  std::string value;
+  std::uint64_t version = 0;
+};
+
+// A set of writes that takes effect as a whole, if every condition holds.
+struct TableTransaction {
+  // The row has exactly this version; version 0 requires that it does not exist.
+  struct Condition {
+    std::string key;
+    std::uint64_t version = 0;
+  };
+  struct Put {
+    std::string key;
+    std::string value;
+  };
+
+  std::vector<Condition> conditions;
+  std::vector<Put> puts;
+  std::vector<std::string> deletes;
+};
+
+enum class CommitOutcome {
+  kCommitted,
+  // A condition did not hold; nothing was written.
+  kConflict,
+  // No answer came. The transaction may have taken effect, now or later; read the rows again.
+  kUnknown,
+};
+
+// The platform's table service and object store. All calls return at once; callbacks run on a
+// thread of the implementation. Errors are of kind kStoreUnavailable, or kNotFound for objects.
+class TableStore {
+ public:
+  using RowCallback = std::function<void(Result<std::optional<TableRow>>)>;
+  using RowsCallback = std::function<void(Result<std::vector<TableRow>>)>;
+  using CommitCallback = std::function<void(CommitOutcome)>;
+  using ObjectCallback = std::function<void(Result<std::string>)>;
+  using DoneCallback = std::function<void(Result<void>)>;
+
+  virtual ~TableStore() = default;
+  virtual void ReadRow(std::string key, RowCallback callback) = 0;
+  // All rows whose key begins with `prefix`, in key order.
+  virtual void ReadRows(std::string prefix, RowsCallback callback) = 0;
+  virtual void Commit(TableTransaction transaction, CommitCallback callback) = 0;
+  virtual void ReadObject(std::string key, ObjectCallback callback) = 0;
+  virtual void WriteObject(std::string key, std::string body, DoneCallback callback) = 0;
+};
+
+}  // namespace zinniamux::core
+
+#endif  // ZINNIAMUX_CORE_TABLE_STORE_H_
--- /dev/null
+++ b/src/zinniamuxd/main.cc
@@ -0,0 +1,81 @@
+// zinniamuxd: reads its settings, runs one role, and stops gracefully on SIGTERM or SIGINT.
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "adapters/json_log.h"
+#include "adapters/settings.h"
+#include "adapters/steady_clock.h"
+#include "zinniamuxd/agent_daemon.h"
+#include "zinniamuxd/entry_daemon.h"
+
+namespace {
+
+using zinniamux::adapters::JsonLog;
+using zinniamux::adapters::LogLevel;
+
+constexpr std::chrono::milliseconds kTimerPeriod{10};
+constexpr int kExitUsage = 2;
+
+volatile std::sig_atomic_t stop_requested = 0;
+
+void RequestStop(int /*signal*/) { stop_requested = 1; }
+
+template <typename Daemon>
+int Run(Daemon& daemon, JsonLog& log) {
+  if (const auto started = daemon.Start(); !started) {
+    std::cerr << "zinniamuxd: " << started.error().message << '\n';
+    return EXIT_FAILURE;
+  }
+  log.Write(LogLevel::kInfo, "started", nlohmann::json::object());
+  while (stop_requested == 0) {
+    std::this_thread::sleep_for(kTimerPeriod);
+    daemon.OnTimer();
+  }
+  log.Write(LogLevel::kInfo, "stopping", nlohmann::json::object());
+  daemon.Stop();
+  log.Write(LogLevel::kInfo, "stopped", nlohmann::json::object());
+  return EXIT_SUCCESS;
+}
+
+int RunRole(const zinniamux::adapters::Settings& settings) {
+  const zinniamux::adapters::SteadyClock clock;
+  const std::string id = settings.entry ? settings.entry->id : settings.agent->id;
+  JsonLog log({.file = settings.log.file, .process = id});
+  if (settings.entry) {
+    zinniamux::daemon::EntryDaemon daemon(*settings.entry, clock, log);
+    return Run(daemon, log);
+  }
+  zinniamux::daemon::AgentDaemon daemon(*settings.agent, clock, log);
+  return Run(daemon, log);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGTERM, RequestStop);
+  std::signal(SIGINT, RequestStop);
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    TCLAP::CmdLine command("zinniamux daemon", ' ', "0.1.0");
+    TCLAP::ValueArg<std::string> file("s", "settings", "settings file (YAML)", true, "", "FILE",
+                                      command);
+    command.parse(argc, argv);
+    const auto settings = zinniamux::adapters::LoadSettings(file.getValue());
+    if (!settings) {
+      std::cerr << "zinniamuxd: " << settings.error().message << '\n';
+      return kExitUsage;
+    }
+    return RunRole(*settings);
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << "zinniamuxd: " << error.error() << '\n';
+    return kExitUsage;
+  } catch (const std::exception& error) {
+    std::cerr << "zinniamuxd: " << error.what() << '\n';
+    return EXIT_FAILURE;
+  }
+}
