policy: add the scheduling policy classes of a shard

The dispatcher used one FIFO of tasks and a linear search over agents. These classes hold fair queueing, quotas, admission, run-time estimates, health, retry budgets and the four placement policies; they are not wired in yet, and no test covers them yet.

--- /dev/null
+++ b/src/core/admission_controller.h
@@ -0,0 +1,86 @@
+// Decides whether a submission may enter a shard's queue.
+#ifndef ZINNIAMUX_CORE_ADMISSION_CONTROLLER_H_
+#define ZINNIAMUX_CORE_ADMISSION_CONTROLLER_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/dispatch_config.h"
+#include "core/error_kind.h"
+#include "core/job_queue.h"
+#include "core/run_time_estimator.h"
+#include "core/submission.h"
+
+namespace zinniamux::core {
+
+// Expected run times of a job's tasks.
+struct JobEstimate {
+  // By task index.
+  std::vector<Duration> task_costs;
+  Duration total{0};
+  Duration longest{0};
+  Duration deviation{0};
+  // False while the estimate rests on declarations alone.
+  bool learned = false;
+};
+
+JobEstimate EstimateJob(const Submission& submission, const JobConfig& config,
+                        const RunTimeEstimator& estimator);
+
+// Refuses at once what would be refused later or miss its deadline, so that capacity goes to jobs
+// that can still be completed. Holds no state of its own.
+class AdmissionController {
+ public:
+  struct Options {
+    // Bound on the waiting tasks of a shard.
+    std::uint32_t max_queued_tasks = 100'000;
+    // The estimated wait is taken this much longer. Without it, a long queue admits every job whose
+    // expected completion is just its deadline, and half of them miss it.
+    double wait_margin = 1.25;
+  };
+
+  // The executors as the admission sees them.
+  struct Capacity {
+    // Slots of executors that take work.
+    std::uint32_t open_slots = 0;
+    std::uint32_t free_slots = 0;
+    // Memory of the largest known executor; zero if unknown.
+    std::uint32_t largest_memory_mb = 0;
+  };
+
+  struct Situation {
+    const DispatchConfig& config;
+    const JobQueue& queue;
+    Capacity capacity;
+    TimePoint now;
+  };
+
+  AdmissionController() : AdmissionController(Options()) {}
+  explicit AdmissionController(const Options& options);
+
+  // Why the submission is refused whatever the load is; empty if it may run at all. The job and
+  // team are configured if it is empty.
+  std::optional<Error> CheckDeclaration(const Submission& submission,
+                                        const Situation& situation) const;
+  // Why a valid submission is refused under the present load; empty if it is admitted.
+  std::optional<Error> CheckLoad(const Submission& submission, const JobEstimate& estimate,
+                                 const Situation& situation) const;
+  // Time after which work that waits for `excess_tasks` to be served may be sent again.
+  static std::chrono::milliseconds RetryAfter(std::uint64_t excess_tasks,
+                                              const Situation& situation);
+
+ private:
+  std::optional<Error> CheckQuota(const Submission& submission, const Situation& situation) const;
+  std::optional<Error> CheckQueueBound(const Submission& submission,
+                                       const Situation& situation) const;
+  std::optional<Error> CheckDeadline(const Submission& submission, const JobEstimate& estimate,
+                                     const Situation& situation) const;
+
+  const Options options_;
+};
+
+}  // namespace zinniamux::core
+
+#endif  // ZINNIAMUX_CORE_ADMISSION_CONTROLLER_H_
--- /dev/null
+++ b/src/core/late_binding_policy.cc
@@ -0,0 +1,134 @@
+// Indexes of free slots by memory class and rack.
+#include "core/late_binding_policy.h"
+
+#include <bit>
+#include <tuple>
+
+namespace zinniamux::core {
+namespace {
+
+// Racks examined per memory class. With the rack used longest ago first among equals, racks without
+// a task of the job are found among the first ones.
+constexpr std::size_t kMaxRacks = Placement::kMaxCandidates;
+// Examined also if the first one is the best, for the decision log.
+constexpr std::size_t kMinRacks = 2;
+
+// One task of the job in the same rack counts more than any number of used slots.
+constexpr double kSpreadScore = 1e4;
+constexpr double kOtherZoneScore = 0.5;
+
+// Class of an executor that reports no memory: it takes every task.
+constexpr std::uint32_t kUnknownMemoryClass = 32;
+
+}  // namespace
+
+bool LateBindingPolicy::RackRank::operator<(const RackRank& other) const {
+  return std::tie(used_slots, other_zone, last_use, rack) <
+         std::tie(other.used_slots, other.other_zone, other.last_use, other.rack);
+}
+
+void LateBindingPolicy::Update(const PlacementTarget& target) {
+  if (target.index >= entries_.size()) entries_.resize(target.index + 1);
+  Entry& entry = entries_[target.index];
+  const bool used = entry.target != nullptr && target.used_slots > entry.used_slots;
+  RemoveFromIndexes(entry);
+  entry.target = &target;
+  entry.memory_class = MemoryClassOf(target);
+  entry.rack = target.rack;
+  entry.used_slots = target.used_slots;
+  if (target.free_slots() == 0) return;
+  if (target.standing == ExecutorHealth::Standing::kProbation) {
+    entry.place = Entry::Place::kProbation;
+    probation_.insert(target.index);
+    return;
+  }
+  entry.place = Entry::Place::kRack;
+  AddToRack(entry, used);
+}
+
+Placement LateBindingPolicy::Choose(const PlacementRequest& request) {
+  Placement placement;
+  double best_score = 0;
+  const auto lowest = static_cast<std::uint32_t>(std::bit_width(request.memory_mb));
+  for (auto it = classes_.lower_bound(lowest); it != classes_.end(); ++it) {
+    const MemoryClass& memory_class = it->second;
+    std::size_t examined = 0;
+    // The racks come in the order of the score but for the spread, so the first rack without a task
+    // of the job is the best of its class.
+    bool found_best = false;
+    for (const RackRank& rank : memory_class.order) {
+      const Rack& rack = memory_class.racks.at(rank.rack);
+      const PlacementTarget* target = FirstFit(rack, request.memory_mb);
+      if (target == nullptr) continue;
+      const std::uint32_t spread = request.spread ? request.spread->Count(rank.rack) : 0;
+      const double score =
+          spread * kSpreadScore + target->used_slots + (rack.other_zone ? kOtherZoneScore : 0);
+      if (!placement.index || score < best_score) {
+        placement.index = target->index;
+        best_score = score;
+      }
+      placement.AddCandidate(target->index, score);
+      ++examined;
+      found_best = found_best || spread == 0;
+      if (examined >= kMaxRacks || (found_best && examined >= kMinRacks)) break;
+    }
+  }
+  if (!placement.index) ChooseOnProbation(request, placement);
+  return placement;
+}
+
+std::uint32_t LateBindingPolicy::MemoryClassOf(const PlacementTarget& target) {
+  if (target.memory_mb == 0) return kUnknownMemoryClass;
+  return static_cast<std::uint32_t>(std::bit_width(target.memory_mb));
+}
+
+void LateBindingPolicy::RemoveFromIndexes(Entry& entry) {
+  if (entry.place == Entry::Place::kProbation) probation_.erase(entry.target->index);
+  if (entry.place == Entry::Place::kRack) {
+    MemoryClass& memory_class = classes_[entry.memory_class];
+    memory_class.racks[entry.rack].executors.erase({entry.used_slots, entry.target->index});
+    Reorder(memory_class, entry.rack);
+  }
+  entry.place = Entry::Place::kNone;
+}
+
+void LateBindingPolicy::AddToRack(const Entry& entry, bool used) {
+  MemoryClass& memory_class = classes_[entry.memory_class];
+  Rack& rack = memory_class.racks[entry.rack];
+  rack.executors.insert({entry.used_slots, entry.target->index});
+  rack.other_zone = !entry.target->same_zone;
+  if (used) rack.last_use = ++uses_;
+  Reorder(memory_class, entry.rack);
+}
+
+void LateBindingPolicy::Reorder(MemoryClass& memory_class, std::uint32_t rack_number) {
+  Rack& rack = memory_class.racks[rack_number];
+  memory_class.order.erase(rack.rank);
+  if (rack.executors.empty()) return;
+  rack.rank = {.used_slots = rack.executors.begin()->first,
+               .other_zone = rack.other_zone,
+               .last_use = rack.last_use,
+               .rack = rack_number};
+  memory_class.order.insert(rack.rank);
+}
+
+const PlacementTarget* LateBindingPolicy::FirstFit(const Rack& rack,
+                                                   std::uint32_t memory_mb) const {
+  for (const auto& [used_slots, index] : rack.executors) {
+    const PlacementTarget* target = entries_[index].target;
+    if (target->Fits(memory_mb)) return target;
+  }
+  return nullptr;
+}
+
+void LateBindingPolicy::ChooseOnProbation(const PlacementRequest& request,
+                                          Placement& placement) const {
+  for (const std::uint32_t index : probation_) {
+    if (!entries_[index].target->Fits(request.memory_mb)) continue;
+    placement.index = index;
+    placement.AddCandidate(index, 0);
+    return;
+  }
+}
+
+}  // namespace zinniamux::core
