--- a/src/core/late_binding_policy.cc
+++ b/src/core/late_binding_policy.cc
@@ -7,11 +7,9 @@
 namespace zinniamux::core {
 namespace {
 
-// Racks examined per memory class. With the rack used longest ago first among equals, racks without
-// a task of the job are found among the first ones.
-constexpr std::size_t kMaxRacks = Placement::kMaxCandidates;
-// Examined also if the first one is the best, for the decision log.
-constexpr std::size_t kMinRacks = 2;
+// Racks examined per memory class and zone. With the rack used longest ago first among equals,
+// racks without a task of the job are found among the first ones.
+constexpr std::size_t kMaxRacks = 4;
 
 // One task of the job in the same rack counts more than any number of used slots.
 constexpr double kSpreadScore = 1e4;
@@ -23,8 +21,8 @@
 }  // namespace
 
 bool LateBindingPolicy::RackRank::operator<(const RackRank& other) const {
-  return std::tie(used_slots, other_zone, last_use, rack) <
-         std::tie(other.used_slots, other.other_zone, other.last_use, other.rack);
+  return std::tie(used_slots, last_use, rack) <
+         std::tie(other.used_slots, other.last_use, other.rack);
 }
 
 void LateBindingPolicy::Update(const PlacementTarget& target) {
@@ -52,31 +50,36 @@
   const auto lowest = static_cast<std::uint32_t>(std::bit_width(request.memory_mb));
   for (auto it = classes_.lower_bound(lowest); it != classes_.end(); ++it) {
     const MemoryClass& memory_class = it->second;
-    std::size_t examined = 0;
-    // The racks come in the order of the score but for the spread, so the first rack without a task
-    // of the job is the best of its class.
-    bool found_best = false;
-    for (const RackRank& rank : memory_class.order) {
-      const Rack& rack = memory_class.racks.at(rank.rack);
-      const PlacementTarget* target = FirstFit(rack, request.memory_mb);
-      if (target == nullptr) continue;
-      const std::uint32_t spread = request.spread ? request.spread->Count(rank.rack) : 0;
-      const double score =
-          spread * kSpreadScore + target->used_slots + (rack.other_zone ? kOtherZoneScore : 0);
-      if (!placement.index || score < best_score) {
-        placement.index = target->index;
-        best_score = score;
-      }
-      placement.AddCandidate(target->index, score);
-      ++examined;
-      found_best = found_best || spread == 0;
-      if (examined >= kMaxRacks || (found_best && examined >= kMinRacks)) break;
-    }
+    ChooseInOrder(request, memory_class, memory_class.own_zone, placement, best_score);
+    ChooseInOrder(request, memory_class, memory_class.other_zones, placement, best_score);
   }
   if (!placement.index) ChooseOnProbation(request, placement);
   return placement;
 }
 
+void LateBindingPolicy::ChooseInOrder(const PlacementRequest& request,
+                                      const MemoryClass& memory_class,
+                                      const std::set<RackRank>& order, Placement& placement,
+                                      double& best_score) const {
+  std::size_t examined = 0;
+  for (const RackRank& rank : order) {
+    const Rack& rack = memory_class.racks.at(rank.rack);
+    const PlacementTarget* target = FirstFit(rack, request.memory_mb);
+    if (target == nullptr) continue;
+    const std::uint32_t spread = request.spread ? request.spread->Count(rank.rack) : 0;
+    const double score =
+        spread * kSpreadScore + target->used_slots + (rack.other_zone ? kOtherZoneScore : 0);
+    if (!placement.index || score < best_score) {
+      placement.index = target->index;
+      best_score = score;
+    }
+    placement.AddCandidate(target->index, score);
+    // The order is that of the score but for the spread, so the first rack without a task of the
+    // job is the best.
+    if (spread == 0 || ++examined == kMaxRacks) return;
+  }
+}
+
 std::uint32_t LateBindingPolicy::MemoryClassOf(const PlacementTarget& target) {
   if (target.memory_mb == 0) return kUnknownMemoryClass;
   return static_cast<std::uint32_t>(std::bit_width(target.memory_mb));
@@ -103,13 +106,13 @@
 
 void LateBindingPolicy::Reorder(MemoryClass& memory_class, std::uint32_t rack_number) {
   Rack& rack = memory_class.racks[rack_number];
-  memory_class.order.erase(rack.rank);
+  std::set<RackRank>& order = memory_class.OrderOf(rack);
+  if (rack.rank) order.erase(*rack.rank);
+  rack.rank.reset();
   if (rack.executors.empty()) return;
-  rack.rank = {.used_slots = rack.executors.begin()->first,
-               .other_zone = rack.other_zone,
-               .last_use = rack.last_use,
-               .rack = rack_number};
-  memory_class.order.insert(rack.rank);
+  rack.rank = RackRank{
+      .used_slots = rack.executors.begin()->first, .last_use = rack.last_use, .rack = rack_number};
+  order.insert(*rack.rank);
 }
 
 const PlacementTarget* LateBindingPolicy::FirstFit(const Rack& rack,
--- a/src/core/late_binding_policy.h
+++ b/src/core/late_binding_policy.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -28,7 +29,6 @@
 
   struct RackRank {
     std::uint32_t used_slots = 0;
-    bool other_zone = false;
     std::uint64_t last_use = 0;
     std::uint32_t rack = 0;
     bool operator<(const RackRank& other) const;
@@ -39,15 +39,21 @@
     std::set<ExecutorRank> executors;
     bool other_zone = false;
     std::uint64_t last_use = 0;
-    // The rank in MemoryClass::order, if there are executors.
-    RackRank rank;
+    // The rank in its zone's order; set if and only if there are executors.
+    std::optional<RackRank> rank;
   };
 
   // Executors whose memory lies between two powers of two. A larger class fits every task of a
   // smaller one, so that only the lowest class needs a look at each executor.
   struct MemoryClass {
     std::map<std::uint32_t, Rack> racks;
-    std::set<RackRank> order;
+    // The zones are ordered separately, or the racks of the own zone would hide the others.
+    std::set<RackRank> own_zone;
+    std::set<RackRank> other_zones;
+
+    std::set<RackRank>& OrderOf(const Rack& rack) {
+      return rack.other_zone ? other_zones : own_zone;
+    }
   };
 
   // What the indexes hold for one executor.
@@ -64,6 +70,10 @@
   void AddToRack(const Entry& entry, bool used);
   static void Reorder(MemoryClass& memory_class, std::uint32_t rack_number);
   const PlacementTarget* FirstFit(const Rack& rack, std::uint32_t memory_mb) const;
+  // Examines the first racks of one order and keeps the best choice so far.
+  void ChooseInOrder(const PlacementRequest& request, const MemoryClass& memory_class,
+                     const std::set<RackRank>& order, Placement& placement,
+                     double& best_score) const;
   void ChooseOnProbation(const PlacementRequest& request, Placement& placement) const;
 
   std::vector<Entry> entries_;
