--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -19,6 +19,7 @@
   entry.caller = ReadListen(node["caller"]);
   entry.admin = ReadListen(node["admin"]);
   entry.rpc = ReadListen(node["rpc"]);
+  entry.rpc_advertised = node["rpc_advertised"].as<std::string>("");
   entry.peers = node["peers"].as<std::vector<std::string>>(std::vector<std::string>{});
   entry.store_url = node["store"].as<std::string>("");
   return entry;
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -25,6 +25,8 @@
   ListenAddress caller;
   ListenAddress admin;
   ListenAddress rpc;
+  // host:port under which other processes reach `rpc`; empty if it is the same address.
+  std::string rpc_advertised;
   // rpc addresses (host:port) of the other entries known at start.
   std::vector<std::string> peers;
   // Base URL of the platform's service; empty only in tests.
