--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Load runs against real processes; prints one JSON line per run.
+# Usage: scripts/bench.sh [--deployment arkivhylse|tonewood] [--policy NAME,NAME]
+#   [--load 0.5,0.8,0.95,1.3] [--seed N] [--seconds N] [--quick] [--throughput TASKS_PER_S]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+build=${ZINNIAMUX_BUILD_DIR:-build}
+if [ ! -x "$build/bench/load_tool" ]; then
+  bash scripts/setup.sh
+  cmake -S . -B "$build" -G Ninja >/dev/null
+  cmake --build "$build" >/dev/null
+fi
+exec "$build/bench/load_tool" "$@"
--- a/tests/support/start_records.cc
+++ b/tests/support/start_records.cc
@@ -2,6 +2,7 @@
 #include "support/start_records.h"
 
 #include <fstream>
+#include <set>
 #include <sstream>
 
 namespace zinniamux::testing {
@@ -9,6 +10,7 @@
 StartRecords::StartRecords(const std::filesystem::path& directory) {
   for (const auto& entry : std::filesystem::directory_iterator(directory)) {
     if (entry.path().extension() != ".starts") continue;
+    std::set<std::string> submissions;
     std::ifstream file(entry.path());
     std::string line;
     while (std::getline(file, line)) {
@@ -19,7 +21,9 @@
       if (!(words >> kind >> id >> index) || kind != "start") continue;
       ++starts_[{id, index}];
       ++by_submission_[id];
+      submissions.insert(id);
     }
+    job_agents_ += submissions.size();
   }
 }
 
--- a/tests/support/start_records.h
+++ b/tests/support/start_records.h
@@ -20,11 +20,14 @@
   // The number of starts beyond the first, over all tasks.
   std::size_t duplicate_starts() const;
   std::size_t total() const;
+  // The number of pairs of a submission and an agent on which a task of it started.
+  std::size_t job_agents() const { return job_agents_; }
 
  private:
   // Key: submission id and task index.
   std::map<std::pair<std::string, std::string>, std::size_t> starts_;
   std::map<std::string, std::size_t> by_submission_;
+  std::size_t job_agents_ = 0;
 };
 
 }  // namespace zinniamux::testing
