standin, store: platform stand-in and the table store over HTTP

Cause: the daemon keeps its shard rows, claims and configuration in the platform's table service and object store, and no client or test counterpart of them existed.

Change: tests/standins/platform_standin serves rows, transactions and objects over HTTP/JSON from memory, with faults set at run time (down, silent, slow, lost answers, lost writes) and counters. PlatformState holds the data, PlatformService the HTTP part; both link into test programs. HttpTableStore implements core::TableStore over HttpClient with a 2 s deadline. Commits always use a connection of their own, because libcurl sends a request again when a reused connection turns out to be closed, and the second copy of a transaction that took effect would be answered as a conflict. After a failure all requests use fresh connections for 120 s, longer than libcurl keeps an idle connection. HttpResponse gains `cut_off`, with which the stand-in loses an answer.

--- a/src/adapters/http_message.h
+++ b/src/adapters/http_message.h
@@ -26,6 +26,9 @@
   std::string body;
   std::string content_type = "application/json";
   HttpHeaders headers;
+  // Closes the connection after the header, before the body: the client gets no answer. Stand-ins
+  // use this to lose answers.
+  bool cut_off = false;
 };
 
 // Sends the response. Called exactly once, from any thread.
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -24,7 +24,17 @@
   return result;
 }
 
+void CutOff(const restinio::request_handle_t& request) {
+  // A response that ends before its announced length is an error to every client.
+  constexpr std::size_t kAnnouncedBytes = 1000;
+  request->create_response<restinio::user_controlled_output_t>()
+      .connection_close()
+      .set_content_length(kAnnouncedBytes)
+      .done();
+}
+
 void Respond(const restinio::request_handle_t& request, HttpResponse response) {
+  if (response.cut_off) return CutOff(request);
   auto builder = request->create_response(restinio::http_status_line_t{
       restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)}, ""});
   builder.append_header(restinio::http_field::content_type, response.content_type);
--- /dev/null
+++ b/tests/standins/platform_standin/platform_state.cc
@@ -0,0 +1,51 @@
+// Transactions over rows in memory.
+#include "standins/platform_standin/platform_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace zinniamux::standins {
+
+std::optional<core::TableRow> PlatformState::Row(const std::string& key) const {
+  const auto found = rows_.find(key);
+  if (found == rows_.end()) return std::nullopt;
+  return found->second;
+}
+
+std::vector<core::TableRow> PlatformState::Rows(std::string_view prefix) const {
+  std::vector<core::TableRow> result;
+  for (auto row = rows_.lower_bound(prefix); row != rows_.end(); ++row) {
+    if (!row->first.starts_with(prefix)) break;
+    result.push_back(row->second);
+  }
+  return result;
+}
+
+bool PlatformState::Commit(const core::TableTransaction& transaction) {
+  const bool allowed = std::ranges::all_of(
+      transaction.conditions, [this](const auto& condition) { return Holds(condition); });
+  if (!allowed) return false;
+  for (const auto& put : transaction.puts) {
+    rows_[put.key] = {.key = put.key, .value = put.value, .version = ++last_version_};
+  }
+  for (const std::string& key : transaction.deletes) rows_.erase(key);
+  return true;
+}
+
+void PlatformState::PutObject(const std::string& key, std::string body) {
+  objects_[key] = std::move(body);
+}
+
+std::optional<std::string> PlatformState::Object(const std::string& key) const {
+  const auto found = objects_.find(key);
+  if (found == objects_.end()) return std::nullopt;
+  return found->second;
+}
+
+bool PlatformState::Holds(const core::TableTransaction::Condition& condition) const {
+  const auto found = rows_.find(condition.key);
+  const std::uint64_t version = found == rows_.end() ? 0 : found->second.version;
+  return version == condition.version;
+}
+
+}  // namespace zinniamux::standins
