--- a/src/core/claim_log.h
+++ b/src/core/claim_log.h
@@ -28,8 +28,13 @@
   std::uint64_t epoch = 0;
 };
 
-using ClaimAction =
-    std::variant<ReadStoreRow, ReadStoreRows, CommitToStore, AnswerClaim, ReportSuperseded>;
+// A claim row cannot be read, so no claim is granted; `message` goes to the log.
+struct ReportClaimProblem {
+  std::string message;
+};
+
+using ClaimAction = std::variant<ReadStoreRow, ReadStoreRows, CommitToStore, AnswerClaim,
+                                 ReportSuperseded, ReportClaimProblem>;
 
 // Group commit of the claims of one shard. At most one transaction is in flight; each writes one
 // row `claim/<shard>/<epoch>/<sequence>` on the condition that the shard row is unchanged and the
@@ -69,8 +74,7 @@
   void AddClaim(std::string submission_id, std::string request_key);
 
   void OnRow(StoreCall call, const Result<std::optional<TableRow>>& row);
-  // `wall_now` dates the claims that were loaded.
-  void OnRows(StoreCall call, const Result<std::vector<TableRow>>& rows, WallTime wall_now);
+  void OnRows(StoreCall call, const Result<std::vector<TableRow>>& rows);
   void OnCommit(StoreCall call, CommitOutcome outcome);
   // Sends what waits, ends waits that are too long, deletes old claims. Called every few
   // milliseconds; the time between two calls is the time in which claims gather.
@@ -104,7 +108,7 @@
     bool read_next = false;
     // A conflict was answered: the row exists, or the shard row has changed for good.
     bool conflicted = false;
-    TimePoint sent_at;
+    TimePoint started_at;
   };
   struct StoredRow {
     std::string key;
@@ -114,18 +118,21 @@
 
   void Load();
   bool StoreIsSilent() const;
-  void StartBatch(WallTime wall_now);
+  void StartNext();
+  bool StartDeletes(std::size_t minimum);
+  void StartBatch();
   void StepBatch();
   void FinishBatch();
-  void StartDeletes(WallTime wall_now);
   void FinishDeletes();
-  void Insert(const TableRow& row, WallTime wall_now);
+  void Insert(const std::string& row_key, const ClaimRow& row);
+  void RetryAfter(Duration delay);
   void AnswerDecided();
   void AnswerExpired();
   void Supersede();
   void Stop();
-  void Answer(const Waiter& waiter, ClaimDecision decision);
+  void Answer(const std::string& submission_id, ClaimDecision decision);
   std::optional<ClaimDecision> DecisionFor(const Waiter& waiter) const;
+  TableTransaction OwnerTransaction() const;
   StoreCall NextCall() { return call_ = ++last_call_; }
 
   const Options options_;
@@ -133,10 +140,12 @@
   State state_ = State::kIdle;
   std::uint64_t epoch_ = 0;
   std::uint64_t shard_row_version_ = 0;
+  // Never set back, not by a new epoch either: a row key that is used twice could be taken for a
+  // write that took effect.
   std::uint64_t last_sequence_ = 0;
   // By request key. Invariant: an entry is removed only after its row was deleted for certain.
   std::unordered_map<std::string, Holder> claims_;
-  // Oldest first.
+  // In order of their keys, hence oldest first.
   std::deque<StoredRow> rows_;
   // In order of arrival, hence of give_up_at.
   std::deque<Waiter> waiting_;
@@ -148,6 +157,8 @@
   StoreCall last_call_ = 0;
   TimePoint retry_at_;
   TimePoint loading_since_;
+  // As of the last OnTimer.
+  WallTime wall_now_;
   std::vector<ClaimAction> actions_;
 };
 
--- a/src/zinniamuxd/claim_service.h
+++ b/src/zinniamuxd/claim_service.h
@@ -24,6 +24,8 @@
     std::function<void(const std::string& submission_id, core::ClaimDecision decision)> on_decided;
     // The shard row has another owner: this process gives up the shard.
     std::function<void(std::uint64_t epoch)> on_superseded;
+    // A line for the log.
+    std::function<void(const std::string&)> on_problem;
   };
 
   // `options.token` is the entry's incarnation. `store` and `clock` outlive this object.
