agent: fence, isolate, acknowledge and stop gracefully

An acknowledgement is cumulative: the owner's heartbeat echoes the time stamp of the last message that it processed, so it costs no message of its own. The daemon follows the roster, reconnects with jitter and checks the executor's input.

--- a/src/core/agent_action.h
+++ b/src/core/agent_action.h
@@ -18,11 +18,13 @@
   DispatchTask task;
 };
 
+// `tasks` is empty if the refused message was not a dispatch; the owner then learns the epoch only.
 struct SendRefusal {
   std::string entry_id;
   std::vector<TaskKey> tasks;
-  RefusalReason reason;
-  std::uint64_t epoch;
+  RefusalReason reason = RefusalReason::kStaleEpoch;
+  // The highest epoch that the agent has seen.
+  std::uint64_t epoch = 0;
 };
 
 struct SendResults {
@@ -32,14 +34,17 @@
 
 struct SendReconcileReply {
   std::string entry_id;
+  std::uint64_t epoch = 0;
   std::vector<TaskOutcome> outcomes;
 };
 
+// One part of the ledger. A reply that is not accepted has no records.
 struct SendFenceReply {
   std::string entry_id;
-  bool accepted;
-  std::uint64_t epoch;
+  bool accepted = false;
+  std::uint64_t epoch = 0;
   std::vector<TaskOutcome> records;
+  bool last_part = true;
 };
 
 // To every attached entry.
--- a/src/zinniamuxd/agent_daemon.cc
+++ b/src/zinniamuxd/agent_daemon.cc
@@ -1,13 +1,17 @@
 // Wiring of the agent role.
 #include "zinniamuxd/agent_daemon.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
-#include <random>
+#include <set>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <variant>
 
+#include "adapters/caller_codec.h"
 #include "rpc/convert.h"
+#include "zinniamuxd/announcement.h"
 
 namespace zinniamux::daemon {
 namespace {
@@ -15,81 +19,236 @@
 using adapters::HttpRequest;
 using adapters::HttpResponder;
 using adapters::HttpResponse;
+using adapters::LogLevel;
 using std::chrono::milliseconds;
 
 constexpr std::chrono::seconds kSilenceLimit{3};
 constexpr std::chrono::seconds kHeartbeatPeriod{1};
-constexpr milliseconds kReconnectDelay{200};
+// The owner acknowledges up to the last message that it processed, so a stopping agent sends more
+// messages while it waits.
+constexpr milliseconds kStoppingHeartbeatPeriod{100};
+constexpr milliseconds kMinRetryDelay{100};
+constexpr milliseconds kMaxRetryDelay{2000};
+constexpr unsigned kMaxRetryDoublings = 5;
 // Three announcements missed.
 constexpr std::chrono::seconds kAnnounceLimit{3};
+// Longer than a takeover takes (3 s of silence and a conditional write).
+constexpr std::chrono::seconds kAcknowledgeLimit{5};
+constexpr std::chrono::seconds kCloseLimit{3};
 constexpr milliseconds kShutdownPoll{10};
-constexpr milliseconds kDeliveryGrace{500};
+// The longest deadline of a job; a bound for tasks that carry no time limit.
+constexpr std::chrono::minutes kMaxTaskTime{10};
+constexpr std::size_t kMaxLocalBodyBytes = 64U << 10U;
+// The core admits at most one task per announced connection, so the client needs no limit.
+constexpr long kUnlimitedConnections = 0;
 
-std::uint64_t NewIncarnation() { return std::random_device()() | 1ULL; }
+constexpr std::array<std::string_view, core::kRefusalReasonCount> kReasonNames{
+    "stale_epoch",    "stale_config",    "late",   "no_slot", "leaving", "executor_down",
+    "not_authorised", "already_started", "revoked"};
+
+std::string_view NameOf(core::RefusalReason reason) {
+  return kReasonNames[static_cast<std::size_t>(reason)];
+}
+
+std::uint64_t NewIncarnation() {
+  std::random_device source;
+  const std::uint64_t high = source();
+  return (high << 32U | source()) | 1U;
+}
 
 core::AgentCore::Options CoreOptions(const adapters::AgentSettings& settings) {
   return {.agent_id = settings.id,
           .incarnation = NewIncarnation(),
           .shard = settings.shard,
           .availability_zone = settings.availability_zone,
-          .rack = settings.rack};
+          .rack = settings.rack,
+          .isolation_limit = settings.isolation_limit,
+          .ledger_limits = {}};
+}
+
+HttpResponse PlainText(int status, std::string body) {
+  return {.status = status, .body = std::move(body), .content_type = "text/plain", .headers = {}};
+}
+
+HttpResponse Problem(core::ErrorKind kind, std::string message) {
+  return adapters::ToHttp(core::Error{kind, std::move(message), {}});
+}
+
+void AddOutcomes(std::vector<core::TaskOutcome>& outcomes,
+                 google::protobuf::RepeatedPtrField<v1::TaskOutcome>& target) {
+  target.Reserve(static_cast<int>(outcomes.size()));
+  for (const core::TaskOutcome& outcome : outcomes) *target.Add() = rpc::ToProto(outcome);
+}
+
+v1::AgentMessage ToMessage(const core::SendRefusal& refusal) {
+  v1::AgentMessage message;
+  v1::Refusal* body = message.mutable_refusal();
+  body->set_reason(rpc::ToProto(refusal.reason));
+  body->set_epoch(refusal.epoch);
+  for (const core::TaskKey& key : refusal.tasks) *body->add_tasks() = rpc::ToProto(key);
+  return message;
+}
+
+v1::AgentMessage ToMessage(core::SendResults& results) {
+  v1::AgentMessage message;
+  AddOutcomes(results.outcomes, *message.mutable_results()->mutable_outcomes());
+  return message;
+}
+
+v1::AgentMessage ToMessage(core::SendReconcileReply& reply) {
+  v1::AgentMessage message;
+  message.mutable_reconcile_reply()->set_epoch(reply.epoch);
+  AddOutcomes(reply.outcomes, *message.mutable_reconcile_reply()->mutable_outcomes());
+  return message;
+}
+
+v1::AgentMessage ToMessage(core::SendFenceReply& reply, std::uint32_t shard) {
+  v1::AgentMessage message;
+  v1::FenceReply* body = message.mutable_fence_reply();
+  body->set_shard(shard);
+  body->set_epoch(reply.epoch);
+  body->set_accepted(reply.accepted);
+  body->set_last_part(reply.last_part);
+  AddOutcomes(reply.records, *body->mutable_records());
+  return message;
 }
 
 }  // namespace
 
 AgentDaemon::AgentDaemon(adapters::AgentSettings settings, const core::Clock& clock,
-                         adapters::JsonLog& log)
+                         adapters::JsonLog& log, core::TableStore* store)
     : settings_(std::move(settings)),
       clock_(clock),
       log_(log),
+      store_(store),
       core_(CoreOptions(settings_), clock),
-      executor_client_(std::make_unique<adapters::HttpClient>()) {}
+      random_(std::random_device()()),
+      executor_client_(std::make_unique<adapters::HttpClient>(kUnlimitedConnections)) {}
 
 core::Result<void> AgentDaemon::Start() {
-  auto server = adapters::HttpServer::Start(
-      {.address = settings_.local.host, .port = settings_.local.port, .threads = 1},
-      [this](const HttpRequest& request, const HttpResponder& respond) {
-        ServeLocal(request, respond);
-      });
+  auto server =
+      adapters::HttpServer::Start({.address = settings_.local.host,
+                                   .port = settings_.local.port,
+                                   .threads = 1,
+                                   .max_body_bytes = kMaxLocalBodyBytes},
+                                  [this](const HttpRequest& request, const HttpResponder& respond) {
+                                    ServeLocal(request, respond);
+                                  });
   if (!server) return tl::unexpected(server.error());
   local_server_ = *std::move(server);
   const std::lock_guard lock(mutex_);
-  for (const std::string& address : settings_.entries) Connect(address, links_[address]);
+  UpdateLinks();
   return {};
 }
 
 void AgentDaemon::ServeLocal(const HttpRequest& request, const HttpResponder& respond) {
-  if (request.path == "/healthz") {
-    respond({.status = 200, .body = "ok\n", .content_type = "text/plain"});
+  const bool posts = request.path == "/v1/announce" || request.path == "/v1/leave";
+  const bool gets =
+      request.path == "/healthz" || request.path == "/readyz" || request.path == "/metrics";
+  if (!posts && !gets) {
+    respond(Problem(core::ErrorKind::kNotFound, "no such path: " + request.path));
     return;
   }
-  if (request.path == "/v1/announce" && request.method == "POST") {
-    const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
-    if (body.is_discarded()) {
-      respond({.status = 400, .body = "{}\n"});
-      return;
-    }
-    const std::lock_guard lock(mutex_);
-    executor_address_ = body.value("address", std::string());
-    last_announce_ = clock_.now();
-    core_.OnExecutorStatus({.executor_id = body.value("executor_id", std::string()),
-                            .available = true,
-                            .leaving = false,
-                            .slots = body.value("slots", 0U),
-                            .connections = body.value("connections", 0U),
-                            .memory_mb = body.value("memory_mb", 0U)});
-    CarryOut();
-    respond({.status = 200, .body = "{}\n"});
+  if (request.method != (posts ? "POST" : "GET")) {
+    HttpResponse response = Problem(core::ErrorKind::kInvalidRequest,
+                                    request.path + " takes " + (posts ? "POST" : "GET") + " only");
+    response.status = 405;
+    respond(std::move(response));
     return;
   }
-  if (request.path == "/v1/leave" && request.method == "POST") {
+  if (request.path == "/v1/announce") return respond(ServeAnnounce(request.body));
+  if (request.path == "/v1/leave") return respond(ServeLeave(request.body));
+  if (request.path == "/readyz") return respond(ServeReady());
+  if (request.path == "/metrics") return respond(ServeMetrics());
+  respond(PlainText(200, "ok\n"));
+}
+
+HttpResponse AgentDaemon::ServeAnnounce(const std::string& body) {
+  const core::Result<Announcement> announcement = ParseAnnouncement(body);
+  if (!announcement) return adapters::ToHttp(announcement.error());
+  Apply([&] {
+    const bool was_available = core_.executor().available;
+    executor_address_ = announcement->address;
+    last_announce_ = clock_.now();
+    core_.OnAnnounce(announcement->status, announcement->leaving);
+    if (was_available) return;
+    log_.Write(LogLevel::kInfo, "executor_available",
+               {{"executor", announcement->status.executor_id},
+                {"address", announcement->address},
+                {"slots", announcement->status.slots}});
+  });
+  return {.status = 200, .body = "{}\n", .headers = {}};
+}
+
+HttpResponse AgentDaemon::ServeLeave(const std::string& body) {
+  const core::Result<std::string> id = ParseLeave(body);
+  if (!id) return adapters::ToHttp(id.error());
+  bool known = false;
+  Apply([&] {
+    const std::string& announced = core_.executor().executor_id;
+    known = !announced.empty() && (id->empty() || *id == announced);
+    if (!known) return;
+    core_.OnExecutorLeave();
+    log_.Write(LogLevel::kInfo, "executor_leaving", {{"executor", announced}});
+  });
+  if (!known) {
+    return Problem(core::ErrorKind::kInvalidRequest,
+                   "field 'executor_id' does not name the executor that is announced here");
+  }
+  return {.status = 200, .body = "{}\n", .headers = {}};
+}
+
+HttpResponse AgentDaemon::ServeReady() {
+  const std::lock_guard lock(mutex_);
+  const core::ExecutorStatus status = core_.EffectiveStatus();
+  if (status.leaving) return PlainText(503, "leaving\n");
+  if (!status.available) return PlainText(503, "no executor is announced\n");
+  if (attached_entries() == 0) return PlainText(503, "not attached to any entry\n");
+  return PlainText(200, "ready\n");
+}
+
+HttpResponse AgentDaemon::ServeMetrics() {
+  const std::lock_guard lock(mutex_);
+  const core::AgentCounters& counters = core_.counters();
+  std::string page;
+  const auto add = [&page](std::string_view name, std::uint64_t value) {
+    page.append("zinniamux_agent_").append(name).append(" ");
+    page.append(std::to_string(value)).append("\n");
+  };
+  add("starts_total", counters.starts);
+  for (std::size_t reason = 0; reason < kReasonNames.size(); ++reason) {
+    add("refusals_total{reason=\"" + std::string(kReasonNames[reason]) + "\"}",
+        counters.refusals[reason]);
+  }
+  add("outcomes_sent_total", counters.outcomes_sent);
+  add("outcomes_resent_total", counters.outcomes_resent);
+  add("result_messages_total", counters.result_messages);
+  add("running_tasks", core_.running_tasks());
+  add("unacknowledged_outcomes", core_.unacknowledged());
+  add("ledger_records", core_.ledger().size());
+  add("ledger_bytes", core_.ledger().bytes());
+  add("attached_entries", attached_entries());
+  add("roster_entries", core_.roster().size());
+  add("epoch", core_.epoch());
+  add("config_version", core_.config_version());
+  return PlainText(200, std::move(page));
+}
+
+std::size_t AgentDaemon::attached_entries() const {
+  return static_cast<std::size_t>(std::ranges::count_if(links_, [](const auto& item) {
+    const std::shared_ptr<EntryConnection>& connection = item.second.connection;
+    return connection != nullptr && !connection->entry_id().empty();
+  }));
+}
+
+void AgentDaemon::Apply(const std::function<void()>& event) {
+  std::vector<ExecutorCall> calls;
+  {
     const std::lock_guard lock(mutex_);
-    core_.SetDraining(true);
-    CarryOut();
-    respond({.status = 200, .body = "{}\n"});
-    return;
+    event();
+    calls = CarryOut();
   }
-  respond({.status = 404, .body = "{}\n"});
+  for (ExecutorCall& call : calls) RunTask(std::move(call));
 }
 
 void AgentDaemon::Connect(const std::string& address, Link& link) {
@@ -102,20 +261,36 @@
           .on_closed =
               [this](const std::shared_ptr<EntryConnection>& from) { OnEntryClosed(from); }},
       clock_);
+  ++open_connections_;
   v1::AgentMessage hello;
   *hello.mutable_hello() = rpc::ToProto(core_.Hello());
   hello.set_now_mono_ms(hello.hello().now_mono_ms());
   link.connection->Start(std::move(hello));
 }
 
+bool AgentDaemon::IsCurrent(const std::shared_ptr<EntryConnection>& connection) const {
+  const auto found = links_.find(connection->address());
+  return found != links_.end() && found->second.connection == connection;
+}
+
 void AgentDaemon::OnEntryMessage(const std::shared_ptr<EntryConnection>& connection,
                                  v1::EntryMessage message) {
-  const std::lock_guard lock(mutex_);
+  Apply([&] {
+    // A message of a stream that was given up may be long delayed.
+    if (IsCurrent(connection)) HandleEntryMessage(connection, std::move(message));
+  });
+}
+
+void AgentDaemon::HandleEntryMessage(const std::shared_ptr<EntryConnection>& connection,
+                                     v1::EntryMessage message) {
+  if (message.has_welcome()) {
+    HandleWelcome(connection, message.welcome());
+    return;
+  }
   const std::string entry_id = connection->entry_id();
+  if (entry_id.empty()) return;
+  core_.OnEntryHeard(entry_id);
   switch (message.body_case()) {
-    case v1::EntryMessage::kWelcome:
-      connection->set_entry_id(message.welcome().entry_id());
-      break;
     case v1::EntryMessage::kDispatch:
       core_.OnDispatch(entry_id, rpc::FromProto(std::move(*message.mutable_dispatch())));
       break;
@@ -127,66 +302,155 @@
                         rpc::FromProto(message.reconcile().tasks()));
       break;
     case v1::EntryMessage::kFence:
-      core_.OnFence(entry_id, message.fence().epoch());
+      // Epochs of different shards are not comparable.
+      if (message.fence().shard() == settings_.shard) {
+        core_.OnFence(entry_id, message.fence().epoch());
+      }
+      break;
+    case v1::EntryMessage::kResultAck:
+      core_.OnResultAck(entry_id, rpc::FromProto(message.result_ack().tasks()));
+      break;
+    case v1::EntryMessage::kHeartbeat:
+      core_.OnAcknowledged(entry_id, milliseconds(message.heartbeat().now_mono_ms()));
+      break;
+    case v1::EntryMessage::kDrain:
+      log_.Write(LogLevel::kInfo, "drain",
+                 {{"entry", entry_id}, {"draining", message.drain().draining()}});
+      core_.SetDraining(message.drain().draining());
       break;
     default:
       break;
   }
-  CarryOut();
+}
+
+void AgentDaemon::HandleWelcome(const std::shared_ptr<EntryConnection>& connection,
+                                const v1::Welcome& welcome) {
+  const std::string& entry_id = welcome.entry_id();
+  if (entry_id.empty()) return;
+  const bool first = connection->entry_id().empty();
+  connection->set_entry_id(entry_id);
+  core_.OnEntryHeard(entry_id);
+  std::vector<std::string> ids;
+  roster_addresses_[entry_id] = connection->address();
+  for (const v1::EntryAddress& entry : welcome.roster()) {
+    ids.push_back(entry.entry_id());
+    if (entry.entry_id() != entry_id) roster_addresses_[entry.entry_id()] = entry.rpc_address();
+  }
+  core_.OnRoster(entry_id, welcome.incarnation(), ids);
+  std::erase_if(roster_addresses_,
+                [this](const auto& item) { return !core_.roster().contains(item.first); });
+  links_[connection->address()].failures = 0;
+  if (first) {
+    log_.Write(LogLevel::kInfo, "entry_attached",
+               {{"entry", entry_id}, {"address", connection->address()}});
+    core_.OnAttached(entry_id);
+  }
+  UpdateLinks();
+}
+
+void AgentDaemon::UpdateLinks() {
+  std::set<std::string> wanted(settings_.entries.begin(), settings_.entries.end());
+  for (const auto& [id, address] : roster_addresses_) wanted.insert(address);
+  for (auto entry = links_.begin(); entry != links_.end();) {
+    if (wanted.contains(entry->first)) {
+      ++entry;
+      continue;
+    }
+    log_.Write(LogLevel::kInfo, "entry_dropped", {{"address", entry->first}});
+    if (entry->second.connection != nullptr) entry->second.connection->Cancel();
+    entry = links_.erase(entry);
+  }
+  for (const std::string& address : wanted) {
+    const auto [entry, added] = links_.try_emplace(address);
+    if (added) Connect(address, entry->second);
+  }
+}
+
+core::Duration AgentDaemon::RetryDelay(unsigned failures) {
+  const milliseconds longest =
+      std::min(kMaxRetryDelay, kMinRetryDelay * (1U << std::min(failures, kMaxRetryDoublings)));
+  // Agents that lost the same entry do not all return at once.
+  std::uniform_int_distribution<long> jitter(longest.count() / 2, longest.count());
+  return milliseconds(jitter(random_));
 }
 
 void AgentDaemon::OnEntryClosed(const std::shared_ptr<EntryConnection>& connection) {
   const std::lock_guard lock(mutex_);
+  --open_connections_;
+  if (!IsCurrent(connection)) return;
   Link& link = links_[connection->address()];
-  if (link.connection != connection) return;
   link.connection = nullptr;
-  link.retry_at = clock_.now() + kReconnectDelay;
+  link.retry_at = clock_.now() + RetryDelay(link.failures);
+  if (link.failures++ > 0) return;
+  log_.Write(LogLevel::kWarning, "entry_detached",
+             {{"entry", connection->entry_id()}, {"address", connection->address()}});
 }
 
-void AgentDaemon::CarryOut() {
+std::vector<AgentDaemon::ExecutorCall> AgentDaemon::CarryOut() {
+  std::vector<ExecutorCall> calls;
   for (core::AgentAction& action : core_.TakeActions()) {
-    v1::AgentMessage message;
     if (auto* start = std::get_if<core::StartTask>(&action)) {
-      RunTask(std::move(*start));
+      calls.push_back({std::move(*start), executor_address_});
     } else if (const auto* refusal = std::get_if<core::SendRefusal>(&action)) {
-      v1::Refusal* body = message.mutable_refusal();
-      body->set_reason(rpc::ToProto(refusal->reason));
-      body->set_epoch(refusal->epoch);
-      for (const core::TaskKey& key : refusal->tasks) *body->add_tasks() = rpc::ToProto(key);
-      SendTo(refusal->entry_id, std::move(message));
-    } else if (const auto* results = std::get_if<core::SendResults>(&action)) {
-      v1::Results* body = message.mutable_results();
-      for (const core::TaskOutcome& outcome : results->outcomes) {
-        *body->add_outcomes() = rpc::ToProto(outcome);
-      }
-      SendTo(results->entry_id, std::move(message));
+      log_.Write(LogLevel::kInfo, "refused",
+                 {{"reason", NameOf(refusal->reason)},
+                  {"entry", refusal->entry_id},
+                  {"tasks", refusal->tasks.size()},
+                  {"submission",
+                   refusal->tasks.empty() ? std::string() : refusal->tasks.front().submission_id}});
+      SendTo(refusal->entry_id, ToMessage(*refusal));
+    } else if (auto* results = std::get_if<core::SendResults>(&action)) {
+      SendTo(results->entry_id, ToMessage(*results));
+    } else if (auto* reconciled = std::get_if<core::SendReconcileReply>(&action)) {
+      SendTo(reconciled->entry_id, ToMessage(*reconciled));
+    } else if (auto* fenced = std::get_if<core::SendFenceReply>(&action)) {
+      SendTo(fenced->entry_id, ToMessage(*fenced, settings_.shard));
     } else if (const auto* status = std::get_if<core::BroadcastStatus>(&action)) {
-      for (const auto& [address, link] : links_) {
-        if (link.connection == nullptr) continue;
-        v1::AgentMessage report;
-        *report.mutable_report() = rpc::ToProto(status->status);
-        report.set_now_mono_ms(static_cast<std::uint64_t>(core_.Hello().agent_time.count()));
-        link.connection->Send(std::move(report));
-      }
+      v1::AgentMessage report;
+      *report.mutable_report() = rpc::ToProto(status->status);
+      Broadcast(report);
     }
   }
+  return calls;
 }
 
-void AgentDaemon::RunTask(core::StartTask start) {
-  adapters::HttpCall call{
+void AgentDaemon::SendTo(const std::string& entry_id, v1::AgentMessage message) {
+  message.set_now_mono_ms(static_cast<std::uint64_t>(core_.sent_time().count()));
+  for (const auto& [address, link] : links_) {
+    if (link.connection == nullptr || link.connection->entry_id() != entry_id) continue;
+    link.connection->Send(std::move(message));
+    return;
+  }
+}
+
+void AgentDaemon::Broadcast(const v1::AgentMessage& message) {
+  for (const auto& [address, link] : links_) {
+    if (link.connection == nullptr) continue;
+    v1::AgentMessage copy = message;
+    copy.set_now_mono_ms(static_cast<std::uint64_t>(core_.sent_time().count()));
+    link.connection->Send(std::move(copy));
+  }
+}
+
+void AgentDaemon::RunTask(ExecutorCall call) {
+  const core::TaskKey key = call.start.key;
+  const milliseconds limit = call.start.task.time_limit;
+  // libcurl sends a POST again, without notice, when a reused connection turns out to be closed.
+  // The executor may then start the task twice, so every task has a fresh connection.
+  adapters::HttpCall request{
       .method = "POST",
-      .url = "http://" + executor_address_ + "/v1/tasks",
-      .headers = {{"X-Submission-Id", start.key.submission_id},
-                  {"X-Task-Index", std::to_string(start.key.task_index)},
+      .url = "http://" + call.address + "/v1/tasks",
+      .headers = {{"X-Submission-Id", key.submission_id},
+                  {"X-Task-Index", std::to_string(key.task_index)},
                   {"Content-Type", "application/octet-stream"}},
-      .body = std::move(start.task.payload),
-      .timeout = start.task.time_limit,
+      .body = std::move(call.start.task.payload),
+      .timeout = limit.count() > 0 ? limit : milliseconds(kMaxTaskTime),
       .fresh_connection = true,
   };
-  executor_client_->Send(std::move(call), [this, key = start.key,
-                                           started = clock_.now()](adapters::HttpResult result) {
-    OnTaskResponse(key, started, std::move(result));
-  });
+  executor_client_->Send(std::move(request),
+                         [this, key, started = clock_.now()](adapters::HttpResult result) {
+                           OnTaskResponse(key, started, std::move(result));
+                         });
 }
 
 void AgentDaemon::OnTaskResponse(const core::TaskKey& key, core::TimePoint started,
@@ -203,32 +467,53 @@
     outcome.state = core::TaskState::kRevoked;
   } else {
     outcome.state = core::TaskState::kUnknown;
-    outcome.failure = result.failure;
+    outcome.failure = "no answer from the executor: " + result.failure;
   }
+  Apply([&] { core_.OnTaskEnded(std::move(outcome)); });
+}
+
+void AgentDaemon::OnTimer() {
+  bool read_row = false;
+  Apply([&] {
+    core_.OnTimer();
+    if (core_.executor().available && clock_.now() - last_announce_ > kAnnounceLimit) {
+      log_.Write(LogLevel::kWarning, "executor_lost", {{"executor", core_.executor().executor_id}});
+      core_.OnExecutorLost();
+    }
+    read_row = store_ != nullptr && !row_read_running_ && core_.WantsShardRow();
+    if (!read_row) return;
+    row_read_running_ = true;
+    core_.OnShardRowRequested();
+  });
+  if (read_row) ReadShardRow();
   const std::lock_guard lock(mutex_);
-  core_.OnTaskEnded(outcome);
-  CarryOut();
+  TendLinks();
 }
 
-void AgentDaemon::SendTo(const std::string& entry_id, v1::AgentMessage message) {
-  message.set_now_mono_ms(static_cast<std::uint64_t>(core_.Hello().agent_time.count()));
-  for (const auto& [address, link] : links_) {
-    if (link.connection == nullptr || link.connection->entry_id() != entry_id) continue;
-    link.connection->Send(std::move(message));
-    return;
-  }
+void AgentDaemon::ReadShardRow() {
+  const core::TimePoint requested_at = clock_.now();
+  store_->ReadRow("shard/" + std::to_string(settings_.shard),
+                  [this, requested_at](const core::Result<std::optional<core::TableRow>>& row) {
+                    OnShardRow(requested_at, row);
+                  });
 }
 
-void AgentDaemon::OnTimer() {
+void AgentDaemon::OnShardRow(core::TimePoint requested_at,
+                             const core::Result<std::optional<core::TableRow>>& row) {
   const std::lock_guard lock(mutex_);
+  row_read_running_ = false;
+  if (!row || !row->has_value()) return;
+  const nlohmann::json value = nlohmann::json::parse((*row)->value, nullptr, false);
+  if (!value.is_object()) return;
+  const auto epoch = value.find("epoch");
+  if (epoch == value.end() || !epoch->is_number_unsigned()) return;
+  core_.OnShardRow(epoch->get<std::uint64_t>(), requested_at);
+}
+
+void AgentDaemon::TendLinks() {
   const core::TimePoint now = clock_.now();
-  core_.OnTimer();
-  if (core_.executor().available && now - last_announce_ > kAnnounceLimit) {
-    core::ExecutorStatus status = core_.executor();
-    status.available = false;
-    core_.OnExecutorStatus(status);
-  }
-  CarryOut();
+  const core::Duration period =
+      stopping_ ? core::Duration(kStoppingHeartbeatPeriod) : core::Duration(kHeartbeatPeriod);
   for (auto& [address, link] : links_) {
     if (link.connection == nullptr) {
       if (now >= link.retry_at) Connect(address, link);
@@ -236,29 +521,58 @@
     }
     if (now - link.connection->last_received() > kSilenceLimit) {
       link.connection->Cancel();
-    } else if (now - link.connection->last_sent() > kHeartbeatPeriod) {
+    } else if (now - link.connection->last_sent() >= period) {
       v1::AgentMessage heartbeat;
       heartbeat.mutable_heartbeat();
-      heartbeat.set_now_mono_ms(static_cast<std::uint64_t>(core_.Hello().agent_time.count()));
+      heartbeat.set_now_mono_ms(static_cast<std::uint64_t>(core_.AgentTime().count()));
       link.connection->Send(std::move(heartbeat));
     }
   }
 }
 
 void AgentDaemon::Stop() {
-  {
+  Apply([&] {
+    stopping_ = true;
+    core_.BeginShutdown();
+  });
+  core::TimePoint limit = core::TimePoint::max();
+  while (!ResultsDelivered(limit)) {
+    OnTimer();
+    std::this_thread::sleep_for(kShutdownPoll);
     const std::lock_guard lock(mutex_);
-    core_.SetDraining(true);
-    CarryOut();
+    if (core_.running_tasks() > 0) continue;
+    limit = std::min(limit, clock_.now() + kAcknowledgeLimit);
   }
-  while (true) {
-    OnTimer();
+  local_server_->Stop();
+  CloseConnections();
+}
+
+bool AgentDaemon::ResultsDelivered(core::TimePoint limit) {
+  const std::lock_guard lock(mutex_);
+  if (core_.running_tasks() > 0) return false;
+  if (core_.unacknowledged() == 0) return true;
+  if (clock_.now() < limit) return false;
+  log_.Write(LogLevel::kWarning, "results_not_acknowledged", {{"tasks", core_.unacknowledged()}});
+  return true;
+}
+
+void AgentDaemon::CloseConnections() {
+  {
     const std::lock_guard lock(mutex_);
-    if (core_.running_tasks() == 0) break;
+    for (auto& [address, link] : links_) {
+      if (link.connection != nullptr) link.connection->Cancel();
+    }
+    links_.clear();
+  }
+  // The hooks of connections and store reads use this object, so it must outlive them.
+  const core::TimePoint limit = clock_.now() + kCloseLimit;
+  while (clock_.now() < limit) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (open_connections_ == 0 && !row_read_running_) return;
+    }
     std::this_thread::sleep_for(kShutdownPoll);
   }
-  std::this_thread::sleep_for(kDeliveryGrace);
-  local_server_->Stop();
 }
 
 }  // namespace zinniamux::daemon
--- a/src/zinniamuxd/agent_daemon.h
+++ b/src/zinniamuxd/agent_daemon.h
@@ -2,10 +2,13 @@
 #ifndef ZINNIAMUX_ZINNIAMUXD_AGENT_DAEMON_H_
 #define ZINNIAMUX_ZINNIAMUXD_AGENT_DAEMON_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
+#include <vector>
 
 #include "adapters/http_client.h"
 #include "adapters/http_message.h"
@@ -14,19 +17,24 @@
 #include "adapters/settings.h"
 #include "core/agent_core.h"
 #include "core/clock.h"
+#include "core/table_store.h"
 #include "zinniamuxd/entry_connection.h"
 
 namespace zinniamux::daemon {
 
-// One agent process. Threads: gRPC's, RESTinio's, libcurl's, and the caller of OnTimer.
+// One agent process. Threads: gRPC's, RESTinio's, libcurl's, the store's, and the caller of
+// OnTimer.
 class AgentDaemon {
  public:
-  AgentDaemon(adapters::AgentSettings settings, const core::Clock& clock, adapters::JsonLog& log);
+  // `store` may be null; the shard row is then never read. It must outlive the daemon.
+  AgentDaemon(adapters::AgentSettings settings, const core::Clock& clock, adapters::JsonLog& log,
+              core::TableStore* store = nullptr);
 
   core::Result<void> Start();
   // Called every few milliseconds by the main thread.
   void OnTimer();
-  // A graceful shutdown: returns when no task runs and the results are delivered.
+  // A graceful shutdown: takes no new work, and returns when no task runs and the owner has
+  // acknowledged the results, or did not do so within a few seconds.
   void Stop();
 
  private:
@@ -34,29 +42,71 @@
   struct Link {
     std::shared_ptr<EntryConnection> connection;
     core::TimePoint retry_at;
+    // Connections in a row that ended before a Welcome.
+    unsigned failures = 0;
+  };
+  struct ExecutorCall {
+    core::StartTask start;
+    std::string address;
   };
 
   void ServeLocal(const adapters::HttpRequest& request, const adapters::HttpResponder& respond);
+  adapters::HttpResponse ServeAnnounce(const std::string& body);
+  adapters::HttpResponse ServeLeave(const std::string& body);
+  adapters::HttpResponse ServeReady();
+  adapters::HttpResponse ServeMetrics();
+
+  // Runs `event` under the lock and carries out what follows from it.
+  void Apply(const std::function<void()>& event);
+
+  // The lock is held for all of the following, up to the next comment.
   void Connect(const std::string& address, Link& link);
+  void HandleEntryMessage(const std::shared_ptr<EntryConnection>& connection,
+                          v1::EntryMessage message);
+  void HandleWelcome(const std::shared_ptr<EntryConnection>& connection,
+                     const v1::Welcome& welcome);
+  void UpdateLinks();
+  void TendLinks();
+  void ReadShardRow();
+  // Sends messages in the order of the core's actions. Tasks to start are returned, so that libcurl
+  // is called without the lock.
+  std::vector<ExecutorCall> CarryOut();
+  void SendTo(const std::string& entry_id, v1::AgentMessage message);
+  void Broadcast(const v1::AgentMessage& message);
+  core::Duration RetryDelay(unsigned failures);
+  bool IsCurrent(const std::shared_ptr<EntryConnection>& connection) const;
+  std::size_t attached_entries() const;
+
+  // Called without the lock.
   void OnEntryMessage(const std::shared_ptr<EntryConnection>& connection, v1::EntryMessage message);
   void OnEntryClosed(const std::shared_ptr<EntryConnection>& connection);
-  // Carries out the core's actions. The lock is held.
-  void CarryOut();
-  void RunTask(core::StartTask start);
+  void RunTask(ExecutorCall call);
   void OnTaskResponse(const core::TaskKey& key, core::TimePoint started,
                       adapters::HttpResult result);
-  void SendTo(const std::string& entry_id, v1::AgentMessage message);
+  void OnShardRow(core::TimePoint requested_at,
+                  const core::Result<std::optional<core::TableRow>>& row);
+  bool ResultsDelivered(core::TimePoint limit);
+  void CloseConnections();
 
   const adapters::AgentSettings settings_;
   const core::Clock& clock_;
   adapters::JsonLog& log_;
+  core::TableStore* const store_;
   std::mutex mutex_;
   // Guarded by mutex_.
   core::AgentCore core_;
   std::map<std::string, Link> links_;
+  // rpc addresses of the entries in the core's roster, by entry id.
+  std::map<std::string, std::string> roster_addresses_;
   std::string executor_address_;
   core::TimePoint last_announce_;
+  // Connections whose last hook has not been called yet.
+  std::size_t open_connections_ = 0;
+  bool row_read_running_ = false;
+  bool stopping_ = false;
+  std::minstd_rand random_;
   std::unique_ptr<adapters::HttpServer> local_server_;
+  // Destroyed first, because its callbacks use the other members.
   std::unique_ptr<adapters::HttpClient> executor_client_;
 };
 
--- a/src/zinniamuxd/entry_connection.cc
+++ b/src/zinniamuxd/entry_connection.cc
@@ -6,11 +6,15 @@
 namespace zinniamux::daemon {
 namespace {
 
+// A dispatch carries up to 64 KiB for each free slot of the executor.
+constexpr int kMaxMessageBytes = 64 << 20;
+
 std::shared_ptr<grpc::Channel> NewChannel(const std::string& address) {
   grpc::ChannelArguments arguments;
   // A pool of its own, so that a new channel does not share a connection that went silent.
   arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
   arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  arguments.SetMaxReceiveMessageSize(kMaxMessageBytes);
   return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
 }
 
