--- a/src/adapters/json_log.cc
+++ b/src/adapters/json_log.cc
@@ -1,18 +1,25 @@
-// log4cxx configuration and formatting of JSON lines.
+// The bounded queue of log lines and the thread that formats and writes them.
 #include "adapters/json_log.h"
 
-#include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <atomic>
 #include <chrono>
+#include <condition_variable>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+#include <vector>
 
 namespace zinniamux::adapters {
 namespace {
 
+using SystemTime = std::chrono::system_clock::time_point;
+
 log4cxx::LevelPtr ToLog4cxx(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -27,31 +34,178 @@
   return log4cxx::Level::getInfo();
 }
 
+std::string_view LevelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "info";
+}
+
+log4cxx::AppenderPtr MakeAppender(const std::string& file) {
+  const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
+  if (file.empty()) return std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
+  return std::make_shared<log4cxx::FileAppender>(layout, file, true);
+}
+
+// A logger of its own per JsonLog, so that two logs in one process do not write to each other's
+// files.
+log4cxx::LoggerPtr MakeLogger(const JsonLog::Options& options) {
+  static std::atomic<int> next_number{0};
+  const log4cxx::LoggerPtr logger =
+      log4cxx::Logger::getLogger("zinniamux" + std::to_string(next_number++));
+  logger->setAdditivity(false);
+  logger->addAppender(MakeAppender(options.file));
+  logger->setLevel(ToLog4cxx(options.level));
+  return logger;
+}
+
 }  // namespace
 
-JsonLog::JsonLog(const Options& options) : process_(options.process) {
-  auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
-  log4cxx::AppenderPtr appender;
-  if (options.file.empty()) {
-    appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
-  } else {
-    appender = std::make_shared<log4cxx::FileAppender>(layout, options.file, true);
+std::optional<LogLevel> LogLevelFromName(std::string_view name) {
+  for (const LogLevel level :
+       {LogLevel::kDebug, LogLevel::kInfo, LogLevel::kWarning, LogLevel::kError}) {
+    if (LevelName(level) == name) return level;
   }
-  log4cxx::BasicConfigurator::configure(appender);
-  log4cxx::Logger::getRootLogger()->setLevel(ToLog4cxx(options.level));
+  return std::nullopt;
 }
 
-void JsonLog::Write(LogLevel level, std::string_view event, const nlohmann::json& fields) {
-  const log4cxx::LoggerPtr logger = log4cxx::Logger::getRootLogger();
-  const log4cxx::LevelPtr native = ToLog4cxx(level);
-  if (!logger->isEnabledFor(native)) return;
-  nlohmann::json line = fields;
-  line["time_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(
-                        std::chrono::system_clock::now().time_since_epoch())
-                        .count();
-  line["event"] = event;
-  line["process"] = process_;
-  logger->forcedLog(native, line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+class JsonLog::Writer {
+ public:
+  explicit Writer(const Options& options)
+      : options_(options), logger_(MakeLogger(options)), thread_([this] { Run(); }) {}
+
+  ~Writer() {
+    {
+      const std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    work_.notify_one();
+    thread_.join();
+    logger_->removeAllAppenders();
+  }
+
+  Writer(const Writer&) = delete;
+  Writer& operator=(const Writer&) = delete;
+
+  bool enabled(LogLevel level) const { return level >= options_.level; }
+  std::uint64_t dropped() const { return dropped_; }
+
+  void Add(LogLevel level, std::string_view event, Fill fill) {
+    const SystemTime time = std::chrono::system_clock::now();
+    bool was_empty = false;
+    {
+      const std::lock_guard lock(mutex_);
+      if (waiting_.size() >= options_.capacity) {
+        ++dropped_;
+        return;
+      }
+      was_empty = waiting_.empty();
+      waiting_.push_back({level, time, std::string(event), std::move(fill)});
+      ++accepted_;
+    }
+    if (was_empty) work_.notify_one();
+  }
+
+  void Flush() {
+    std::unique_lock lock(mutex_);
+    const std::uint64_t target = accepted_;
+    written_changed_.wait(lock, [&] { return written_ >= target; });
+  }
+
+ private:
+  struct Line {
+    LogLevel level;
+    SystemTime time;
+    std::string event;
+    Fill fill;
+  };
+
+  void Run() {
+    std::vector<Line> lines;
+    std::unique_lock lock(mutex_);
+    while (true) {
+      work_.wait(lock, [this] { return stopping_ || !waiting_.empty(); });
+      if (waiting_.empty()) break;
+      lines.swap(waiting_);
+      lock.unlock();
+      for (const Line& line : lines) Print(line);
+      ReportDropped();
+      lock.lock();
+      written_ += lines.size();
+      lines.clear();
+      written_changed_.notify_all();
+    }
+  }
+
+  void Print(const Line& line) {
+    nlohmann::json object = nlohmann::json::object();
+    // A line whose fields cannot be built is still worth its event and time.
+    try {
+      if (line.fill) line.fill(object);
+    } catch (const std::exception& error) {
+      object = {{"log_error", error.what()}};
+    }
+    if (!object.is_object()) object = {{"fields", std::move(object)}};
+    object["time_ms"] =
+        std::chrono::duration_cast<std::chrono::milliseconds>(line.time.time_since_epoch()).count();
+    object["level"] = LevelName(line.level);
+    object["event"] = line.event;
+    object["process"] = options_.process;
+    logger_->forcedLog(ToLog4cxx(line.level),
+                       object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  }
+
+  void ReportDropped() {
+    const std::uint64_t dropped = dropped_;
+    if (dropped == reported_) return;
+    const std::uint64_t new_lines = dropped - std::exchange(reported_, dropped);
+    Print({LogLevel::kWarning, std::chrono::system_clock::now(), "log_lines_dropped",
+           [=](nlohmann::json& fields) {
+             fields = {{"lines", new_lines}, {"total", dropped}};
+           }});
+  }
+
+  const Options options_;
+  const log4cxx::LoggerPtr logger_;
+  std::mutex mutex_;
+  std::condition_variable work_;
+  std::condition_variable written_changed_;
+  // Guarded by mutex_. Invariant: waiting_.size() <= options_.capacity.
+  std::vector<Line> waiting_;
+  std::uint64_t accepted_ = 0;
+  std::uint64_t written_ = 0;
+  bool stopping_ = false;
+  std::atomic<std::uint64_t> dropped_{0};
+  // Used by the writer thread only: how many drops the last report covered.
+  std::uint64_t reported_ = 0;
+  std::thread thread_;
+};
+
+JsonLog::JsonLog(const Options& options) : writer_(std::make_unique<Writer>(options)) {}
+
+JsonLog::~JsonLog() = default;
+
+bool JsonLog::enabled(LogLevel level) const { return writer_->enabled(level); }
+
+void JsonLog::Write(LogLevel level, std::string_view event, nlohmann::json fields) {
+  if (!enabled(level)) return;
+  writer_->Add(level, event, [fields = std::move(fields)](nlohmann::json& line) { line = fields; });
 }
 
+void JsonLog::WriteDeferred(LogLevel level, std::string_view event, Fill fill) {
+  if (!enabled(level)) return;
+  writer_->Add(level, event, std::move(fill));
+}
+
+std::uint64_t JsonLog::dropped() const { return writer_->dropped(); }
+
+void JsonLog::Flush() { writer_->Flush(); }
+
 }  // namespace zinniamux::adapters
