--- a/src/adapters/json_log.cc
+++ b/src/adapters/json_log.cc
@@ -58,7 +58,7 @@
 // files.
 log4cxx::LoggerPtr MakeLogger(const JsonLog::Options& options) {
   static std::atomic<int> next_number{0};
-  const log4cxx::LoggerPtr logger =
+  log4cxx::LoggerPtr logger =
       log4cxx::Logger::getLogger("zinniamux" + std::to_string(next_number++));
   logger->setAdditivity(false);
   logger->addAppender(MakeAppender(options.file));
@@ -177,7 +177,8 @@
   std::mutex mutex_;
   std::condition_variable work_;
   std::condition_variable written_changed_;
-  // Guarded by mutex_. Invariant: waiting_.size() <= options_.capacity.
+  // Guarded by mutex_. Invariant: waiting_.size() <= options_.capacity. As many lines again may be
+  // in the hands of the writer thread.
   std::vector<Line> waiting_;
   std::uint64_t accepted_ = 0;
   std::uint64_t written_ = 0;
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -1,57 +1,178 @@
-// Reading of the settings file.
+// Reading and checking of the settings file.
 #include "adapters/settings.h"
 
-#include <yaml-cpp/yaml.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "adapters/checked_object.h"
+#include "adapters/checked_yaml.h"
 
 namespace zinniamux::adapters {
 namespace {
 
-ListenAddress ReadListen(const YAML::Node& node) {
-  const std::string text = node.as<std::string>();
-  const std::size_t colon = text.rfind(':');
-  return {text.substr(0, colon), static_cast<std::uint16_t>(std::stoi(text.substr(colon + 1)))};
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMaxUrlBytes = 512;
+constexpr std::size_t kMaxPathBytes = 4096;
+constexpr std::int64_t kMaxShards = 1024;
+constexpr std::int64_t kMaxThreads = 64;
+constexpr std::int64_t kMaxDrainNoticeMs = 60'000;
+// Below 3 s, a lost heartbeat would already stop an agent; see kSilenceLimit of the connections.
+constexpr std::int64_t kMinIsolationLimitMs = 3'000;
+constexpr std::int64_t kMaxIsolationLimitMs = 60'000;
+constexpr std::int64_t kMaxQueuedTasks = 100'000;
+constexpr std::int64_t kMaxExplainBytes = 256LL << 20U;
+constexpr std::int64_t kMaxBodyBytes = 1LL << 20U;
+constexpr std::int64_t kMinBodyBytes = 1024;
+constexpr std::int64_t kMaxLogQueueLines = 1'000'000;
+constexpr std::array<std::string_view, 4> kLogLevels{"debug", "info", "warning", "error"};
+
+ListenAddress ReadAddress(CheckedObject& object, std::string_view key) {
+  if (!object.Has(key)) {
+    object.Text(key, kMaxUrlBytes);
+    return {};
+  }
+  const std::optional<ListenAddress> address = ParseAddress(object.Text(key, kMaxUrlBytes, ""));
+  if (!address) object.Reject(key, kAddressRule);
+  return address.value_or(ListenAddress{});
+}
+
+std::vector<std::string> ReadAddresses(CheckedObject& object, std::string_view key,
+                                       const DocumentContext& context) {
+  std::vector<std::string> addresses;
+  object.Items(key, [&](const json& item, const std::string& path) {
+    const std::string text = item.is_string() ? item.get<std::string>() : std::string();
+    if (!ParseAddress(text)) {
+      context.problems.Add(context.Place(path), path, Shortened(item), kAddressRule);
+      return;
+    }
+    if (std::find(addresses.begin(), addresses.end(), text) != addresses.end()) {
+      context.problems.Add(context.Place(path), path, Shortened(item) + " a second time",
+                           "each address once");
+      return;
+    }
+    addresses.push_back(text);
+  });
+  return addresses;
+}
+
+// An explicitly empty text runs the process without a store.
+std::string ReadStore(CheckedObject& object) {
+  constexpr std::string_view kScheme = "http://";
+  std::string url = object.Text("store", kMaxUrlBytes);
+  if (url.empty()) return url;
+  while (url.ends_with('/')) url.pop_back();
+  if (!url.starts_with(kScheme) || !ParseAddress(std::string_view(url).substr(kScheme.size()))) {
+    object.Reject("store", "http://IP:PORT, or \"\" to run without a store");
+  }
+  return url;
+}
+
+EntryLimits ReadLimits(CheckedObject object) {
+  EntryLimits limits;
+  limits.max_body_bytes = static_cast<std::size_t>(
+      object.Integer("max_body_bytes", kMinBodyBytes, kMaxBodyBytes, kMaxBodyBytes));
+  limits.max_queued_tasks = static_cast<std::uint32_t>(
+      object.Integer("max_queued_tasks", 1, kMaxQueuedTasks, limits.max_queued_tasks));
+  limits.max_explain_bytes =
+      static_cast<std::size_t>(object.Integer("max_explain_bytes", 0, kMaxExplainBytes,
+                                              static_cast<std::int64_t>(limits.max_explain_bytes)));
+  object.Finish();
+  return limits;
 }
 
-EntrySettings ReadEntry(const YAML::Node& node) {
+EntrySettings ReadEntry(CheckedObject object, const DocumentContext& context) {
   EntrySettings entry;
-  entry.id = node["id"].as<std::string>();
-  entry.availability_zone = node["availability_zone"].as<std::string>();
-  entry.caller = ReadListen(node["caller"]);
-  entry.admin = ReadListen(node["admin"]);
-  entry.rpc = ReadListen(node["rpc"]);
-  entry.peers = node["peers"].as<std::vector<std::string>>(std::vector<std::string>{});
-  entry.store_url = node["store"].as<std::string>("");
+  entry.id = object.Id("id");
+  entry.availability_zone = object.Id("availability_zone");
+  entry.caller = ReadAddress(object, "caller");
+  entry.admin = ReadAddress(object, "admin");
+  entry.rpc = ReadAddress(object, "rpc");
+  entry.peers = ReadAddresses(object, "peers", context);
+  entry.store_url = ReadStore(object);
+  entry.shards = static_cast<std::uint32_t>(object.Integer("shards", 1, kMaxShards, 1));
+  entry.drain_notice = milliseconds(
+      object.Integer("drain_notice_ms", 0, kMaxDrainNoticeMs, entry.drain_notice.count()));
+  entry.threads =
+      static_cast<std::uint32_t>(object.Integer("threads", 1, kMaxThreads, entry.threads));
+  if (std::optional<CheckedObject> limits = object.Object("limits")) {
+    entry.limits = ReadLimits(*std::move(limits));
+  }
+  object.Finish();
   return entry;
 }
 
-AgentSettings ReadAgent(const YAML::Node& node) {
+AgentSettings ReadAgent(CheckedObject object, const DocumentContext& context) {
   AgentSettings agent;
-  agent.id = node["id"].as<std::string>();
-  agent.availability_zone = node["availability_zone"].as<std::string>();
-  agent.rack = node["rack"].as<std::string>("");
-  agent.local = ReadListen(node["local"]);
-  agent.entries = node["entries"].as<std::vector<std::string>>();
-  agent.store_url = node["store"].as<std::string>("");
+  agent.id = object.Id("id");
+  agent.availability_zone = object.Id("availability_zone");
+  agent.rack = object.Id("rack", "");
+  agent.shard = static_cast<std::uint32_t>(object.Integer("shard", 0, kMaxShards - 1, 0));
+  agent.local = ReadAddress(object, "local");
+  agent.entries = ReadAddresses(object, "entries", context);
+  if (agent.entries.empty()) object.Reject("entries", "a list of at least one address");
+  agent.store_url = ReadStore(object);
+  agent.isolation_limit =
+      milliseconds(object.Integer("isolation_limit_ms", kMinIsolationLimitMs, kMaxIsolationLimitMs,
+                                  agent.isolation_limit.count()));
+  object.Finish();
   return agent;
 }
 
+LogSettings ReadLog(CheckedObject object) {
+  LogSettings log;
+  log.file = object.Text("file", kMaxPathBytes, "");
+  const auto info = static_cast<std::size_t>(LogLevel::kInfo);
+  log.level = kLogLevels[object.Choice("level", kLogLevels, info)];
+  log.queue_lines = static_cast<std::size_t>(object.Integer(
+      "queue_lines", 1, kMaxLogQueueLines, static_cast<std::int64_t>(log.queue_lines)));
+  object.Finish();
+  return log;
+}
+
+Settings ReadSettings(CheckedObject root, const DocumentContext& context) {
+  Settings settings;
+  root.Integer("version", kFileFormatVersion, kFileFormatVersion);
+  if (std::optional<CheckedObject> entry = root.Object("entry")) {
+    settings.entry = ReadEntry(*std::move(entry), context);
+  }
+  if (std::optional<CheckedObject> agent = root.Object("agent")) {
+    settings.agent = ReadAgent(*std::move(agent), context);
+  }
+  if (std::optional<CheckedObject> log = root.Object("log")) {
+    settings.log = ReadLog(*std::move(log));
+  }
+  if (root.Has("entry") == root.Has("agent")) {
+    context.problems.Add(context.Place(""), "entry, agent",
+                         root.Has("entry") ? "both roles" : "no role", "exactly one role");
+  }
+  root.Finish();
+  return settings;
+}
+
 }  // namespace
 
 core::Result<Settings> LoadSettings(const std::string& path) {
-  try {
-    const YAML::Node root = YAML::LoadFile(path);
-    Settings settings;
-    if (root["entry"]) settings.entry = ReadEntry(root["entry"]);
-    if (root["agent"]) settings.agent = ReadAgent(root["agent"]);
-    if (root["log"]) {
-      settings.log.file = root["log"]["file"].as<std::string>("");
-      settings.log.level = root["log"]["level"].as<std::string>("info");
-    }
-    return settings;
-  } catch (const std::exception& error) {
-    return tl::unexpected(
-        core::Error{core::ErrorKind::kInvalidRequest, path + ": " + error.what(), {}});
+  ProblemList problems;
+  DocumentContext context{.problems = problems};
+  const json document = LoadYamlFile(path, context);
+  Settings settings;
+  if (problems.empty()) {
+    settings = ReadSettings(CheckedObject(document, "", context), context);
   }
+  if (problems.empty()) return settings;
+  return tl::unexpected(problems.ToError(core::ErrorKind::kInvalidRequest, "\n"));
+}
+
+JsonLog::Options LogOptions(const Settings& settings) {
+  return {.file = settings.log.file,
+          .level = LogLevelFromName(settings.log.level).value_or(LogLevel::kInfo),
+          .process = settings.entry ? settings.entry->id : settings.agent->id,
+          .capacity = settings.log.queue_lines};
 }
 
 }  // namespace zinniamux::adapters
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -3,19 +3,26 @@
 #define ZINNIAMUX_ADAPTERS_SETTINGS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "adapters/json_log.h"
+#include "adapters/listen_address.h"
 #include "core/error_kind.h"
 
 namespace zinniamux::adapters {
 
-// An address that the process listens on.
-struct ListenAddress {
-  std::string host = "127.0.0.1";
-  std::uint16_t port = 0;
+// Bounds on what an entry accepts and keeps.
+struct EntryLimits {
+  // Body of a submission or a configuration.
+  std::size_t max_body_bytes = 1U << 20U;
+  // Tasks that wait in one shard.
+  std::uint32_t max_queued_tasks = 100'000;
+  // Decisions kept for `explain`.
+  std::size_t max_explain_bytes = 16U << 20U;
 };
 
 // Settings of the entry role.
@@ -31,6 +38,9 @@
   std::string store_url;
   std::uint32_t shards = 1;
   std::chrono::milliseconds drain_notice{2000};
+  // Threads of the caller port.
+  std::uint32_t threads = 2;
+  EntryLimits limits;
 };
 
 // Settings of the agent role.
@@ -50,6 +60,8 @@
 struct LogSettings {
   std::string file;
   std::string level = "info";
+  // Lines that may wait for the log's thread.
+  std::size_t queue_lines = 8192;
 };
 
 // Invariant: exactly one of `entry` and `agent` is set.
@@ -59,9 +71,13 @@
   LogSettings log;
 };
 
-// Reads and checks a settings file.
+// Reads and checks a settings file. The error lists every problem, one per line, each with file,
+// line, key, value seen and what is allowed.
 core::Result<Settings> LoadSettings(const std::string& path);
 
+// The options of the process's log.
+JsonLog::Options LogOptions(const Settings& settings);
+
 }  // namespace zinniamux::adapters
 
 #endif  // ZINNIAMUX_ADAPTERS_SETTINGS_H_
--- a/src/core/dispatch_config.h
+++ b/src/core/dispatch_config.h
@@ -15,6 +15,8 @@
   double weight = 1.0;
   std::uint32_t max_queued_tasks = 0;
   std::uint32_t max_running_tasks = 0;
+
+  bool operator==(const TeamConfig&) const = default;
 };
 
 // One job kind, as its job file declares it.
@@ -27,6 +29,8 @@
   std::chrono::milliseconds time_limit{30'000};
   std::uint32_t max_tasks = 500;
   std::uint32_t memory_mb = 0;
+
+  bool operator==(const JobConfig&) const = default;
 };
 
 enum class JobOrder { kFifo, kLeastRemaining };
@@ -42,6 +46,11 @@
   std::chrono::milliseconds queue_time_limit{30'000};
   // Answers and start records are kept this long after a job's end.
   std::chrono::milliseconds retention{60'000};
+  // A submission with a later deadline is refused. A new owner waits at least this long for agents
+  // that it cannot hear, so a large value makes that wait long.
+  std::chrono::milliseconds max_deadline{60'000};
+
+  bool operator==(const PolicyConfig&) const = default;
 };
 
 // A complete configuration. Invariant: `version` never decreases within a process.
@@ -50,6 +59,8 @@
   std::map<std::string, TeamConfig> teams;
   std::map<std::string, JobConfig> jobs;
   PolicyConfig policy;
+
+  bool operator==(const DispatchConfig&) const = default;
 };
 
 }  // namespace zinniamux::core
--- /dev/null
+++ b/tests/unit/settings_test.cc
@@ -0,0 +1,100 @@
+// Settings: a file is checked as a whole before the process starts.
+#include "adapters/settings.h"
+
+#include <criterion/criterion.h>
+
+#include "unit/temporary_folder.h"
+
+namespace {
+
+using zinniamux::adapters::LoadSettings;
+using zinniamux::adapters::LogLevel;
+using zinniamux::adapters::LogOptions;
+using zinniamux::adapters::Settings;
+using zinniamux::tests::TemporaryFolder;
+
+constexpr const char* kEntry = R"(version: 1
+entry:
+  id: entry-1
+  availability_zone: oslo
+  caller: 127.0.0.1:34001
+  admin: 127.0.0.1:34002
+  rpc: "[::1]:34003"
+  peers: ["127.0.0.1:34013"]
+  store: http://127.0.0.1:34090/
+  shards: 3
+  drain_notice_ms: 500
+log:
+  level: warning
+)";
+
+// The message for a file with this content; empty if it is accepted.
+std::string MessageFor(const std::string& content) {
+  const TemporaryFolder folder("settings");
+  const auto settings = LoadSettings(folder.Write("settings.yaml", content));
+  return settings ? std::string() : settings.error().message;
+}
+
+void AssertReports(const std::string& message, const std::string& part) {
+  cr_assert(message.find(part) != std::string::npos, "\"%s\" not found in:\n%s", part.c_str(),
+            message.c_str());
+}
+
+}  // namespace
+
+// Guards against values that are read into the wrong field or lost.
+Test(settings, reads_an_entry) {
+  const TemporaryFolder folder("settings_entry");
+  const auto settings = LoadSettings(folder.Write("settings.yaml", kEntry));
+  cr_assert(settings.has_value());
+  cr_assert(settings->entry->id == "entry-1");
+  cr_assert(settings->entry->rpc.host == "::1");
+  cr_assert_eq(settings->entry->rpc.port, 34003);
+  cr_assert_eq(settings->entry->peers.size(), 1U);
+  cr_assert(settings->entry->store_url == "http://127.0.0.1:34090");
+  cr_assert_eq(settings->entry->shards, 3U);
+  cr_assert_eq(settings->entry->drain_notice.count(), 500);
+  cr_assert(LogOptions(*settings).level == LogLevel::kWarning);
+}
+
+// Guards against a check that stops at the first problem, or names no line, value or rule.
+Test(settings, reports_every_problem_with_its_line) {
+  const std::string message = MessageFor(R"(version: 1
+agent:
+  id: agent 1
+  availability_zone: oslo
+  local: localhost:34001
+  entries: ["127.0.0.1:0", "127.0.0.1:34003", "127.0.0.1:34003"]
+  store: ""
+  shard: -1
+  isolation_limit: 10
+)");
+  AssertReports(message, "settings.yaml:3: agent.id: saw \"agent 1\"; allowed: text of 1 to 128");
+  AssertReports(message, "settings.yaml:5: agent.local: saw \"localhost:34001\"; allowed: IP:PORT");
+  AssertReports(message, "settings.yaml:6: agent.entries[0]: saw \"127.0.0.1:0\"");
+  AssertReports(message,
+                "settings.yaml:6: agent.entries[2]: saw \"127.0.0.1:34003\" a second time");
+  AssertReports(message, "settings.yaml:8: agent.shard: saw -1; allowed: a whole number from 0");
+  AssertReports(message, "settings.yaml:9: agent.isolation_limit: saw an unknown field");
+}
+
+// Guards against a process that starts with two roles, none, or a format of another version.
+Test(settings, requires_one_role_and_a_known_version) {
+  AssertReports(MessageFor("version: 1\n"), "entry, agent: saw no role; allowed: exactly one role");
+  AssertReports(MessageFor(std::string(kEntry) + "agent: {}\n"), "saw both roles");
+  AssertReports(MessageFor("version: 2\nentry: {}\n"), ":1: version: saw 2");
+  AssertReports(MessageFor("entry: {}\n"), "version: saw nothing");
+  AssertReports(MessageFor("version: 1\nentry: {}\n"), ":2: entry.id: saw nothing");
+}
+
+// Guards against crashes and silent acceptance of files that are not what they should be.
+Test(settings, refuses_malformed_files) {
+  AssertReports(MessageFor(""), "document: saw null; allowed: an object");
+  AssertReports(MessageFor("version: [1\nentry"), "settings.yaml:");
+  AssertReports(MessageFor("version: 1\nversion: 1\n"), ":2: version: saw the name a second time");
+  AssertReports(MessageFor("a: &a [x, x]\nb: &b [*a, *a]\nc: *b\n"), "a: saw an unknown field");
+  AssertReports(MessageFor(std::string(40, '[') + std::string(40, ']')), "deeply nested");
+  const auto missing = LoadSettings("/nonexistent/settings.yaml");
+  cr_assert(!missing.has_value());
+  AssertReports(missing.error().message, "/nonexistent/settings.yaml: cannot be read");
+}
