dispatcher: recover, reconcile, claim and hand over

Cause: the dispatcher knew one epoch and agents that never fail. A reattached agent, a refusal by a former agent, a takeover or a non-idempotent request could start a task twice or lose a slot.

Change: - An agent instance is an agent id with an incarnation. A reattached instance is sent Reconcile for every open task; a new incarnation makes the open tasks of the old one unknown. Slots are the set of open tasks, so late and doubled reports cannot count twice. - A refusal counts only from the agent that holds the task; kAlreadyStarted leads to Reconcile. An agent that refuses for a lasting reason is paused. A higher epoch marks the dispatcher superseded. - Takeover: Options::expected_agents, recovery_window, SendFence, OnLedger. RecoveredJobs keeps the records of jobs that nobody resubmitted; RecoveryProgress tells whether every start is known. A task without a record is withheld until then. - Non-idempotent jobs wait for OnClaimDecided. Freeze, Unfreeze and UnfinishedSubmissions serve the handover. Timers are an ordered index. - A job that ended untouched with a retryable kind is admitted again when it is resubmitted. - Options::require_persisted_agents holds an agent's work back until the row agents/<shard> names its instance, and Options::ownership_validity bounds how long an unconfirmed owner claims "not run". Both are off unless set. - Revokes are sent only if agents queue (Options::agent_queue_depth): otherwise a dispatch has started or was refused before the revoke arrives.

--- a/src/core/dispatcher_action.h
+++ b/src/core/dispatcher_action.h
@@ -3,6 +3,7 @@
 #ifndef ZINNIAMUX_CORE_DISPATCHER_ACTION_H_
 #define ZINNIAMUX_CORE_DISPATCHER_ACTION_H_
 
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -49,6 +50,11 @@
   std::string request_key;
 };
 
+// Write these agent instances to the row `agents/<shard>`; answered by OnAgentsPersisted.
+struct PersistAgents {
+  std::set<std::string> instances;
+};
+
 // One line of the decision log.
 struct DecisionRecord {
   enum class Decision { kPlaced, kRefused, kRequeued, kEjected, kReinstated, kJobEnded };
@@ -72,8 +78,9 @@
   DecisionRecord record;
 };
 
-using DispatcherAction = std::variant<SendDispatch, SendRevoke, SendFence, SendReconcile,
-                                      SendResultAck, DeliverAnswer, PersistClaim, LogDecision>;
+using DispatcherAction =
+    std::variant<SendDispatch, SendRevoke, SendFence, SendReconcile, SendResultAck, DeliverAnswer,
+                 PersistClaim, PersistAgents, LogDecision>;
 
 }  // namespace zinniamux::core
 
--- a/src/core/job.cc
+++ b/src/core/job.cc
@@ -1,41 +1,75 @@
 // Task state transitions and completion of a job.
 #include "core/job.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace zinniamux::core {
 
 Job::Job(std::shared_ptr<const Submission> submission)
-    : submission_(std::move(submission)),
-      tasks_(submission_->tasks.size()),
-      pending_count_(static_cast<std::uint32_t>(tasks_.size())) {}
+    : submission_(std::move(submission)), tasks_(submission_->tasks.size()) {
+  counts_[static_cast<std::size_t>(Phase::kPending)] = task_count();
+}
+
+bool Job::IsHeldBy(std::uint32_t index, const AgentInstance& agent) const {
+  const Task& task = tasks_[index];
+  const bool held = task.phase == Phase::kDispatched || task.phase == Phase::kRunning;
+  return held && task.agent == agent;
+}
+
+bool Job::IsRevokedAt(std::uint32_t index, const AgentInstance& agent) const {
+  return std::ranges::find(tasks_[index].revoked_at, agent) != tasks_[index].revoked_at.end();
+}
+
+void Job::MoveTo(Task& task, Phase phase) {
+  --counts_[static_cast<std::size_t>(task.phase)];
+  task.phase = phase;
+  ++counts_[static_cast<std::size_t>(phase)];
+}
 
-void Job::MarkDispatched(std::uint32_t index, std::string agent_id) {
+void Job::MarkWithheld(std::uint32_t index) {
+  if (phase(index) == Phase::kPending) MoveTo(tasks_[index], Phase::kWithheld);
+}
+
+std::vector<std::uint32_t> Job::ReleaseWithheld() {
+  std::vector<std::uint32_t> released;
+  for (std::uint32_t index = 0; index < task_count(); ++index) {
+    if (phase(index) != Phase::kWithheld) continue;
+    MoveTo(tasks_[index], Phase::kPending);
+    released.push_back(index);
+  }
+  return released;
+}
+
+void Job::MarkDispatched(std::uint32_t index, std::string agent_id, std::uint64_t incarnation) {
   Task& task = tasks_[index];
-  if (task.phase != Phase::kPending) return;
-  task.phase = Phase::kDispatched;
-  task.agent_id = std::move(agent_id);
-  --pending_count_;
-  ++dispatched_count_;
+  if (task.phase != Phase::kPending && task.phase != Phase::kWithheld) return;
+  MoveTo(task, Phase::kDispatched);
+  task.agent = {.agent_id = std::move(agent_id), .incarnation = incarnation};
+}
+
+void Job::MarkRunning(std::uint32_t index) {
+  if (phase(index) == Phase::kDispatched) MoveTo(tasks_[index], Phase::kRunning);
 }
 
 void Job::MarkNotStarted(std::uint32_t index) {
   Task& task = tasks_[index];
-  if (task.phase != Phase::kDispatched) return;
-  task.phase = Phase::kPending;
-  task.agent_id.clear();
-  --dispatched_count_;
-  ++pending_count_;
+  if (task.phase != Phase::kDispatched && task.phase != Phase::kRunning) return;
+  MoveTo(task, Phase::kPending);
+  task.agent = {};
+}
+
+void Job::MarkRevokedAt(std::uint32_t index, const AgentInstance& agent) {
+  if (!IsRevokedAt(index, agent)) tasks_[index].revoked_at.push_back(agent);
 }
 
 void Job::MarkFinished(std::uint32_t index, std::string result) {
   Task& task = tasks_[index];
-  if (task.phase != Phase::kDispatched) return;
-  task.phase = Phase::kDone;
+  if (!IsOpen(task)) return;
+  MoveTo(task, Phase::kDone);
+  if (finished()) return;
   task.result = std::move(result);
-  --dispatched_count_;
-  ++done_count_;
-  if (finished() || done_count_ < tasks_.size()) return;
+  if (count(Phase::kDone) < task_count()) return;
   JobAnswer answer;
   answer.submission_id = submission_->id;
   answer.state = JobState::kComplete;
@@ -44,19 +78,38 @@
   answer_ = std::move(answer);
 }
 
+void Job::MarkFailed(std::uint32_t index, std::string failure) {
+  Task& task = tasks_[index];
+  if (!IsOpen(task)) return;
+  MoveTo(task, Phase::kFailed);
+  Fail({ErrorKind::kTaskFailed, std::move(failure), {}});
+}
+
+void Job::MarkUnknown(std::uint32_t index, std::string failure) {
+  Task& task = tasks_[index];
+  if (!IsOpen(task)) return;
+  MoveTo(task, Phase::kUnknown);
+  Fail({ErrorKind::kOutcomeUnknown, std::move(failure), {}});
+}
+
 void Job::Fail(Error error) {
   if (finished()) return;
   JobAnswer answer = FailedAnswer(submission_->id, std::move(error));
-  answer.not_run = dispatched_count_ == 0 && done_count_ == 0;
+  answer.not_run = untouched();
   answer_ = std::move(answer);
 }
 
+void Job::FailWithoutClaim(Error error) {
+  if (finished()) return;
+  Fail(std::move(error));
+  answer_->not_run = false;
+}
+
 JobAnswer Job::CurrentAnswer() const {
   if (finished()) return *answer_;
   JobAnswer answer;
   answer.submission_id = submission_->id;
-  const bool untouched = dispatched_count_ == 0 && done_count_ == 0;
-  answer.state = untouched ? JobState::kQueued : JobState::kRunning;
+  answer.state = untouched() ? JobState::kQueued : JobState::kRunning;
   return answer;
 }
 
--- /dev/null
+++ b/src/core/recovered_jobs.h
@@ -0,0 +1,65 @@
+// Start records that agents reported for submissions which this owner has not been given itself.
+#ifndef ZINNIAMUX_CORE_RECOVERED_JOBS_H_
+#define ZINNIAMUX_CORE_RECOVERED_JOBS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+
+#include "core/agent_instance.h"
+#include "core/clock.h"
+#include "core/job_answer.h"
+#include "core/task_record.h"
+
+namespace zinniamux::core {
+
+// One submission as the agents' ledgers describe it.
+struct RecoveredJob {
+  struct Record {
+    AgentInstance agent;
+    TaskOutcome outcome;
+  };
+
+  // Unset while only revoked records are known; those carry no facts.
+  std::optional<JobFacts> facts;
+  // By task index. A revoked record gives way to any other.
+  std::map<std::uint32_t, Record> records;
+  bool cancelled = false;
+  TimePoint forget_at;
+};
+
+// The index that a new owner builds from ledgers (docs/design.md, sections 3.4 and 3.5).
+class RecoveredJobs {
+ public:
+  // A job is forgotten `retention` after its last record arrived.
+  explicit RecoveredJobs(std::chrono::milliseconds retention) : retention_(retention) {}
+
+  void Merge(const AgentInstance& agent, TaskOutcome outcome, TimePoint now);
+  // The memory of the instance is lost: its running tasks become unknown.
+  void MarkLost(const AgentInstance& agent);
+  const RecoveredJob* Find(const std::string& submission_id) const;
+  // Returns false if the job is not known.
+  bool MarkCancelled(const std::string& submission_id);
+  // Removes the job and returns it. Precondition: Find returned it.
+  RecoveredJob Take(const std::string& submission_id);
+  void Expire(TimePoint now);
+  std::size_t size() const { return jobs_.size(); }
+
+ private:
+  const std::chrono::milliseconds retention_;
+  std::unordered_map<std::string, RecoveredJob> jobs_;
+  // One entry per job, at or before its `forget_at`.
+  std::set<std::pair<TimePoint, std::string>> expiry_;
+};
+
+// The answer that the records alone justify.
+JobAnswer AnswerOf(const std::string& submission_id, const RecoveredJob& job);
+
+}  // namespace zinniamux::core
+
+#endif  // ZINNIAMUX_CORE_RECOVERED_JOBS_H_
--- a/src/core/shard_dispatcher.cc
+++ b/src/core/shard_dispatcher.cc
@@ -1,7 +1,8 @@
-// Admission, queueing and placement of one shard.
+// Admission, queueing, placement and recovery of one shard.
 #include "core/shard_dispatcher.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace zinniamux::core {
@@ -9,42 +10,137 @@
 
 // A dispatch that takes longer than this to arrive is refused by the agent.
 constexpr std::chrono::milliseconds kStartWindow{1000};
+// An agent that cannot take any work is asked again after this time, unless its status changes.
+constexpr std::chrono::milliseconds kUnusablePause{1000};
+// An agent whose slots or clock differ from this owner's view is asked again after this time; its
+// next messages correct the view.
+constexpr std::chrono::milliseconds kMismatchPause{50};
+// A task that every free agent has revoked is tried again after this time.
+constexpr std::chrono::milliseconds kRevokedRetryDelay{50};
 
 std::chrono::milliseconds SinceEpoch(TimePoint time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch());
 }
 
+std::chrono::milliseconds PauseFor(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kStaleConfig:
+    case RefusalReason::kLeaving:
+    case RefusalReason::kExecutorDown:
+    case RefusalReason::kNotAuthorised:
+      return kUnusablePause;
+    case RefusalReason::kNoSlot:
+    case RefusalReason::kLate:
+      return kMismatchPause;
+    case RefusalReason::kStaleEpoch:
+    case RefusalReason::kAlreadyStarted:
+    case RefusalReason::kRevoked:
+      return {};
+  }
+  return {};
+}
+
+bool IsFinal(TaskState state) {
+  return state == TaskState::kFinished || state == TaskState::kFailed ||
+         state == TaskState::kUnknown;
+}
+
+Error ConflictError() {
+  return {ErrorKind::kSubmissionConflict, "the submission id was used with other content", {}};
+}
+
+Error LostRecordsError() {
+  return {
+      ErrorKind::kOutcomeUnknown, "an agent that may have started a task has lost its records", {}};
+}
+
 }  // namespace
 
+AgentInstance ShardDispatcher::Agent::instance() const {
+  return {.agent_id = hello.agent_id, .incarnation = hello.incarnation};
+}
+
 std::uint32_t ShardDispatcher::Agent::free_slots() const {
   const ExecutorStatus& executor = hello.executor;
-  if (!attached || !executor.available || executor.leaving) return 0;
-  return executor.slots > used_slots ? executor.slots - used_slots : 0;
+  if (!attached || !persisted || paused || !executor.available || executor.leaving) return 0;
+  return executor.slots > used_slots() ? executor.slots - used_slots() : 0;
 }
 
+ShardDispatcher::JobEntry::JobEntry(Submission submission)
+    : job(std::make_shared<const Submission>(std::move(submission))) {}
+
 ShardDispatcher::ShardDispatcher(const Options& options, const Clock& clock)
-    : options_(options), clock_(clock) {}
+    : options_(options),
+      clock_(clock),
+      recovery_(options.expected_agents, clock.now() + options.recovery_window),
+      recovered_(options.recovery_window),
+      ownership_confirmed_at_(clock.now()) {
+  for (const std::string& name : options.expected_agents) instances_.emplace(name, clock.now());
+}
 
 JobAnswer ShardDispatcher::Submit(Submission submission) {
-  const auto known = jobs_.find(submission.id);
-  if (known != jobs_.end()) {
-    if (known->second->submission().content_hash == submission.content_hash) {
-      return known->second->CurrentAnswer();
+  if (const auto known = jobs_.find(submission.id); known != jobs_.end()) {
+    const Job& job = known->second.job;
+    if (job.submission().content_hash != submission.content_hash) {
+      return FailedAnswer(submission.id, ConflictError());
     }
-    return FailedAnswer(submission.id, {.kind = ErrorKind::kSubmissionConflict,
-                                        .message = "the submission id was used with other content",
-                                        .retry_after = {}});
+    // A job that ended untouched for a passing reason is admitted again.
+    const bool again = job.finished() && job.answer().state == JobState::kFailed &&
+                       job.untouched() && RowOf(job.answer().error.kind).retryable;
+    if (!again) return job.CurrentAnswer();
+    jobs_.erase(known);
   }
-  if (std::optional<Error> error = AdmissionError(submission)) {
+  if (superseded_ || frozen_) {
+    return Refuse(submission, {ErrorKind::kOwnerUnavailable, "this entry gives up the shard", {}});
+  }
+  if (std::optional<Error> error = ValidationError(submission)) {
     return FailedAnswer(submission.id, *std::move(error));
   }
-  const std::string id = submission.id;
-  auto job = std::make_unique<Job>(std::make_shared<const Submission>(std::move(submission)));
-  const auto task_count = static_cast<std::uint32_t>(job->submission().tasks.size());
-  for (std::uint32_t index = 0; index < task_count; ++index) queue_.push_back({id, index});
-  Job& admitted = *jobs_.emplace(id, std::move(job)).first->second;
-  PlaceQueued();
-  return admitted.CurrentAnswer();
+  if (const RecoveredJob* recovered = recovered_.Find(submission.id)) {
+    if (recovered->facts && recovered->facts->content_hash != submission.content_hash) {
+      return FailedAnswer(submission.id, ConflictError());
+    }
+    if (recovered->cancelled) return AnswerOf(submission.id, *recovered);
+    RecoveredJob records = recovered_.Take(submission.id);
+    return Resume(std::move(submission), std::move(records));
+  }
+  if (recovering() && submission.attempt != 1) {
+    return Refuse(submission,
+                  {ErrorKind::kRecovering,
+                   "not every agent has reported what it started; send the request again later",
+                   {}});
+  }
+  if (std::optional<Error> error = ConfigMismatch(submission)) {
+    return Refuse(submission, *std::move(error));
+  }
+  if (std::optional<Error> error = AdmissionError(submission)) {
+    return Refuse(submission, *std::move(error));
+  }
+  return Admit(std::move(submission));
+}
+
+// Faults of a submission under any configuration: content with such a fault was never accepted.
+std::optional<Error> ShardDispatcher::ValidationError(const Submission& submission) const {
+  if (submission.tasks.empty()) {
+    return Error{ErrorKind::kInvalidRequest, "a submission needs at least one task", {}};
+  }
+  if (!submission.idempotent && submission.request_key.empty()) {
+    return Error{ErrorKind::kInvalidRequest, "a non-idempotent request needs a request_key", {}};
+  }
+  if (submission.idempotent && !submission.request_key.empty()) {
+    return Error{ErrorKind::kInvalidRequest, "an idempotent request takes no request_key", {}};
+  }
+  return std::nullopt;
+}
+
+std::optional<Error> ShardDispatcher::ConfigMismatch(const Submission& submission) const {
+  const auto job = config_.jobs.find(submission.job);
+  if (job == config_.jobs.end() || job->second.idempotent == submission.idempotent) {
+    return std::nullopt;
+  }
+  const std::string declared = job->second.idempotent ? "idempotent" : "not idempotent";
+  return Error{
+      ErrorKind::kInvalidRequest, "job '" + submission.job + "' is declared as " + declared, {}};
 }
 
 std::optional<Error> ShardDispatcher::AdmissionError(const Submission& submission) const {
@@ -60,50 +156,178 @@
   return std::nullopt;
 }
 
+JobAnswer ShardDispatcher::Refuse(const Submission& submission, Error error) const {
+  JobAnswer answer = FailedAnswer(submission.id, std::move(error));
+  const bool looked_up = MayClaimNotRun() && !recovering();
+  answer.not_run = answer.not_run && (looked_up || submission.attempt == 1);
+  return answer;
+}
+
+bool ShardDispatcher::MayClaimNotRun() const {
+  if (superseded_ || frozen_) return false;
+  const std::chrono::milliseconds validity = options_.ownership_validity;
+  return validity == std::chrono::milliseconds::zero() ||
+         clock_.now() - ownership_confirmed_at_ < validity;
+}
+
+JobAnswer ShardDispatcher::Admit(Submission submission) {
+  const std::string id = submission.id;
+  return Enter(jobs_.emplace(id, JobEntry(std::move(submission))).first->second);
+}
+
+JobAnswer ShardDispatcher::Resume(Submission submission, RecoveredJob&& recovered) {
+  const std::string id = submission.id;
+  JobEntry& entry = jobs_.emplace(id, JobEntry(std::move(submission))).first->second;
+  Job& job = entry.job;
+  bool refused_for_good = false;
+  for (auto& [index, record] : recovered.records) {
+    if (index >= job.task_count()) continue;
+    // A revoked record shows that an attempt took place; its cause is not known any more.
+    refused_for_good |= !job.submission().idempotent && record.outcome.state == TaskState::kRevoked;
+    AdoptRecord(job, record.agent, std::move(record.outcome));
+  }
+  if (refused_for_good) {
+    job.FailWithoutClaim({ErrorKind::kOutcomeUnknown,
+                          "the request was attempted before and is not started again",
+                          {}});
+  }
+  if (!recovery_.complete()) {
+    for (std::uint32_t index = 0; index < job.task_count(); ++index) job.MarkWithheld(index);
+  }
+  if (job.withheld_count() > 0) {
+    withheld_jobs_.insert(id);
+    if (recovery_.lost()) FailJob(entry, LostRecordsError());
+  }
+  return Enter(entry);
+}
+
+JobAnswer ShardDispatcher::Enter(JobEntry& entry) {
+  Job& job = entry.job;
+  const std::string& id = job.submission().id;
+  entry.queue_until = clock_.now() + config_.policy.queue_time_limit;
+  timers_.emplace(job.submission().deadline, id);
+  timers_.emplace(entry.queue_until, id);
+  const bool to_place = job.pending_count() + job.withheld_count() > 0;
+  if (!job.submission().idempotent && to_place && !job.finished()) {
+    entry.claim_pending = true;
+    actions_.emplace_back(
+        PersistClaim{.submission_id = id, .request_key = job.submission().request_key});
+  }
+  EnqueuePending(entry);
+  Settle(entry);
+  PlaceQueued();
+  return job.CurrentAnswer();
+}
+
+void ShardDispatcher::OnClaimDecided(const std::string& submission_id, ClaimDecision decision) {
+  const auto found = jobs_.find(submission_id);
+  if (found == jobs_.end() || !found->second.claim_pending) return;
+  JobEntry& entry = found->second;
+  entry.claim_pending = false;
+  switch (decision) {
+    case ClaimDecision::kGranted:
+      EnqueuePending(entry);
+      break;
+    case ClaimDecision::kDuplicate:
+      // The other submission has the same content under another id, and may have run.
+      entry.job.FailWithoutClaim(
+          {ErrorKind::kDuplicateRequest, "another submission has claimed this request_key", {}});
+      break;
+    case ClaimDecision::kUnavailable:
+      FailJob(entry, {ErrorKind::kStoreUnavailable, "the request_key could not be claimed", {}});
+      break;
+  }
+  Settle(entry);
+  PlaceQueued();
+}
+
 Result<JobAnswer> ShardDispatcher::Fetch(std::string_view submission_id) const {
-  const auto found = jobs_.find(std::string(submission_id));
-  if (found == jobs_.end()) {
-    return tl::unexpected(Error{ErrorKind::kNotFound, "no such submission is known", {}});
+  const std::string id(submission_id);
+  if (const auto found = jobs_.find(id); found != jobs_.end()) {
+    return found->second.job.CurrentAnswer();
+  }
+  if (const RecoveredJob* recovered = recovered_.Find(id)) return AnswerOf(id, *recovered);
+  if (recovering()) {
+    return tl::unexpected(
+        Error{ErrorKind::kRecovering, "not every agent has reported what it started", {}});
   }
-  return found->second->CurrentAnswer();
+  return tl::unexpected(Error{ErrorKind::kNotFound, "no such submission is known", {}});
 }
 
 Result<JobAnswer> ShardDispatcher::Cancel(std::string_view submission_id) {
   const auto found = jobs_.find(std::string(submission_id));
   if (found == jobs_.end()) {
-    return tl::unexpected(Error{ErrorKind::kNotFound, "no such submission is known", {}});
+    Result<JobAnswer> current = Fetch(submission_id);
+    if (!current || current->finished()) return current;
+    recovered_.MarkCancelled(std::string(submission_id));
+    return Fetch(submission_id);
   }
-  Job& job = *found->second;
-  if (!job.finished()) {
-    job.Fail({ErrorKind::kCancelled, "cancelled by the caller", {}});
-    FinishIfEnded(job);
-  }
-  return job.CurrentAnswer();
+  JobEntry& entry = found->second;
+  FailJob(entry, {ErrorKind::kCancelled, "cancelled by the caller", {}});
+  Settle(entry);
+  return entry.job.CurrentAnswer();
 }
 
 void ShardDispatcher::OnConfig(DispatchConfig config) {
   if (config.version <= config_.version) return;
   config_ = std::move(config);
+  for (auto& [id, agent] : agents_) agent.paused = false;
   PlaceQueued();
 }
 
+void ShardDispatcher::Unfreeze() {
+  frozen_ = false;
+  PlaceQueued();
+}
+
+std::vector<Submission> ShardDispatcher::UnfinishedSubmissions() const {
+  std::vector<Submission> submissions;
+  for (const auto& [id, entry] : jobs_) {
+    if (entry.job.finished()) continue;
+    submissions.push_back(entry.job.submission());
+    // The id was sent before, whatever its caller stated.
+    submissions.back().attempt = 0;
+  }
+  return submissions;
+}
+
 void ShardDispatcher::OnAgentAttached(const AgentHello& hello) {
-  Agent& agent = agents_[hello.agent_id];
+  if (hello.epoch > options_.epoch) superseded_ = true;
+  const auto [found, inserted] = agents_.try_emplace(hello.agent_id);
+  Agent& agent = found->second;
+  const bool same_instance = !inserted && agent.hello.incarnation == hello.incarnation;
+  if (!same_instance) {
+    if (!inserted) LoseTasks(agent);
+    agent.ledger_merged = false;
+    agent.persisted = !options_.require_persisted_agents;
+  }
   agent.hello = hello;
   agent.attached = true;
+  agent.paused = false;
   OnAgentTime(hello.agent_id, hello.agent_time);
+  NoteInstance(agent);
+  if (recovery_.OnAttached(agent.instance(), hello.epoch)) FailWithheld();
+  if (!agent.ledger_merged) actions_.emplace_back(SendFence{.agent_id = hello.agent_id});
+  if (!agent.open_tasks.empty()) {
+    actions_.emplace_back(SendReconcile{
+        .agent_id = hello.agent_id, .tasks = {agent.open_tasks.begin(), agent.open_tasks.end()}});
+  }
   PlaceQueued();
 }
 
 void ShardDispatcher::OnAgentDetached(std::string_view agent_id) {
   const auto found = agents_.find(agent_id);
-  if (found != agents_.end()) found->second.attached = false;
+  if (found == agents_.end()) return;
+  found->second.attached = false;
+  instances_[InstanceName(found->second.instance())] = clock_.now();
 }
 
 void ShardDispatcher::OnExecutorStatus(std::string_view agent_id, const ExecutorStatus& status) {
   const auto found = agents_.find(agent_id);
   if (found == agents_.end()) return;
-  found->second.hello.executor = status;
+  Agent& agent = found->second;
+  if (status != agent.hello.executor) agent.paused = false;
+  agent.hello.executor = status;
   PlaceQueued();
 }
 
@@ -114,98 +338,310 @@
 }
 
 void ShardDispatcher::OnOutcomes(std::string_view agent_id, std::vector<TaskOutcome> outcomes) {
-  SendResultAck ack{.agent_id = std::string(agent_id), .tasks = {}};
+  const auto found = agents_.find(agent_id);
+  if (found == agents_.end()) return;
+  std::vector<TaskKey> final_tasks;
   for (TaskOutcome& outcome : outcomes) {
-    ack.tasks.push_back(outcome.key);
-    const auto found = jobs_.find(outcome.key.submission_id);
-    if (found == jobs_.end()) continue;
-    Job& job = *found->second;
-    const std::uint32_t index = outcome.key.task_index;
-    if (index >= job.submission().tasks.size()) continue;
-    if (job.phase(index) != Job::Phase::kDispatched || job.agent_of(index) != agent_id) continue;
-    ReleaseSlot(agent_id);
-    switch (outcome.state) {
-      case TaskState::kRunning:
-        break;
-      case TaskState::kFinished:
-        job.MarkFinished(index, std::move(outcome.result));
-        break;
-      case TaskState::kFailed:
-        job.Fail({ErrorKind::kTaskFailed, std::move(outcome.failure), {}});
-        break;
-      case TaskState::kUnknown:
-        job.Fail({ErrorKind::kOutcomeUnknown, std::move(outcome.failure), {}});
-        break;
-      case TaskState::kRevoked:
-        job.MarkNotStarted(index);
-        break;
-    }
-    FinishIfEnded(job);
+    if (IsFinal(outcome.state)) final_tasks.push_back(outcome.key);
+    ApplyOutcome(found->second, std::move(outcome));
   }
-  if (!ack.tasks.empty()) actions_.emplace_back(std::move(ack));
+  Acknowledge(agent_id, std::move(final_tasks));
+  PlaceQueued();
+}
+
+void ShardDispatcher::OnLedger(std::string_view agent_id, std::uint64_t epoch,
+                               std::vector<TaskOutcome> records, bool last_part) {
+  if (epoch > options_.epoch) superseded_ = true;
+  const auto found = agents_.find(agent_id);
+  if (epoch != options_.epoch || found == agents_.end() || !found->second.attached) return;
+  Agent& agent = found->second;
+  OnOutcomes(agent_id, std::move(records));
+  if (!last_part) return;
+  agent.ledger_merged = true;
+  const bool was_complete = recovery_.complete();
+  recovery_.OnLedgerMerged(agent.instance());
+  if (!was_complete && recovery_.complete()) ReleaseWithheld();
   PlaceQueued();
 }
 
 void ShardDispatcher::OnRefusal(std::string_view agent_id, std::span<const TaskKey> tasks,
-                                RefusalReason reason) {
-  if (reason == RefusalReason::kAlreadyStarted) return;
+                                RefusalReason reason, std::uint64_t agent_epoch) {
+  if (reason == RefusalReason::kStaleEpoch && agent_epoch > options_.epoch) superseded_ = true;
+  const auto found = agents_.find(agent_id);
+  if (found == agents_.end()) return;
+  Agent& agent = found->second;
+  std::vector<TaskKey> started;
   for (const TaskKey& key : tasks) {
-    const auto found = jobs_.find(key.submission_id);
-    if (found == jobs_.end()) continue;
-    Job& job = *found->second;
-    if (job.phase(key.task_index) != Job::Phase::kDispatched) continue;
-    ReleaseSlot(agent_id);
-    job.MarkNotStarted(key.task_index);
-    queue_.push_front(key);
+    JobEntry* entry = FindTask(key);
+    if (entry != nullptr && !entry->job.IsHeldBy(key.task_index, agent.instance())) continue;
+    if (reason == RefusalReason::kAlreadyStarted) {
+      started.push_back(key);
+      continue;
+    }
+    CloseTask(agent, key);
+    if (entry == nullptr) continue;
+    if (reason == RefusalReason::kRevoked) {
+      entry->job.MarkRevokedAt(key.task_index, agent.instance());
+    }
+    Requeue(*entry, key.task_index);
+  }
+  if (!started.empty()) {
+    // Some task of the dispatch has a record. The agent states which, and revokes the others.
+    actions_.emplace_back(
+        SendReconcile{.agent_id = std::string(agent_id), .tasks = std::move(started)});
+  }
+  if (const auto pause = PauseFor(reason); pause.count() > 0) Pause(agent, pause);
+  PlaceQueued();
+}
+
+void ShardDispatcher::Pause(Agent& agent, std::chrono::milliseconds time) {
+  agent.paused = true;
+  agent.paused_until = clock_.now() + time;
+}
+
+void ShardDispatcher::OpenTask(Agent& agent, const TaskKey& key) {
+  if (agent.open_tasks.insert(key).second) ++running_tasks_;
+}
+
+void ShardDispatcher::CloseTask(Agent& agent, const TaskKey& key) {
+  if (agent.open_tasks.erase(key) > 0) --running_tasks_;
+}
+
+// The agent's memory is gone: what it started can never be told.
+void ShardDispatcher::LoseTasks(Agent& agent) {
+  const TaskSet lost = std::exchange(agent.open_tasks, {});
+  running_tasks_ -= lost.size();
+  const AgentInstance instance = agent.instance();
+  for (const TaskKey& key : lost) {
+    JobEntry* entry = FindTask(key);
+    if (entry == nullptr || !entry->job.IsHeldBy(key.task_index, instance)) continue;
+    entry->job.MarkUnknown(key.task_index,
+                           "agent " + instance.agent_id + " restarted before it reported a result");
+    Settle(*entry);
+  }
+  recovered_.MarkLost(instance);
+}
+
+ShardDispatcher::JobEntry* ShardDispatcher::FindTask(const TaskKey& key) {
+  const auto found = jobs_.find(key.submission_id);
+  if (found == jobs_.end() || key.task_index >= found->second.job.task_count()) return nullptr;
+  return &found->second;
+}
+
+void ShardDispatcher::ApplyOutcome(Agent& agent, TaskOutcome outcome) {
+  const TaskKey key = outcome.key;
+  JobEntry* entry = FindTask(key);
+  if (outcome.state == TaskState::kRunning) {
+    OpenTask(agent, key);
+  } else {
+    CloseTask(agent, key);
+  }
+  if (entry == nullptr) {
+    recovered_.Merge(agent.instance(), std::move(outcome), clock_.now());
+    return;
+  }
+  ApplyToJob(*entry, agent, std::move(outcome));
+  Settle(*entry);
+}
+
+void ShardDispatcher::ApplyToJob(JobEntry& entry, const Agent& agent, TaskOutcome outcome) {
+  Job& job = entry.job;
+  const std::uint32_t index = outcome.key.task_index;
+  const AgentInstance instance = agent.instance();
+  const bool held = job.IsHeldBy(index, instance);
+  const bool unplaced =
+      job.phase(index) == Job::Phase::kPending || job.phase(index) == Job::Phase::kWithheld;
+  // Reports of an attempt that another agent has taken over, and repeated ones, change nothing.
+  if (!held && !unplaced) return;
+  const bool revoked = outcome.state == TaskState::kRevoked;
+  if (!revoked && outcome.job.content_hash != job.submission().content_hash) {
+    // The record stems from an earlier use of the id, whose retention has ended here.
+    if (!held) return;
+    job.MarkNotStarted(index);
+    FailJob(entry, ConflictError());
+    return;
+  }
+  if (held && revoked) {
+    job.MarkRevokedAt(index, instance);
+    Requeue(entry, index);
+    return;
+  }
+  AdoptRecord(job, instance, std::move(outcome));
+}
+
+void ShardDispatcher::AdoptRecord(Job& job, const AgentInstance& agent, TaskOutcome outcome) {
+  const std::uint32_t index = outcome.key.task_index;
+  switch (outcome.state) {
+    case TaskState::kRunning:
+      job.MarkDispatched(index, agent.agent_id, agent.incarnation);
+      job.MarkRunning(index);
+      break;
+    case TaskState::kFinished:
+      job.MarkFinished(index, std::move(outcome.result));
+      break;
+    case TaskState::kFailed:
+      job.MarkFailed(index, std::move(outcome.failure));
+      break;
+    case TaskState::kUnknown:
+      job.MarkUnknown(index, std::move(outcome.failure));
+      break;
+    case TaskState::kRevoked:
+      job.MarkRevokedAt(index, agent);
+      break;
+  }
+}
+
+void ShardDispatcher::Requeue(JobEntry& entry, std::uint32_t index) {
+  entry.job.MarkNotStarted(index);
+  if (!entry.job.finished()) EnqueueFirst({entry.job.submission().id, index});
+  Settle(entry);
+}
+
+void ShardDispatcher::Acknowledge(std::string_view agent_id, std::vector<TaskKey> tasks) {
+  // Only the current owner may let an agent forget a result.
+  if (tasks.empty() || superseded_) return;
+  actions_.emplace_back(
+      SendResultAck{.agent_id = std::string(agent_id), .tasks = std::move(tasks)});
+}
+
+void ShardDispatcher::FailJob(JobEntry& entry, Error error) {
+  if (MayClaimNotRun()) {
+    entry.job.Fail(std::move(error));
+  } else {
+    entry.job.FailWithoutClaim(std::move(error));
+  }
+}
+
+// Brings counters up to date after a change of the job, and ends it once.
+void ShardDispatcher::Settle(JobEntry& entry) {
+  const Job& job = entry.job;
+  const bool waits = !job.finished() && !entry.claim_pending;
+  const std::uint32_t queued = waits ? job.pending_count() : 0;
+  queued_tasks_ = queued_tasks_ + queued - std::exchange(entry.queued, queued);
+  if (!job.finished() || std::exchange(entry.delivered, true)) return;
+  const Submission& submission = job.submission();
+  entry.forget_at = std::max(clock_.now(), submission.deadline) + config_.policy.retention;
+  timers_.emplace(entry.forget_at, submission.id);
+  withheld_jobs_.erase(submission.id);
+  RevokeUnconfirmed(job);
+  actions_.emplace_back(DeliverAnswer{job.answer()});
+}
+
+void ShardDispatcher::RevokeUnconfirmed(const Job& job) {
+  if (options_.agent_queue_depth == 0 || job.dispatched_count() == 0) return;
+  for (std::uint32_t index = 0; index < job.task_count(); ++index) {
+    if (job.phase(index) != Job::Phase::kDispatched) continue;
+    revokes_[job.agent_of(index)].push_back({job.submission().id, index});
   }
 }
 
 void ShardDispatcher::OnTimer() {
   const TimePoint now = clock_.now();
-  for (auto& [id, job] : jobs_) {
-    if (job->finished() || now < job->submission().deadline) continue;
-    const bool unknown = job->dispatched_count() > 0;
-    job->Fail({unknown ? ErrorKind::kOutcomeUnknown : ErrorKind::kDeadlineExceeded,
-               "the deadline passed before the job was complete",
-               {}});
-    FinishIfEnded(*job);
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    const std::string id = std::move(timers_.extract(timers_.begin()).value().second);
+    OnJobTimer(id, now);
+  }
+  while (!delayed_.empty() && delayed_.begin()->first <= now) {
+    queue_.push_front(std::move(delayed_.extract(delayed_.begin()).mapped()));
+  }
+  for (auto& [id, agent] : agents_) agent.paused = agent.paused && agent.paused_until > now;
+  for (auto& [agent_id, tasks] : std::exchange(revokes_, {})) {
+    actions_.emplace_back(SendRevoke{.agent_id = agent_id, .tasks = std::move(tasks)});
   }
+  recovered_.Expire(now);
+  ExpireInstances(now);
   PlaceQueued();
 }
 
+void ShardDispatcher::OnJobTimer(const std::string& submission_id, TimePoint now) {
+  const auto found = jobs_.find(submission_id);
+  if (found == jobs_.end()) return;
+  JobEntry& entry = found->second;
+  Job& job = entry.job;
+  if (job.finished()) {
+    if (now >= entry.forget_at) jobs_.erase(found);
+    return;
+  }
+  if (now >= job.submission().deadline) {
+    FailJob(entry, DeadlineError(job));
+  } else if (now >= entry.queue_until && job.untouched() && MayPlace()) {
+    FailJob(entry, {ErrorKind::kQueueTimeout, "no task could be started in time", {}});
+  }
+  Settle(entry);
+}
+
+Error ShardDispatcher::DeadlineError(const Job& job) const {
+  // A successor may have started the tasks that this entry still has in its queue.
+  bool unknown = superseded_ || frozen_ || job.withheld_count() > 0;
+  for (std::uint32_t index = 0; index < job.task_count() && !unknown; ++index) {
+    const Job::Phase phase = job.phase(index);
+    if (phase != Job::Phase::kDispatched && phase != Job::Phase::kRunning) continue;
+    const auto agent = agents_.find(job.agent_of(index));
+    unknown = agent == agents_.end() || !agent->second.attached;
+  }
+  if (unknown) {
+    return {ErrorKind::kOutcomeUnknown,
+            "the deadline passed while the outcome of a task was not known",
+            {}};
+  }
+  return {ErrorKind::kDeadlineExceeded, "the deadline passed before the job was complete", {}};
+}
+
 std::vector<DispatcherAction> ShardDispatcher::TakeActions() { return std::exchange(actions_, {}); }
 
+void ShardDispatcher::Enqueue(const TaskKey& key) { queue_.push_back(key); }
+
+void ShardDispatcher::EnqueueFirst(const TaskKey& key) { queue_.push_front(key); }
+
+void ShardDispatcher::EnqueuePending(JobEntry& entry) {
+  if (entry.job.finished() || entry.claim_pending) return;
+  for (std::uint32_t index = 0; index < entry.job.task_count(); ++index) {
+    if (entry.job.phase(index) != Job::Phase::kPending) continue;
+    Enqueue({entry.job.submission().id, index});
+  }
+}
+
 void ShardDispatcher::PlaceQueued() {
+  if (!MayPlace()) return;
   while (!queue_.empty()) {
     const TaskKey key = queue_.front();
-    Job& job = *jobs_.at(key.submission_id);
-    if (job.finished() || job.phase(key.task_index) != Job::Phase::kPending) {
+    JobEntry* entry = FindTask(key);
+    if (entry == nullptr || entry->job.finished() || entry->claim_pending ||
+        entry->job.phase(key.task_index) != Job::Phase::kPending) {
       queue_.pop_front();
       continue;
     }
-    Agent* agent = ChooseAgent();
-    if (agent == nullptr) return;
+    Agent* agent = ChooseAgent(entry->job, key.task_index);
+    if (agent == nullptr && !entry->job.HasRevocation(key.task_index)) return;
     queue_.pop_front();
-    Dispatch(job, key.task_index, *agent);
+    if (agent == nullptr) {
+      delayed_.emplace(clock_.now() + kRevokedRetryDelay, key);
+      continue;
+    }
+    Dispatch(*entry, key.task_index, *agent);
   }
 }
 
-ShardDispatcher::Agent* ShardDispatcher::ChooseAgent() {
+ShardDispatcher::Agent* ShardDispatcher::ChooseAgent(const Job& job, std::uint32_t index) {
   Agent* best = nullptr;
   for (auto& [id, agent] : agents_) {
     if (agent.free_slots() == 0) continue;
+    if (job.HasRevocation(index) && job.IsRevokedAt(index, agent.instance())) continue;
     if (best == nullptr || agent.free_slots() > best->free_slots()) best = &agent;
   }
   return best;
 }
 
-void ShardDispatcher::Dispatch(Job& job, std::uint32_t index, Agent& agent) {
-  const Submission& submission = job.submission();
-  const JobConfig& job_config = config_.jobs.at(submission.job);
+void ShardDispatcher::Dispatch(JobEntry& entry, std::uint32_t index, Agent& agent) {
+  const Submission& submission = entry.job.submission();
+  // A job that a newer configuration no longer names keeps the defaults.
+  const auto configured = config_.jobs.find(submission.job);
+  const JobConfig job_config = configured == config_.jobs.end() ? JobConfig{} : configured->second;
   const std::string& agent_id = agent.hello.agent_id;
-  job.MarkDispatched(index, agent_id);
-  ++agent.used_slots;
-  ++running_tasks_;
+  entry.job.MarkDispatched(index, agent_id, agent.hello.incarnation);
+  OpenTask(agent, {submission.id, index});
+  Settle(entry);
+  const TimePoint start_by = std::min<TimePoint>(clock_.now() + kStartWindow, submission.deadline);
   DispatchOrder order{
       .shard = options_.shard,
       .epoch = options_.epoch,
@@ -213,12 +649,12 @@
       .submission_id = submission.id,
       .team = submission.team,
       .job = submission.job,
-      .facts = {.task_count = static_cast<std::uint32_t>(submission.tasks.size()),
+      .facts = {.task_count = entry.job.task_count(),
                 .content_hash = submission.content_hash,
                 .idempotent = submission.idempotent},
-      .start_by = SinceEpoch(clock_.now()) + agent.clock_offset + kStartWindow,
+      .start_by = SinceEpoch(start_by) + agent.clock_offset,
       .result_hold = config_.policy.result_hold,
-      .retention = config_.policy.retention,
+      .retention = RetentionOf(submission),
       .tasks = {},
   };
   const TaskDeclaration& declaration = submission.tasks[index];
@@ -229,16 +665,59 @@
   actions_.emplace_back(SendDispatch{.agent_id = agent_id, .order = std::move(order)});
 }
 
-void ShardDispatcher::FinishIfEnded(Job& job) {
-  if (!job.finished()) return;
-  actions_.emplace_back(DeliverAnswer{job.answer()});
+// The id may be resubmitted for this long, so the agent keeps its records for as long.
+std::chrono::milliseconds ShardDispatcher::RetentionOf(const Submission& submission) const {
+  const auto left =
+      std::chrono::ceil<std::chrono::milliseconds>(submission.deadline - clock_.now());
+  return std::max(left, std::chrono::milliseconds::zero()) + config_.policy.retention;
 }
 
-void ShardDispatcher::ReleaseSlot(std::string_view agent_id) {
-  const auto found = agents_.find(agent_id);
-  if (found == agents_.end() || found->second.used_slots == 0) return;
-  --found->second.used_slots;
-  --running_tasks_;
+void ShardDispatcher::FailWithheld() {
+  for (const std::string& id : std::set<std::string>(withheld_jobs_)) {
+    JobEntry& entry = jobs_.at(id);
+    FailJob(entry, LostRecordsError());
+    Settle(entry);
+  }
+}
+
+void ShardDispatcher::ReleaseWithheld() {
+  for (const std::string& id : std::exchange(withheld_jobs_, {})) {
+    JobEntry& entry = jobs_.at(id);
+    for (const std::uint32_t index : entry.job.ReleaseWithheld()) {
+      if (!entry.claim_pending) Enqueue({id, index});
+    }
+    Settle(entry);
+  }
+}
+
+void ShardDispatcher::OnOwnershipConfirmed(TimePoint confirmed_at) {
+  ownership_confirmed_at_ = std::max(ownership_confirmed_at_, confirmed_at);
+}
+
+void ShardDispatcher::NoteInstance(const Agent& agent) {
+  const bool added =
+      instances_.insert_or_assign(InstanceName(agent.instance()), clock_.now()).second;
+  if (!options_.require_persisted_agents || (!added && agent.persisted)) return;
+  PersistAgents persist;
+  for (const auto& [name, last_seen] : instances_) persist.instances.insert(name);
+  actions_.emplace_back(std::move(persist));
+}
+
+void ShardDispatcher::OnAgentsPersisted(const std::set<std::string>& instances) {
+  for (auto& [id, agent] : agents_) {
+    if (instances.contains(InstanceName(agent.instance()))) agent.persisted = true;
+  }
+  PlaceQueued();
+}
+
+// Records of an instance matter as long as a submission that it may have started can be
+// resubmitted.
+void ShardDispatcher::ExpireInstances(TimePoint now) {
+  for (auto& [id, agent] : agents_) {
+    if (agent.attached) instances_[InstanceName(agent.instance())] = now;
+  }
+  std::erase_if(instances_,
+                [&](const auto& entry) { return now - entry.second > options_.recovery_window; });
 }
 
 }  // namespace zinniamux::core
--- a/src/core/submission.h
+++ b/src/core/submission.h
@@ -25,9 +25,14 @@
   bool idempotent = true;
   // Set if and only if the submission is not idempotent.
   std::string request_key;
+  // 1 is the caller's statement that the id was never sent before; 0 and other values state
+  // nothing. Whoever sends a submission on a second time sets it to 0. Not part of the content
+  // hash.
+  std::uint32_t attempt = 0;
   TimePoint deadline;
   std::vector<TaskDeclaration> tasks;
-  // Hash over all fields but the id and the deadline; equal content may join an existing job.
+  // Hash over all fields but the id, the attempt and the deadline; equal content may join an
+  // existing job.
   std::uint64_t content_hash = 0;
 };
 
