dispatcher: use fair queueing, admission, health, retry budgets and placement

The dispatcher served one FIFO of tasks, searched all agents for each task and refused nothing but unknown names.

It now keeps every job in JobQueue from its entry to its end (held while its claim is pending), the slots in ExecutorPool, and refuses by AdmissionController. Outcomes of tasks that the agent holds teach the run-time estimates, the health and the retry budgets. A refusal that finds the retry budget empty fails the job with overloaded. Tasks of one job for one agent in one pass leave in one SendDispatch. A task that fits no free executor is deferred, so it does not hold up others. Each placement, refusal, requeue, ejection and end of a job is logged with its reason; Options::log_decisions turns that off. JobQueue counts a task as running at OnTaskStarted instead of Pop, because the dispatcher also learns of tasks that an earlier owner started. Deadlines beyond policy.max_deadline are refused.

--- a/bench/micro/job_queue_benchmark.cc
+++ b/bench/micro/job_queue_benchmark.cc
@@ -46,6 +46,7 @@
     queue.Push(MakeJob(number++, kTasks));
     for (int task = 0; task < kTasks; ++task) {
       const auto popped = queue.Pop();
+      queue.OnTaskStarted(popped->team);
       queue.OnTaskEnded(popped->team);
       if (popped->task_index + 1 == kTasks) queue.Remove(popped->submission_id);
     }
--- a/src/core/admission_controller.cc
+++ b/src/core/admission_controller.cc
@@ -26,12 +26,12 @@
   return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
 }
 
-std::uint32_t MemoryOf(const TaskDeclaration& task, const JobConfig& config) {
+}  // namespace
+
+std::uint32_t TaskMemory(const TaskDeclaration& task, const JobConfig& config) {
   return task.memory_mb > 0 ? task.memory_mb : config.memory_mb;
 }
 
-}  // namespace
-
 JobEstimate EstimateJob(const Submission& submission, const JobConfig& config,
                         const RunTimeEstimator& estimator) {
   JobEstimate job;
@@ -73,6 +73,12 @@
   if (submission.tasks.empty()) {
     return Error{ErrorKind::kInvalidRequest, "the submission has no tasks", {}};
   }
+  const milliseconds max_deadline = config.policy.max_deadline;
+  if (submission.deadline - situation.now > max_deadline) {
+    return Error{ErrorKind::kInvalidRequest,
+                 "the deadline is more than " + std::to_string(max_deadline.count()) + " ms ahead",
+                 {}};
+  }
   const std::size_t tasks = submission.tasks.size();
   if (tasks > job_config.max_tasks) {
     return Error{ErrorKind::kTooLarge,
@@ -89,7 +95,7 @@
   }
   const std::uint32_t largest = situation.capacity.largest_memory_mb;
   for (const TaskDeclaration& task : submission.tasks) {
-    const std::uint32_t memory = MemoryOf(task, job_config);
+    const std::uint32_t memory = TaskMemory(task, job_config);
     if (largest == 0 || memory <= largest) continue;
     return Error{ErrorKind::kNeverRunnable,
                  "a task needs " + std::to_string(memory) + " MB; the largest executor has " +
--- a/src/core/admission_controller.h
+++ b/src/core/admission_controller.h
@@ -26,6 +26,9 @@
   bool learned = false;
 };
 
+// The declared memory of a task; that of its job kind if it declares none.
+std::uint32_t TaskMemory(const TaskDeclaration& task, const JobConfig& config);
+
 JobEstimate EstimateJob(const Submission& submission, const JobConfig& config,
                         const RunTimeEstimator& estimator);
 
--- a/src/core/executor_pool.cc
+++ b/src/core/executor_pool.cc
@@ -22,17 +22,17 @@
     targets_.push_back({.index = index, .agent_id = hello.agent_id});
   }
   Apply(targets_[found->second], [&](PlacementTarget& target) {
-    target.attached = true;
+    target.usable = true;
     target.rack = RackNumber(hello.availability_zone, hello.rack);
     target.same_zone = hello.availability_zone == zone_;
     CopyStatus(target, hello.executor);
   });
 }
 
-void ExecutorPool::Detach(std::string_view agent_id) {
+void ExecutorPool::SetUsable(std::string_view agent_id, bool usable) {
   PlacementTarget* target = FindMutable(agent_id);
-  if (target == nullptr) return;
-  Apply(*target, [](PlacementTarget& changed) { changed.attached = false; });
+  if (target == nullptr || target->usable == usable) return;
+  Apply(*target, [&](PlacementTarget& changed) { changed.usable = usable; });
 }
 
 void ExecutorPool::UpdateStatus(std::string_view agent_id, const ExecutorStatus& status) {
--- a/src/core/executor_pool.h
+++ b/src/core/executor_pool.h
@@ -25,9 +25,10 @@
   // Exchanges the policy and shows it all executors.
   void SetPolicy(std::unique_ptr<PlacementPolicy> policy);
 
-  // Adds the agent or updates it after it attached again. Its used slots stay counted.
+  // Adds the agent as usable, or updates it after it attached again. Its used slots stay counted.
   void Attach(const AgentHello& hello);
-  void Detach(std::string_view agent_id);
+  // Whether dispatches may be sent to the agent.
+  void SetUsable(std::string_view agent_id, bool usable);
   void UpdateStatus(std::string_view agent_id, const ExecutorStatus& status);
   void SetStanding(std::string_view agent_id, ExecutorHealth::Standing standing);
 
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -48,6 +48,9 @@
   bool IsHeldBy(std::uint32_t index, const AgentInstance& agent) const;
   // The agent instance has a revoked record of the task and will refuse it for good.
   bool IsRevokedAt(std::uint32_t index, const AgentInstance& agent) const;
+  const std::vector<AgentInstance>& revoked_at(std::uint32_t index) const {
+    return tasks_[index].revoked_at;
+  }
   bool HasRevocation(std::uint32_t index) const { return !tasks_[index].revoked_at.empty(); }
   std::uint32_t pending_count() const { return count(Phase::kPending); }
   std::uint32_t withheld_count() const { return count(Phase::kWithheld); }
--- a/src/core/job_queue.cc
+++ b/src/core/job_queue.cc
@@ -84,9 +84,7 @@
   Order(job);
   team.queued_work -= cost;
   team.quota.RemoveQueued(1);
-  team.quota.AddRunning();
   --size_;
-  ++running_;
   UpdateEligibility(team);
   // All demand is met, so no team owes the others anything: the busy period has ended.
   if (eligible_.empty()) virtual_time_ = max_finish_;
@@ -107,9 +105,7 @@
   Order(*job);
   team.queued_work += cost;
   team.quota.AddQueued(1);
-  team.quota.RemoveRunning();
   ++size_;
-  if (running_ > 0) --running_;
   UpdateEligibility(team);
 }
 
@@ -143,6 +139,22 @@
   UpdateEligibility(team);
 }
 
+void JobQueue::Hold(std::string_view submission_id) {
+  Job* job = FindJob(submission_id);
+  if (job == nullptr) return;
+  Unorder(*job);
+  job->held = true;
+  UpdateEligibility(*job->team);
+}
+
+void JobQueue::Release(std::string_view submission_id) {
+  Job* job = FindJob(submission_id);
+  if (job == nullptr) return;
+  job->held = false;
+  Order(*job);
+  UpdateEligibility(*job->team);
+}
+
 void JobQueue::Defer(std::string_view submission_id) {
   Job* job = FindJob(submission_id);
   if (job == nullptr || job->deferred) return;
@@ -238,7 +250,7 @@
 }
 
 void JobQueue::Order(Job& job) {
-  if (job.ordered || job.deferred || job.waiting.empty()) return;
+  if (job.ordered || job.held || job.deferred || job.waiting.empty()) return;
   job.rank = RankOf(job);
   job.team->jobs.emplace(job.rank, &job);
   job.ordered = true;
--- a/src/core/job_queue.h
+++ b/src/core/job_queue.h
@@ -65,19 +65,21 @@
   void Configure(const DispatchConfig& config);
   // A job that is known already is ignored.
   void Push(NewJob job);
-  // Removes the next task and counts it as running. Empty if no team that may run has a task.
+  // Removes the next task, and charges its team for it. Empty if no team that may run has a task.
   std::optional<QueuedTask> Pop();
-  // Puts a task back at the front of its job after a confirmed refusal; the team gets its charge
-  // back and one running task less. Ignored for an unknown job, whose end the owner reports with
-  // OnTaskEnded.
+  // Puts a popped task back at the front of its job; the team gets its charge back. Ignored for an
+  // unknown job.
   void Requeue(std::string_view submission_id, std::uint32_t task_index);
-  // Counts a task that was placed without Pop, such as one found running after a takeover.
+  // A task of the team occupies a slot, whether it was popped here or by an earlier owner.
   void OnTaskStarted(std::string_view team);
-  // One task of the team freed its slot.
+  // A task of the team freed its slot.
   void OnTaskEnded(std::string_view team);
   // Forgets a job and its waiting tasks.
   void Remove(std::string_view submission_id);
 
+  // Keeps a job out of the order, with its tasks counted as waiting, until it is released.
+  void Hold(std::string_view submission_id);
+  void Release(std::string_view submission_id);
   // Takes a job out of the order until ResumeDeferred, so that a task which fits no free executor
   // does not hold up the tasks behind it.
   void Defer(std::string_view submission_id);
@@ -119,7 +121,7 @@
     double next_start = 0;
     // Set if and only if the team is in eligible_, under exactly this key.
     bool eligible = false;
-    // The jobs with waiting tasks, but for deferred ones.
+    // The jobs with waiting tasks, but for held and deferred ones.
     std::map<JobRank, Job*> jobs;
     std::uint32_t known_jobs = 0;
     Duration queued_work{0};
@@ -137,6 +139,7 @@
     JobRank rank;
     // Set if and only if the job is in team->jobs, under `rank`.
     bool ordered = false;
+    bool held = false;
     bool deferred = false;
   };
 
--- a/src/core/late_binding_policy.cc
+++ b/src/core/late_binding_policy.cc
@@ -64,7 +64,7 @@
   std::size_t examined = 0;
   for (const RackRank& rank : order) {
     const Rack& rack = memory_class.racks.at(rank.rack);
-    const PlacementTarget* target = FirstFit(rack, request.memory_mb);
+    const PlacementTarget* target = FirstFit(rack, request);
     if (target == nullptr) continue;
     const std::uint32_t spread = request.spread ? request.spread->Count(rank.rack) : 0;
     const double score =
@@ -116,10 +116,10 @@
 }
 
 const PlacementTarget* LateBindingPolicy::FirstFit(const Rack& rack,
-                                                   std::uint32_t memory_mb) const {
+                                                   const PlacementRequest& request) const {
   for (const auto& [used_slots, index] : rack.executors) {
     const PlacementTarget* target = entries_[index].target;
-    if (target->Fits(memory_mb)) return target;
+    if (request.Allows(*target)) return target;
   }
   return nullptr;
 }
@@ -127,7 +127,7 @@
 void LateBindingPolicy::ChooseOnProbation(const PlacementRequest& request,
                                           Placement& placement) const {
   for (const std::uint32_t index : probation_) {
-    if (!entries_[index].target->Fits(request.memory_mb)) continue;
+    if (!request.Allows(*entries_[index].target)) continue;
     placement.index = index;
     placement.AddCandidate(index, 0);
     return;
--- a/src/core/late_binding_policy.h
+++ b/src/core/late_binding_policy.h
@@ -69,7 +69,7 @@
   void RemoveFromIndexes(Entry& entry);
   void AddToRack(const Entry& entry, bool used);
   static void Reorder(MemoryClass& memory_class, std::uint32_t rack_number);
-  const PlacementTarget* FirstFit(const Rack& rack, std::uint32_t memory_mb) const;
+  const PlacementTarget* FirstFit(const Rack& rack, const PlacementRequest& request) const;
   // Examines the first racks of one order and keeps the best choice so far.
   void ChooseInOrder(const PlacementRequest& request, const MemoryClass& memory_class,
                      const std::set<RackRank>& order, Placement& placement,
--- a/src/core/least_loaded_policy.cc
+++ b/src/core/least_loaded_policy.cc
@@ -17,7 +17,7 @@
   constexpr std::size_t kListed = 3;
   Placement placement;
   for (const auto& [reported, index] : order_) {
-    if (!entries_[index].target->Fits(request.memory_mb)) continue;
+    if (!request.Allows(*entries_[index].target)) continue;
     if (!placement.index) placement.index = index;
     placement.AddCandidate(index, reported);
     if (placement.candidate_count == kListed) break;
--- a/src/core/placement_policy.cc
+++ b/src/core/placement_policy.cc
@@ -11,7 +11,7 @@
 namespace zinniamux::core {
 
 std::uint32_t PlacementTarget::open_slots() const {
-  if (!attached || !available) return 0;
+  if (!usable || !available) return 0;
   switch (standing) {
     case ExecutorHealth::Standing::kHealthy:
       return slots;
@@ -32,6 +32,12 @@
   return memory_mb == 0 || task_memory_mb <= memory_mb;
 }
 
+bool PlacementRequest::Allows(const PlacementTarget& target) const {
+  const bool excluded = std::find(excluded_agents.begin(), excluded_agents.end(),
+                                  target.agent_id) != excluded_agents.end();
+  return !excluded && target.Fits(memory_mb);
+}
+
 std::uint32_t JobSpread::Count(std::uint32_t rack) const {
   const auto found = counts_.find(rack);
   return found == counts_.end() ? 0 : found->second;
--- a/src/core/placement_policy.h
+++ b/src/core/placement_policy.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 
@@ -22,7 +23,9 @@
   // Number of the rack within the shard; racks of different zones have different numbers.
   std::uint32_t rack = 0;
   bool same_zone = false;
-  bool attached = false;
+  // The owner may send dispatches to the agent.
+  bool usable = false;
+  // The executor takes work, as it last reported.
   bool available = false;
   ExecutorHealth::Standing standing = ExecutorHealth::Standing::kHealthy;
   std::uint32_t slots = 0;
@@ -52,6 +55,10 @@
   std::uint32_t memory_mb = 0;
   // May be null if the spread of the job does not matter.
   const JobSpread* spread = nullptr;
+  // Agents that would refuse the task for good.
+  std::span<const std::string> excluded_agents;
+
+  bool Allows(const PlacementTarget& target) const;
 };
 
 // A choice and the figures that decided it.
--- a/src/core/random_policy.cc
+++ b/src/core/random_policy.cc
@@ -19,7 +19,7 @@
   // The first position fits unless the task needs more memory than some executors have.
   for (std::size_t step = 0; step < free_.size(); ++step) {
     const PlacementTarget& target = *free_[(first + step) % free_.size()];
-    if (!target.Fits(request.memory_mb)) continue;
+    if (!request.Allows(target)) continue;
     placement.index = target.index;
     placement.AddCandidate(target.index, 0);
     break;
--- a/src/core/round_robin_policy.cc
+++ b/src/core/round_robin_policy.cc
@@ -17,7 +17,7 @@
   for (std::size_t step = 0; step < free_.size(); ++step, ++it) {
     if (it == free_.end()) it = free_.begin();
     const auto& [index, target] = *it;
-    if (!target->Fits(request.memory_mb)) continue;
+    if (!request.Allows(*target)) continue;
     placement.index = index;
     placement.AddCandidate(index, 0);
     next_ = index + 1;
--- a/src/core/shard_dispatcher.cc
+++ b/src/core/shard_dispatcher.cc
@@ -18,6 +18,9 @@
 // A task that every free agent has revoked is tried again after this time.
 constexpr std::chrono::milliseconds kRevokedRetryDelay{50};
 
+// Jobs of which one pass tries a task that fits no free executor, before it gives up.
+constexpr std::size_t kMaxDeferredJobs = 16;
+
 std::chrono::milliseconds SinceEpoch(TimePoint time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch());
 }
@@ -40,6 +43,30 @@
   return {};
 }
 
+std::string_view RefusalName(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kStaleEpoch:
+      return "stale_epoch";
+    case RefusalReason::kStaleConfig:
+      return "stale_config";
+    case RefusalReason::kLate:
+      return "late";
+    case RefusalReason::kNoSlot:
+      return "no_slot";
+    case RefusalReason::kLeaving:
+      return "leaving";
+    case RefusalReason::kExecutorDown:
+      return "executor_down";
+    case RefusalReason::kNotAuthorised:
+      return "not_authorised";
+    case RefusalReason::kAlreadyStarted:
+      return "already_started";
+    case RefusalReason::kRevoked:
+      return "revoked";
+  }
+  return {};
+}
+
 bool IsFinal(TaskState state) {
   return state == TaskState::kFinished || state == TaskState::kFailed ||
          state == TaskState::kUnknown;
@@ -60,12 +87,6 @@
   return {.agent_id = hello.agent_id, .incarnation = hello.incarnation};
 }
 
-std::uint32_t ShardDispatcher::Agent::free_slots() const {
-  const ExecutorStatus& executor = hello.executor;
-  if (!attached || !persisted || paused || !executor.available || executor.leaving) return 0;
-  return executor.slots > used_slots() ? executor.slots - used_slots() : 0;
-}
-
 ShardDispatcher::JobEntry::JobEntry(Submission submission)
     : job(std::make_shared<const Submission>(std::move(submission))) {}
 
@@ -74,6 +95,8 @@
       clock_(clock),
       recovery_(options.expected_agents, clock.now() + options.recovery_window),
       recovered_(options.recovery_window),
+      pool_(options.availability_zone,
+            MakePlacementPolicy(PlacementPolicyKind::kLateBinding, options.seed)),
       ownership_confirmed_at_(clock.now()) {
   for (const std::string& name : options.expected_agents) instances_.emplace(name, clock.now());
 }
@@ -144,19 +167,29 @@
 }
 
 std::optional<Error> ShardDispatcher::AdmissionError(const Submission& submission) const {
-  if (config_.version == 0) {
-    return Error{ErrorKind::kNotReady, "no configuration is in force yet", {}};
-  }
-  if (!config_.teams.contains(submission.team)) {
-    return Error{ErrorKind::kUnknownTeam, "team '" + submission.team + "' is not configured", {}};
-  }
-  if (!config_.jobs.contains(submission.job)) {
-    return Error{ErrorKind::kUnknownJob, "job '" + submission.job + "' is not configured", {}};
+  const AdmissionController::Situation situation{
+      .config = config_,
+      .queue = queue_,
+      .capacity = {.open_slots = pool_.open_slots(),
+                   .free_slots = pool_.free_slots(),
+                   .largest_memory_mb = pool_.largest_memory_mb()},
+      .now = clock_.now()};
+  if (std::optional<Error> error = admission_.CheckDeclaration(submission, situation)) {
+    return error;
   }
-  return std::nullopt;
+  const JobEstimate estimate = EstimateJob(submission, JobConfigOf(submission), estimator_);
+  return admission_.CheckLoad(submission, estimate, situation);
+}
+
+// A job that a newer configuration no longer names keeps the defaults.
+JobConfig ShardDispatcher::JobConfigOf(const Submission& submission) const {
+  const auto found = config_.jobs.find(submission.job);
+  return found == config_.jobs.end() ? JobConfig{} : found->second;
 }
 
-JobAnswer ShardDispatcher::Refuse(const Submission& submission, Error error) const {
+JobAnswer ShardDispatcher::Refuse(const Submission& submission, Error error) {
+  LogOutcome(DecisionRecord::Decision::kRefused, submission, 0, {},
+             std::string(RowOf(error.kind).name) + ": " + error.message);
   JobAnswer answer = FailedAnswer(submission.id, std::move(error));
   const bool looked_up = MayClaimNotRun() && !recovering();
   answer.not_run = answer.not_run && (looked_up || submission.attempt == 1);
@@ -204,7 +237,8 @@
 JobAnswer ShardDispatcher::Enter(JobEntry& entry) {
   Job& job = entry.job;
   const std::string& id = job.submission().id;
-  entry.queue_until = clock_.now() + config_.policy.queue_time_limit;
+  entry.arrival = clock_.now();
+  entry.queue_until = entry.arrival + config_.policy.queue_time_limit;
   timers_.emplace(job.submission().deadline, id);
   timers_.emplace(entry.queue_until, id);
   const bool to_place = job.pending_count() + job.withheld_count() > 0;
@@ -226,7 +260,7 @@
   entry.claim_pending = false;
   switch (decision) {
     case ClaimDecision::kGranted:
-      EnqueuePending(entry);
+      queue_.Release(submission_id);
       break;
     case ClaimDecision::kDuplicate:
       // The other submission has the same content under another id, and may have run.
@@ -270,8 +304,17 @@
 
 void ShardDispatcher::OnConfig(DispatchConfig config) {
   if (config.version <= config_.version) return;
+  const PlacementPolicyKind placement = config_.policy.placement;
   config_ = std::move(config);
-  for (auto& [id, agent] : agents_) agent.paused = false;
+  queue_.Configure(config_);
+  estimator_.Retain(config_);
+  if (config_.policy.placement != placement) {
+    pool_.SetPolicy(MakePlacementPolicy(config_.policy.placement, options_.seed));
+  }
+  for (auto& [id, agent] : agents_) {
+    agent.paused = false;
+    UpdateUsable(agent);
+  }
   PlaceQueued();
 }
 
@@ -304,13 +347,17 @@
   agent.hello = hello;
   agent.attached = true;
   agent.paused = false;
+  pool_.Attach(hello);
+  UpdateUsable(agent);
+  health_.Add(hello.agent_id);
   OnAgentTime(hello.agent_id, hello.agent_time);
   NoteInstance(agent);
   if (recovery_.OnAttached(agent.instance(), hello.epoch)) FailWithheld();
   if (!agent.ledger_merged) actions_.emplace_back(SendFence{.agent_id = hello.agent_id});
   if (!agent.open_tasks.empty()) {
-    actions_.emplace_back(SendReconcile{
-        .agent_id = hello.agent_id, .tasks = {agent.open_tasks.begin(), agent.open_tasks.end()}});
+    SendReconcile reconcile{.agent_id = hello.agent_id, .tasks = {}};
+    for (const auto& [key, team] : agent.open_tasks) reconcile.tasks.push_back(key);
+    actions_.emplace_back(std::move(reconcile));
   }
   PlaceQueued();
 }
@@ -319,6 +366,7 @@
   const auto found = agents_.find(agent_id);
   if (found == agents_.end()) return;
   found->second.attached = false;
+  UpdateUsable(found->second);
   instances_[InstanceName(found->second.instance())] = clock_.now();
 }
 
@@ -328,6 +376,8 @@
   Agent& agent = found->second;
   if (status != agent.hello.executor) agent.paused = false;
   agent.hello.executor = status;
+  pool_.UpdateStatus(agent_id, status);
+  UpdateUsable(agent);
   PlaceQueued();
 }
 
@@ -383,7 +433,7 @@
     if (reason == RefusalReason::kRevoked) {
       entry->job.MarkRevokedAt(key.task_index, agent.instance());
     }
-    Requeue(*entry, key.task_index);
+    Requeue(*entry, key.task_index, RefusalName(reason));
   }
   if (!started.empty()) {
     // Some task of the dispatch has a record. The agent states which, and revokes the others.
@@ -397,22 +447,41 @@
 void ShardDispatcher::Pause(Agent& agent, std::chrono::milliseconds time) {
   agent.paused = true;
   agent.paused_until = clock_.now() + time;
+  UpdateUsable(agent);
+}
+
+void ShardDispatcher::UpdateUsable(const Agent& agent) {
+  pool_.SetUsable(agent.hello.agent_id, agent.usable());
 }
 
 void ShardDispatcher::OpenTask(Agent& agent, const TaskKey& key) {
-  if (agent.open_tasks.insert(key).second) ++running_tasks_;
+  const auto [task, inserted] = agent.open_tasks.try_emplace(key);
+  if (!inserted) return;
+  ++running_tasks_;
+  pool_.TakeSlot(agent.hello.agent_id);
+  const JobEntry* entry = FindTask(key);
+  if (entry == nullptr) return;
+  task->second = entry->job.submission().team;
+  queue_.OnTaskStarted(task->second);
 }
 
 void ShardDispatcher::CloseTask(Agent& agent, const TaskKey& key) {
-  if (agent.open_tasks.erase(key) > 0) --running_tasks_;
+  const auto node = agent.open_tasks.extract(key);
+  if (!node.empty()) ReleaseSlot(agent, node.mapped());
+}
+
+void ShardDispatcher::ReleaseSlot(const Agent& agent, const std::string& team) {
+  --running_tasks_;
+  pool_.ReleaseSlot(agent.hello.agent_id);
+  if (!team.empty()) queue_.OnTaskEnded(team);
 }
 
 // The agent's memory is gone: what it started can never be told.
 void ShardDispatcher::LoseTasks(Agent& agent) {
-  const TaskSet lost = std::exchange(agent.open_tasks, {});
-  running_tasks_ -= lost.size();
+  const OpenTasks lost = std::exchange(agent.open_tasks, {});
   const AgentInstance instance = agent.instance();
-  for (const TaskKey& key : lost) {
+  for (const auto& [key, team] : lost) {
+    ReleaseSlot(agent, team);
     JobEntry* entry = FindTask(key);
     if (entry == nullptr || !entry->job.IsHeldBy(key.task_index, instance)) continue;
     entry->job.MarkUnknown(key.task_index,
@@ -463,9 +532,10 @@
   }
   if (held && revoked) {
     job.MarkRevokedAt(index, instance);
-    Requeue(entry, index);
+    Requeue(entry, index, "revoked");
     return;
   }
+  if (held) Learn(job.submission(), instance.agent_id, outcome);
   AdoptRecord(job, instance, std::move(outcome));
 }
 
@@ -491,9 +561,55 @@
   }
 }
 
-void ShardDispatcher::Requeue(JobEntry& entry, std::uint32_t index) {
-  entry.job.MarkNotStarted(index);
-  if (!entry.job.finished()) EnqueueFirst({entry.job.submission().id, index});
+void ShardDispatcher::Learn(const Submission& submission, std::string_view agent_id,
+                            const TaskOutcome& outcome) {
+  if (!IsFinal(outcome.state)) return;
+  const bool finished = outcome.state == TaskState::kFinished;
+  if (finished) {
+    budgets_[submission.team].OnTaskCompleted();
+    const Duration declared = submission.tasks[outcome.key.task_index].run_time;
+    if (outcome.run_time.count() > 0) {
+      estimator_.Observe(submission.job, declared, outcome.run_time);
+    }
+  }
+  if (const auto change = health_.Record(agent_id, submission.job, !finished, clock_.now())) {
+    ApplyHealth(*change);
+  }
+}
+
+void ShardDispatcher::ApplyHealth(const ExecutorHealth::Change& change) {
+  pool_.SetStanding(change.executor_id, change.standing);
+  if (!options_.log_decisions) return;
+  const PlacementTarget* target = pool_.Find(change.executor_id);
+  const bool ejected = change.standing == ExecutorHealth::Standing::kEjected;
+  const bool probation = change.standing == ExecutorHealth::Standing::kProbation;
+  DecisionRecord record;
+  record.decision =
+      ejected ? DecisionRecord::Decision::kEjected : DecisionRecord::Decision::kReinstated;
+  record.executor_id = target == nullptr ? change.executor_id : target->executor_id;
+  record.reason = "failure rate above that of its peers by " + std::to_string(change.excess);
+  if (probation) record.reason = "ejection time over; one task at a time";
+  if (ejected) {
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(change.ejected_for);
+    record.reason += "; ejected for " + std::to_string(seconds.count()) + " s";
+  }
+  actions_.emplace_back(LogDecision{std::move(record)});
+}
+
+void ShardDispatcher::Requeue(JobEntry& entry, std::uint32_t index, std::string_view reason) {
+  Job& job = entry.job;
+  const Submission& submission = job.submission();
+  job.MarkNotStarted(index);
+  if (!job.finished()) {
+    LogOutcome(DecisionRecord::Decision::kRequeued, submission, index, {}, std::string(reason));
+    if (budgets_[submission.team].TrySpend()) {
+      queue_.Requeue(submission.id, index);
+    } else {
+      FailJob(entry, {ErrorKind::kOverloaded,
+                      "the retry budget of team '" + submission.team + "' is used up",
+                      {}});
+    }
+  }
   Settle(entry);
 }
 
@@ -523,7 +639,13 @@
   entry.forget_at = std::max(clock_.now(), submission.deadline) + config_.policy.retention;
   timers_.emplace(entry.forget_at, submission.id);
   withheld_jobs_.erase(submission.id);
+  queue_.Remove(submission.id);
   RevokeUnconfirmed(job);
+  const JobAnswer& answer = job.answer();
+  LogOutcome(DecisionRecord::Decision::kJobEnded, submission, 0, {},
+             answer.state == JobState::kComplete
+                 ? "complete"
+                 : std::string(RowOf(answer.error.kind).name) + ": " + answer.error.message);
   actions_.emplace_back(DeliverAnswer{job.answer()});
 }
 
@@ -542,9 +664,15 @@
     OnJobTimer(id, now);
   }
   while (!delayed_.empty() && delayed_.begin()->first <= now) {
-    queue_.push_front(std::move(delayed_.extract(delayed_.begin()).mapped()));
+    const TaskKey key = std::move(delayed_.extract(delayed_.begin()).mapped());
+    queue_.Requeue(key.submission_id, key.task_index);
+  }
+  for (auto& [id, agent] : agents_) {
+    if (!agent.paused || agent.paused_until > now) continue;
+    agent.paused = false;
+    UpdateUsable(agent);
   }
-  for (auto& [id, agent] : agents_) agent.paused = agent.paused && agent.paused_until > now;
+  for (const ExecutorHealth::Change& change : health_.OnTimer(now)) ApplyHealth(change);
   for (auto& [agent_id, tasks] : std::exchange(revokes_, {})) {
     actions_.emplace_back(SendRevoke{.agent_id = agent_id, .tasks = std::move(tasks)});
   }
@@ -589,58 +717,95 @@
 
 std::vector<DispatcherAction> ShardDispatcher::TakeActions() { return std::exchange(actions_, {}); }
 
-void ShardDispatcher::Enqueue(const TaskKey& key) { queue_.push_back(key); }
-
-void ShardDispatcher::EnqueueFirst(const TaskKey& key) { queue_.push_front(key); }
-
 void ShardDispatcher::EnqueuePending(JobEntry& entry) {
-  if (entry.job.finished() || entry.claim_pending) return;
-  for (std::uint32_t index = 0; index < entry.job.task_count(); ++index) {
-    if (entry.job.phase(index) != Job::Phase::kPending) continue;
-    Enqueue({entry.job.submission().id, index});
+  const Job& job = entry.job;
+  if (job.finished()) return;
+  const Submission& submission = job.submission();
+  queue_.Remove(submission.id);
+  JobEstimate estimate = EstimateJob(submission, JobConfigOf(submission), estimator_);
+  JobQueue::NewJob new_job{.submission_id = submission.id,
+                           .team = submission.team,
+                           .arrival = entry.arrival,
+                           .task_costs = std::move(estimate.task_costs),
+                           .waiting = {}};
+  for (std::uint32_t index = 0; index < job.task_count(); ++index) {
+    if (job.phase(index) == Job::Phase::kPending) new_job.waiting.push_back(index);
   }
+  queue_.Push(std::move(new_job));
+  if (entry.claim_pending) queue_.Hold(submission.id);
 }
 
 void ShardDispatcher::PlaceQueued() {
   if (!MayPlace()) return;
-  while (!queue_.empty()) {
-    const TaskKey key = queue_.front();
+  open_orders_.clear();
+  queue_.ResumeDeferred();
+  std::size_t deferred = 0;
+  while (pool_.free_slots() > 0 && deferred < kMaxDeferredJobs) {
+    const std::optional<JobQueue::QueuedTask> task = queue_.Pop();
+    if (!task) break;
+    const TaskKey key{std::string(task->submission_id), task->task_index};
     JobEntry* entry = FindTask(key);
-    if (entry == nullptr || entry->job.finished() || entry->claim_pending ||
+    if (entry == nullptr || entry->job.finished() ||
         entry->job.phase(key.task_index) != Job::Phase::kPending) {
-      queue_.pop_front();
       continue;
     }
-    Agent* agent = ChooseAgent(entry->job, key.task_index);
-    if (agent == nullptr && !entry->job.HasRevocation(key.task_index)) return;
-    queue_.pop_front();
-    if (agent == nullptr) {
+    if (PlaceTask(*entry, key.task_index)) continue;
+    if (entry->job.HasRevocation(key.task_index)) {
       delayed_.emplace(clock_.now() + kRevokedRetryDelay, key);
       continue;
     }
-    Dispatch(*entry, key.task_index, *agent);
+    queue_.Requeue(key.submission_id, key.task_index);
+    queue_.Defer(key.submission_id);
+    ++deferred;
   }
+  open_orders_.clear();
 }
 
-ShardDispatcher::Agent* ShardDispatcher::ChooseAgent(const Job& job, std::uint32_t index) {
-  Agent* best = nullptr;
-  for (auto& [id, agent] : agents_) {
-    if (agent.free_slots() == 0) continue;
-    if (job.HasRevocation(index) && job.IsRevokedAt(index, agent.instance())) continue;
-    if (best == nullptr || agent.free_slots() > best->free_slots()) best = &agent;
+bool ShardDispatcher::PlaceTask(JobEntry& entry, std::uint32_t index) {
+  const Submission& submission = entry.job.submission();
+  const std::vector<std::string> excluded = AgentsThatRevoked(entry.job, index);
+  const PlacementRequest request{
+      .memory_mb = TaskMemory(submission.tasks[index], JobConfigOf(submission)),
+      .spread = &entry.spread,
+      .excluded_agents = excluded};
+  const Placement placement = pool_.Choose(request);
+  if (!placement.index) return false;
+  const PlacementTarget& target = pool_.target(*placement.index);
+  LogPlacement(submission, index, placement);
+  entry.spread.Add(target.rack);
+  Dispatch(entry, index, agents_.find(target.agent_id)->second);
+  return true;
+}
+
+std::vector<std::string> ShardDispatcher::AgentsThatRevoked(const Job& job,
+                                                            std::uint32_t index) const {
+  std::vector<std::string> agents;
+  for (const AgentInstance& instance : job.revoked_at(index)) {
+    const auto found = agents_.find(instance.agent_id);
+    if (found != agents_.end() && found->second.instance() == instance) {
+      agents.push_back(instance.agent_id);
+    }
   }
-  return best;
+  return agents;
 }
 
 void ShardDispatcher::Dispatch(JobEntry& entry, std::uint32_t index, Agent& agent) {
   const Submission& submission = entry.job.submission();
-  // A job that a newer configuration no longer names keeps the defaults.
-  const auto configured = config_.jobs.find(submission.job);
-  const JobConfig job_config = configured == config_.jobs.end() ? JobConfig{} : configured->second;
-  const std::string& agent_id = agent.hello.agent_id;
-  entry.job.MarkDispatched(index, agent_id, agent.hello.incarnation);
+  entry.job.MarkDispatched(index, agent.hello.agent_id, agent.hello.incarnation);
   OpenTask(agent, {submission.id, index});
   Settle(entry);
+  const TaskDeclaration& declaration = submission.tasks[index];
+  OpenOrder(entry, agent)
+      .tasks.push_back({.task_index = index,
+                        .run_time = declaration.run_time,
+                        .time_limit = JobConfigOf(submission).time_limit,
+                        .payload = declaration.payload});
+}
+
+DispatchOrder& ShardDispatcher::OpenOrder(const JobEntry& entry, const Agent& agent) {
+  const auto [position, inserted] = open_orders_.try_emplace({&entry, &agent}, actions_.size());
+  if (!inserted) return std::get<SendDispatch>(actions_[position->second]).order;
+  const Submission& submission = entry.job.submission();
   const TimePoint start_by = std::min<TimePoint>(clock_.now() + kStartWindow, submission.deadline);
   DispatchOrder order{
       .shard = options_.shard,
@@ -657,12 +822,40 @@
       .retention = RetentionOf(submission),
       .tasks = {},
   };
-  const TaskDeclaration& declaration = submission.tasks[index];
-  order.tasks.push_back({.task_index = index,
-                         .run_time = declaration.run_time,
-                         .time_limit = job_config.time_limit,
-                         .payload = declaration.payload});
-  actions_.emplace_back(SendDispatch{.agent_id = agent_id, .order = std::move(order)});
+  actions_.emplace_back(SendDispatch{.agent_id = agent.hello.agent_id, .order = std::move(order)});
+  return std::get<SendDispatch>(actions_.back()).order;
+}
+
+void ShardDispatcher::LogPlacement(const Submission& submission, std::uint32_t index,
+                                   const Placement& placement) {
+  if (!options_.log_decisions) return;
+  DecisionRecord record;
+  record.task = {submission.id, index};
+  record.team = submission.team;
+  const PlacementTarget& chosen = pool_.target(*placement.index);
+  record.executor_id = chosen.executor_id;
+  for (std::size_t position = 0; position < placement.candidate_count; ++position) {
+    const Placement::Candidate& candidate = placement.candidates[position];
+    const PlacementTarget& target = pool_.target(candidate.index);
+    record.candidates.push_back({.executor_id = target.executor_id,
+                                 .free_slots = target.free_slots(),
+                                 .score = candidate.score});
+  }
+  const bool probation = chosen.standing == ExecutorHealth::Standing::kProbation;
+  record.reason = probation ? "only executors on probation are free" : "lowest score";
+  actions_.emplace_back(LogDecision{std::move(record)});
+}
+
+void ShardDispatcher::LogOutcome(DecisionRecord::Decision decision, const Submission& submission,
+                                 std::uint32_t index, std::string_view executor_id,
+                                 std::string reason) {
+  if (!options_.log_decisions) return;
+  actions_.emplace_back(LogDecision{{.decision = decision,
+                                     .task = {submission.id, index},
+                                     .team = submission.team,
+                                     .executor_id = std::string(executor_id),
+                                     .candidates = {},
+                                     .reason = std::move(reason)}});
 }
 
 // The id may be resubmitted for this long, so the agent keeps its records for as long.
@@ -683,9 +876,8 @@
 void ShardDispatcher::ReleaseWithheld() {
   for (const std::string& id : std::exchange(withheld_jobs_, {})) {
     JobEntry& entry = jobs_.at(id);
-    for (const std::uint32_t index : entry.job.ReleaseWithheld()) {
-      if (!entry.claim_pending) Enqueue({id, index});
-    }
+    entry.job.ReleaseWithheld();
+    EnqueuePending(entry);
     Settle(entry);
   }
 }
@@ -705,7 +897,9 @@
 
 void ShardDispatcher::OnAgentsPersisted(const std::set<std::string>& instances) {
   for (auto& [id, agent] : agents_) {
-    if (instances.contains(InstanceName(agent.instance()))) agent.persisted = true;
+    if (!instances.contains(InstanceName(agent.instance()))) continue;
+    agent.persisted = true;
+    UpdateUsable(agent);
   }
   PlaceQueued();
 }
--- a/src/core/shard_dispatcher.h
+++ b/src/core/shard_dispatcher.h
@@ -3,26 +3,31 @@
 #define ZINNIAMUX_CORE_SHARD_DISPATCHER_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <set>
 #include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
+#include "core/admission_controller.h"
 #include "core/agent_instance.h"
 #include "core/clock.h"
 #include "core/dispatch_config.h"
 #include "core/dispatcher_action.h"
 #include "core/error_kind.h"
+#include "core/executor_health.h"
 #include "core/executor_info.h"
+#include "core/executor_pool.h"
 #include "core/job.h"
+#include "core/job_queue.h"
+#include "core/placement_policy.h"
 #include "core/recovered_jobs.h"
 #include "core/recovery_progress.h"
+#include "core/retry_budget.h"
+#include "core/run_time_estimator.h"
 #include "core/submission.h"
 #include "core/task_record.h"
 
@@ -63,6 +68,10 @@
     // Dispatches that an agent queues beyond its slots. If zero, an agent starts or refuses a
     // dispatch when it arrives, so that a revoke could prevent nothing and is not sent.
     std::uint32_t agent_queue_depth = 0;
+    // The availability zone of this entry.
+    std::string availability_zone;
+    // Emit a LogDecision for each placement, refusal and end of a job.
+    bool log_decisions = true;
   };
 
   ShardDispatcher(const Options& options, const Clock& clock);
@@ -118,7 +127,8 @@
   bool recovering() const { return recovery_.recovering(clock_.now()); }
 
  private:
-  using TaskSet = std::unordered_set<TaskKey, TaskKeyHash>;
+  // The value is the task's team; empty if the job is not known here.
+  using OpenTasks = std::unordered_map<TaskKey, std::string, TaskKeyHash>;
 
   struct Agent {
     AgentHello hello;
@@ -129,19 +139,22 @@
     bool paused = false;
     TimePoint paused_until;
     // Tasks that may occupy a slot: dispatched, or reported as running, with the end not reported.
-    TaskSet open_tasks;
+    // Invariant: as many as the agent's used slots in pool_.
+    OpenTasks open_tasks;
     // Offset from this process's clock to the agent's.
     std::chrono::milliseconds clock_offset{0};
 
     AgentInstance instance() const;
-    std::uint32_t used_slots() const { return static_cast<std::uint32_t>(open_tasks.size()); }
-    std::uint32_t free_slots() const;
+    bool usable() const { return attached && persisted && !paused; }
   };
 
   struct JobEntry {
     explicit JobEntry(Submission submission);
 
     Job job;
+    TimePoint arrival;
+    // Where the job's tasks were placed.
+    JobSpread spread;
     // PersistClaim was sent and not decided; no task is placed.
     bool claim_pending = false;
     bool delivered = false;
@@ -157,7 +170,8 @@
   std::optional<Error> ValidationError(const Submission& submission) const;
   std::optional<Error> ConfigMismatch(const Submission& submission) const;
   std::optional<Error> AdmissionError(const Submission& submission) const;
-  JobAnswer Refuse(const Submission& submission, Error error) const;
+  JobConfig JobConfigOf(const Submission& submission) const;
+  JobAnswer Refuse(const Submission& submission, Error error);
   JobAnswer Admit(Submission submission);
   JobAnswer Resume(Submission submission, RecoveredJob&& recovered);
   JobAnswer Enter(JobEntry& entry);
@@ -165,12 +179,15 @@
   bool MayClaimNotRun() const;
 
   // Queue and placement.
-  void Enqueue(const TaskKey& key);
-  void EnqueueFirst(const TaskKey& key);
+  // Puts the job's pending tasks into the queue, and nothing else of it.
   void EnqueuePending(JobEntry& entry);
   void PlaceQueued();
-  Agent* ChooseAgent(const Job& job, std::uint32_t index);
+  // Returns false if no executor takes the task now.
+  bool PlaceTask(JobEntry& entry, std::uint32_t index);
+  std::vector<std::string> AgentsThatRevoked(const Job& job, std::uint32_t index) const;
   void Dispatch(JobEntry& entry, std::uint32_t index, Agent& agent);
+  // The order to which the next task of the job for this agent is added.
+  DispatchOrder& OpenOrder(const JobEntry& entry, const Agent& agent);
   std::chrono::milliseconds RetentionOf(const Submission& submission) const;
 
   // Outcomes.
@@ -178,12 +195,22 @@
   void ApplyOutcome(Agent& agent, TaskOutcome outcome);
   void ApplyToJob(JobEntry& entry, const Agent& agent, TaskOutcome outcome);
   void AdoptRecord(Job& job, const AgentInstance& agent, TaskOutcome outcome);
-  void Requeue(JobEntry& entry, std::uint32_t index);
+  // Places a task again that its agent has not started, if the team's retry budget allows.
+  void Requeue(JobEntry& entry, std::uint32_t index, std::string_view reason);
   void Acknowledge(std::string_view agent_id, std::vector<TaskKey> tasks);
   void OpenTask(Agent& agent, const TaskKey& key);
   void CloseTask(Agent& agent, const TaskKey& key);
+  void ReleaseSlot(const Agent& agent, const std::string& team);
   void LoseTasks(Agent& agent);
   void Pause(Agent& agent, std::chrono::milliseconds time);
+  void UpdateUsable(const Agent& agent);
+  void Learn(const Submission& submission, std::string_view agent_id, const TaskOutcome& outcome);
+  void ApplyHealth(const ExecutorHealth::Change& change);
+
+  // Decision log.
+  void LogPlacement(const Submission& submission, std::uint32_t index, const Placement& placement);
+  void LogOutcome(DecisionRecord::Decision decision, const Submission& submission,
+                  std::uint32_t index, std::string_view executor_id, std::string reason);
 
   // Ends of jobs.
   void FailJob(JobEntry& entry, Error error);
@@ -207,8 +234,16 @@
   RecoveredJobs recovered_;
   // Jobs with withheld tasks.
   std::set<std::string> withheld_jobs_;
-  // Tasks that wait for a slot; entries of ended jobs are dropped when they are reached.
-  std::deque<TaskKey> queue_;
+  // Holds a job from its entry to its end. A waiting task that is not pending any more is dropped
+  // when it is reached.
+  JobQueue queue_;
+  ExecutorPool pool_;
+  const AdmissionController admission_;
+  RunTimeEstimator estimator_;
+  ExecutorHealth health_;
+  std::map<std::string, RetryBudget> budgets_;
+  // By job and agent: the dispatch in actions_ that the present pass has begun.
+  std::map<std::pair<const JobEntry*, const Agent*>, std::size_t> open_orders_;
   // Tasks that no free agent will take now, by the time of the next attempt.
   std::multimap<TimePoint, TaskKey> delayed_;
   // Points in time at which a job's deadline, queue time limit or retention may end.
--- a/tests/property/job_queue_property_test.cc
+++ b/tests/property/job_queue_property_test.cc
@@ -65,13 +65,16 @@
   if (!task) {
     for (const TaskKey& key : model.waiting) {
       const std::string& team = model.team_of.at(key.submission_id);
-      RC_ASSERT(model.Running(team) == config.teams.at(team).max_running_tasks);
+      const std::uint32_t limit = config.teams.at(team).max_running_tasks;
+      RC_ASSERT(limit > 0U);
+      RC_ASSERT(model.Running(team) == limit);
     }
     return;
   }
   const TaskKey key{std::string(task->submission_id), task->task_index};
   RC_ASSERT(model.waiting.erase(key) == 1U);
   model.running.insert(key);
+  queue.OnTaskStarted(task->team);
   const std::uint32_t limit = config.teams.at(std::string(task->team)).max_running_tasks;
   RC_ASSERT(limit == 0 || model.Running(std::string(task->team)) <= limit);
 }
@@ -118,12 +121,9 @@
       } else if (!model.running.empty() && operation == 6) {
         const TaskKey key = AnyOf(model.running);
         model.running.erase(key);
-        if (model.removed.contains(key.submission_id)) {
-          queue.OnTaskEnded(model.team_of.at(key.submission_id));
-        } else {
-          queue.Requeue(key.submission_id, key.task_index);
-          model.waiting.insert(key);
-        }
+        queue.OnTaskEnded(model.team_of.at(key.submission_id));
+        queue.Requeue(key.submission_id, key.task_index);
+        if (!model.removed.contains(key.submission_id)) model.waiting.insert(key);
       } else if (!model.waiting.empty()) {
         RemoveJob(queue, model, AnyOf(model.waiting).submission_id);
       }
--- a/tests/property/overload_property_test.cc
+++ b/tests/property/overload_property_test.cc
@@ -154,11 +154,11 @@
       if (!task) return;
       Job& job = jobs_.at(std::string(task->submission_id));
       if (now_ >= job.submission.deadline) {
-        queue_.OnTaskEnded(job.submission.team);
         job.expired = true;
         queue_.Remove(job.submission.id);
         continue;
       }
+      queue_.OnTaskStarted(job.submission.team);
       events_.push({.time = now_ + job.run_times[task->task_index],
                     .job = job.submission.id,
                     .task = task->task_index});
--- a/tests/property/placement_property_test.cc
+++ b/tests/property/placement_property_test.cc
@@ -37,7 +37,7 @@
   const std::string id = "agent-" + std::to_string(index);
   switch (*rc::gen::inRange(0, 6)) {
     case 0:
-      pool.Detach(id);
+      pool.SetUsable(id, false);
       break;
     case 1:
       pool.Attach(Hello(index, *rc::gen::inRange(0, 4), *rc::gen::inRange(0, 5000)));
--- a/tests/unit/admission_controller_test.cc
+++ b/tests/unit/admission_controller_test.cc
@@ -152,6 +152,7 @@
   shard.queue.Configure(shard.config);
   shard.Queue("birch", 500, seconds(1));
   cr_assert(shard.queue.Pop().has_value());
+  shard.queue.OnTaskStarted("birch");
   cr_assert(!shard.queue.Pop().has_value());
   shard.capacity.free_slots = 7;
   cr_assert(!shard.Load(shard.Submit("anvil", 50)).has_value());
