--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -93,8 +93,7 @@
   entry.admin = ReadAddress(object, "admin");
   entry.rpc = ReadAddress(object, "rpc");
   if (object.Has("rpc_advertised")) {
-    const ListenAddress advertised = ReadAddress(object, "rpc_advertised");
-    entry.rpc_advertised = advertised.host + ":" + std::to_string(advertised.port);
+    entry.rpc_advertised = AddressText(ReadAddress(object, "rpc_advertised"));
   }
   entry.peers = ReadAddresses(object, "peers", context);
   entry.store_url = ReadStore(object);
