--- a/src/zinniamuxd/agent_daemon.cc
+++ b/src/zinniamuxd/agent_daemon.cc
@@ -184,18 +184,25 @@
   const core::Result<std::string> id = ParseLeave(body);
   if (!id) return adapters::ToHttp(id.error());
   bool known = false;
+  std::size_t running = 0;
   Apply([&] {
     const std::string& announced = core_.executor().executor_id;
     known = !announced.empty() && (id->empty() || *id == announced);
     if (!known) return;
+    if (!core_.executor().leaving) {
+      log_.Write(LogLevel::kInfo, "executor_leaving", {{"executor", announced}});
+    }
     core_.OnExecutorLeave();
-    log_.Write(LogLevel::kInfo, "executor_leaving", {{"executor", announced}});
+    running = core_.running_tasks();
   });
   if (!known) {
     return Problem(core::ErrorKind::kInvalidRequest,
                    "field 'executor_id' does not name the executor that is announced here");
   }
-  return {.status = 200, .body = "{}\n", .headers = {}};
+  // A task may be on its way to the executor; with 0 none is and none follows.
+  return {.status = 200,
+          .body = R"({"running_tasks":)" + std::to_string(running) + "}\n",
+          .headers = {}};
 }
 
 HttpResponse AgentDaemon::ServeReady() {
--- /dev/null
+++ b/tests/unit/agent_core_test.cc
@@ -0,0 +1,306 @@
+// AgentCore: acceptance, fencing, isolation, and delivery of outcomes.
+#include "core/agent_core.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+namespace {
+
+using namespace zinniamux::core;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kEpoch = 5;
+
+// An agent that hears one entry, with an executor of 4 slots.
+class Fixture {
+ public:
+  explicit Fixture(StartLedger::Limits limits = {})
+      : core_({.agent_id = "agent-1", .incarnation = 7, .ledger_limits = limits}, clock_) {
+    Welcome("entry-1");
+    core_.OnAnnounce(Executor("executor-1"), std::nullopt);
+    core_.TakeActions();
+  }
+
+  static ExecutorStatus Executor(std::string id) {
+    return {.executor_id = std::move(id), .available = true, .slots = 4, .connections = 4};
+  }
+
+  void Welcome(const std::string& entry, const std::vector<std::string>& roster = {}) {
+    core_.OnEntryHeard(entry);
+    core_.OnRoster(entry, 1, roster);
+    core_.OnAttached(entry);
+  }
+
+  DispatchOrder Order(const std::string& id, const std::vector<std::uint32_t>& indices,
+                      milliseconds hold = milliseconds(0)) const {
+    DispatchOrder order{.epoch = kEpoch,
+                        .config_version = 3,
+                        .submission_id = id,
+                        .start_by = core_.AgentTime() + milliseconds(1000),
+                        .result_hold = hold,
+                        .retention = milliseconds(60'000)};
+    for (const std::uint32_t index : indices) order.tasks.push_back({.task_index = index});
+    return order;
+  }
+
+  // The reason of the refusal of a dispatch, if it is refused.
+  std::optional<RefusalReason> Dispatch(DispatchOrder order, const std::string& entry = "entry-1") {
+    core_.OnDispatch(entry, std::move(order));
+    std::optional<RefusalReason> reason;
+    for (const SendRefusal& refusal : Take<SendRefusal>()) reason = refusal.reason;
+    return reason;
+  }
+
+  void Finish(const TaskKey& key, std::string result = "done") {
+    core_.OnTaskEnded({.key = key, .state = TaskState::kFinished, .result = std::move(result)});
+  }
+
+  // Takes the actions and returns those of one type.
+  template <typename Action>
+  std::vector<Action> Take() {
+    std::vector<Action> found;
+    for (AgentAction& action : core_.TakeActions()) {
+      if (auto* item = std::get_if<Action>(&action)) found.push_back(std::move(*item));
+    }
+    return found;
+  }
+
+  ManualClock clock_;
+  AgentCore core_;
+};
+
+}  // namespace
+
+// Guards against a paused owner that starts tasks after another entry took the shard over.
+Test(agent_core, refuses_a_lower_epoch_in_every_message) {
+  Fixture agent;
+  agent.core_.OnFence("entry-2", kEpoch + 1);
+  agent.Take<SendFenceReply>();
+  cr_assert(agent.Dispatch(agent.Order("order-1", {0})) == RefusalReason::kStaleEpoch);
+  const std::vector<TaskKey> tasks{{"order-1", 0}};
+  agent.core_.OnRevoke("entry-1", kEpoch, tasks);
+  agent.core_.OnReconcile("entry-1", kEpoch, tasks);
+  cr_assert(agent.core_.ledger().size() == 0, "a stale owner changed the ledger");
+  for (const SendRefusal& refusal : agent.Take<SendRefusal>()) {
+    cr_assert(refusal.tasks.empty() && refusal.epoch == kEpoch + 1);
+  }
+  agent.core_.OnFence("entry-1", kEpoch);
+  const auto replies = agent.Take<SendFenceReply>();
+  cr_assert(replies.size() == 1 && !replies[0].accepted && replies[0].epoch == kEpoch + 1);
+}
+
+// Guards against an owner that places with a configuration older than one already in force here.
+Test(agent_core, refuses_a_lower_configuration_version) {
+  Fixture agent;
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0})));
+  DispatchOrder older = agent.Order("order-2", {0});
+  older.config_version = 2;
+  cr_assert(agent.Dispatch(older) == RefusalReason::kStaleConfig);
+}
+
+// Guards against a delayed message that starts a task after its owner gave it up.
+Test(agent_core, refuses_a_dispatch_after_its_start_by_time) {
+  Fixture agent;
+  const DispatchOrder order = agent.Order("order-1", {0});
+  agent.clock_.Advance(milliseconds(1001));
+  cr_assert(agent.Dispatch(order) == RefusalReason::kLate);
+}
+
+// Guards against a reason that lets the owner place a task elsewhere that has started here.
+Test(agent_core, names_a_started_task_before_any_other_reason) {
+  Fixture agent;
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0})));
+  agent.core_.SetDraining(true);
+  agent.core_.OnDispatch("entry-1", agent.Order("order-1", {0, 1}));
+  const auto refusals = agent.Take<SendRefusal>();
+  cr_assert(refusals.size() == 2);
+  cr_assert(refusals[0].reason == RefusalReason::kAlreadyStarted && refusals[0].tasks.size() == 1);
+  cr_assert(refusals[1].reason == RefusalReason::kLeaving && refusals[1].tasks[0].task_index == 1);
+}
+
+// Guards against more running tasks than announced connections, and against a ledger that forgets
+// instead of refusing.
+Test(agent_core, refuses_beyond_slots_connections_and_ledger) {
+  Fixture agent({.max_records = 3});
+  ExecutorStatus narrow = Fixture::Executor("executor-1");
+  narrow.connections = 2;
+  agent.core_.OnAnnounce(narrow, std::nullopt);
+  cr_assert(agent.core_.Hello().executor.slots == 2);
+  cr_assert(agent.Dispatch(agent.Order("order-1", {0, 1, 2})) == RefusalReason::kNoSlot);
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0, 1})));
+  agent.Finish({"order-1", 0});
+  agent.Finish({"order-1", 1});
+  cr_assert(agent.Dispatch(agent.Order("order-2", {0, 1})) == RefusalReason::kNoSlot);
+  cr_assert(!agent.Dispatch(agent.Order("order-2", {0})));
+}
+
+// Guards against a slot that stays taken after a refused connection, and against a task that is
+// placed here again before the entries know that the executor is down.
+Test(agent_core, revokes_a_task_whose_connection_was_refused) {
+  Fixture agent;
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0})));
+  agent.core_.OnTaskEnded({.key = {"order-1", 0}, .state = TaskState::kRevoked});
+  cr_assert(agent.core_.running_tasks() == 0);
+  const std::vector<AgentAction> actions = agent.core_.TakeActions();
+  cr_assert(actions.size() == 2);
+  cr_assert(!std::get<BroadcastStatus>(actions[0]).status.available);
+  cr_assert(std::get<SendResults>(actions[1]).outcomes[0].state == TaskState::kRevoked);
+}
+
+// Guards against a "not started" answer to a reconcile that a later dispatch makes untrue.
+Test(agent_core, reconcile_revokes_what_has_not_started) {
+  Fixture agent;
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0})));
+  const std::vector<TaskKey> tasks{{"order-1", 0}, {"order-1", 1}};
+  agent.core_.OnReconcile("entry-1", kEpoch, tasks);
+  const auto replies = agent.Take<SendReconcileReply>();
+  cr_assert(replies.size() == 1 && replies[0].epoch == kEpoch);
+  cr_assert(replies[0].outcomes[0].state == TaskState::kRunning);
+  cr_assert(replies[0].outcomes[1].state == TaskState::kRevoked);
+  cr_assert(agent.Dispatch(agent.Order("order-1", {1})) == RefusalReason::kRevoked);
+}
+
+// Guards against a fence reply that exceeds the message limit, or ends before its last record.
+Test(agent_core, fence_replies_in_parts) {
+  Fixture agent;
+  constexpr std::size_t kResultBytes = 300U << 10U;
+  for (const std::uint32_t index : {0U, 1U, 2U}) {
+    cr_assert(!agent.Dispatch(agent.Order("order-1", {index})));
+    agent.Finish({"order-1", index}, std::string(kResultBytes, 'r'));
+  }
+  agent.core_.OnFence("entry-2", kEpoch + 1);
+  const auto parts = agent.Take<SendFenceReply>();
+  cr_assert(parts.size() == 3);
+  for (const SendFenceReply& part : parts) {
+    cr_assert(part.records.size() == 1);
+    cr_assert(part.last_part == (&part == &parts.back()));
+  }
+}
+
+// Guards against an answer that is lost when the stream dies with a result under way.
+Test(agent_core, sends_outcomes_again_until_acknowledged) {
+  Fixture agent;
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0, 1})));
+  agent.Finish({"order-1", 0});
+  agent.Finish({"order-1", 1});
+  cr_assert(agent.Take<SendResults>().size() == 2);
+  agent.core_.OnAttached("entry-1");
+  cr_assert(agent.Take<SendResults>()[0].outcomes.size() == 2);
+  const std::vector<TaskKey> acknowledged{{"order-1", 0}};
+  agent.core_.OnResultAck("entry-2", acknowledged);
+  cr_assert(agent.core_.unacknowledged() == 2, "an entry that is not the owner acknowledged");
+  agent.core_.OnResultAck("entry-1", acknowledged);
+  agent.core_.OnAttached("entry-1");
+  const auto again = agent.Take<SendResults>();
+  cr_assert(again.size() == 1 && again[0].outcomes.size() == 1);
+  cr_assert(again[0].outcomes[0].key.task_index == 1);
+}
+
+// Guards against an echoed time stamp that acknowledges a message of the same or of a later stamp,
+// or one that was sent to another owner.
+Test(agent_core, an_echoed_time_acknowledges_earlier_messages_only) {
+  Fixture agent;
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0})));
+  agent.Finish({"order-1", 0});
+  agent.Take<SendResults>();
+  const milliseconds sent = agent.core_.sent_time();
+  agent.core_.OnAcknowledged("entry-1", sent);
+  cr_assert(agent.core_.unacknowledged() == 1);
+  agent.core_.OnFence("entry-2", kEpoch + 1);
+  agent.clock_.Advance(seconds(1));
+  agent.Take<SendFenceReply>();
+  agent.core_.OnAcknowledged("entry-1", sent + seconds(2));
+  agent.core_.OnAcknowledged("entry-2", sent + milliseconds(1));
+  cr_assert(agent.core_.unacknowledged() == 1);
+  agent.core_.OnAcknowledged("entry-2", sent + seconds(2));
+  cr_assert(agent.core_.unacknowledged() == 0);
+}
+
+// Guards against one message per result where the job allows to join them, and against a result
+// that is held although nothing can join it.
+Test(agent_core, joins_results_of_one_job) {
+  Fixture agent;
+  const milliseconds hold(20);
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0, 1, 2}, hold)));
+  agent.Finish({"order-1", 0});
+  cr_assert(agent.Take<SendResults>().empty());
+  agent.clock_.Advance(hold);
+  agent.core_.OnTimer();
+  cr_assert(agent.Take<SendResults>().size() == 1);
+  agent.Finish({"order-1", 1});
+  agent.Finish({"order-1", 2});
+  const auto last = agent.Take<SendResults>();
+  cr_assert(last.size() == 1 && last[0].outcomes.size() == 2);
+}
+
+// Guards against starts by an agent that is cut off from an entry which may have taken over.
+Test(agent_core, refuses_when_isolated) {
+  Fixture agent;
+  agent.Welcome("entry-1", {"entry-2"});
+  cr_assert(agent.Dispatch(agent.Order("order-1", {0})) == RefusalReason::kNotAuthorised);
+  agent.core_.OnEntryHeard("entry-2");
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0})));
+  for (int second = 0; second < 11; ++second) {
+    agent.clock_.Advance(seconds(1));
+    agent.core_.OnEntryHeard("entry-1");
+  }
+  cr_assert(agent.Dispatch(agent.Order("order-2", {0})) == RefusalReason::kNotAuthorised);
+  agent.core_.OnShardRow(kEpoch, agent.clock_.now());
+  cr_assert(!agent.Dispatch(agent.Order("order-2", {0})));
+  agent.core_.OnShardRow(kEpoch + 1, agent.clock_.now());
+  cr_assert(agent.Dispatch(agent.Order("order-3", {0})) == RefusalReason::kStaleEpoch);
+}
+
+// Guards against a row that gives authority although the read began before the isolation limit.
+Test(agent_core, row_read_counts_from_its_beginning) {
+  Fixture agent;
+  const TimePoint requested = agent.clock_.now();
+  agent.clock_.Advance(seconds(11));
+  agent.core_.OnShardRow(kEpoch, requested);
+  cr_assert(agent.Dispatch(agent.Order("order-1", {0})) == RefusalReason::kNotAuthorised);
+}
+
+// Guards against reads of the row while all entries are heard, which the store cannot sustain for
+// all agents, and against more than one read in 2 s.
+Test(agent_core, wants_the_row_only_while_an_entry_is_silent) {
+  Fixture agent;
+  cr_assert(!agent.core_.WantsShardRow());
+  agent.clock_.Advance(milliseconds(3001));
+  cr_assert(agent.core_.WantsShardRow());
+  agent.core_.OnShardRowRequested();
+  cr_assert(!agent.core_.WantsShardRow());
+  agent.clock_.Advance(seconds(2));
+  cr_assert(agent.core_.WantsShardRow());
+  agent.core_.OnEntryHeard("entry-1");
+  cr_assert(!agent.core_.WantsShardRow());
+}
+
+// Guards against an entry that is dropped from the roster because another one never knew it.
+Test(agent_core, roster_loses_an_entry_only_by_removal) {
+  Fixture agent;
+  agent.Welcome("entry-1", {"entry-2"});
+  agent.Welcome("entry-3", {});
+  cr_assert(agent.core_.roster().contains("entry-2"));
+  agent.Welcome("entry-1", {"entry-3"});
+  cr_assert(!agent.core_.roster().contains("entry-2"));
+}
+
+// Guards against new work for an executor that leaves, and against a late announcement that ends
+// the leave; a restarted executor takes work again.
+Test(agent_core, starts_nothing_while_leaving) {
+  Fixture agent;
+  agent.core_.OnExecutorLeave();
+  cr_assert(agent.Take<BroadcastStatus>()[0].status.leaving);
+  agent.core_.OnAnnounce(Fixture::Executor("executor-1"), std::nullopt);
+  cr_assert(agent.Dispatch(agent.Order("order-1", {0})) == RefusalReason::kLeaving);
+  agent.core_.OnAnnounce(Fixture::Executor("executor-1"), false);
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0})));
+  agent.core_.OnExecutorLeave();
+  agent.core_.OnAnnounce(Fixture::Executor("executor-2"), std::nullopt);
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {1})));
+  agent.core_.BeginShutdown();
+  agent.core_.OnAnnounce(Fixture::Executor("executor-3"), false);
+  cr_assert(agent.Dispatch(agent.Order("order-1", {2})) == RefusalReason::kLeaving);
+}
