--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -92,6 +92,9 @@
   entry.caller = ReadAddress(object, "caller");
   entry.admin = ReadAddress(object, "admin");
   entry.rpc = ReadAddress(object, "rpc");
+  if (object.Has("rpc_advertised")) {
+    entry.rpc_advertised = AddressText(ReadAddress(object, "rpc_advertised"));
+  }
   entry.peers = ReadAddresses(object, "peers", context);
   entry.store_url = ReadStore(object);
   entry.shards = static_cast<std::uint32_t>(object.Integer("shards", 1, kMaxShards, 1));
