--- a/tests/standins/executor_standin/main.cc
+++ b/tests/standins/executor_standin/main.cc
@@ -219,6 +219,8 @@
     TCLAP::CmdLine command("stand-in executor", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> id("", "id", "executor id", true, "", "ID", command);
     TCLAP::ValueArg<std::uint16_t> port("", "port", "port to listen on", true, 0, "PORT", command);
+    TCLAP::ValueArg<std::uint16_t> announce_port(
+        "", "announce-port", "port to announce, if not the own one", false, 0, "PORT", command);
     TCLAP::ValueArg<std::string> agent("", "agent", "agent's host:port", true, "", "ADDRESS",
                                        command);
     TCLAP::ValueArg<std::string> record("", "record", "file of starts and ends", true, "", "FILE",
@@ -250,12 +252,14 @@
               return restinio::request_accepted();
             }),
         1);
-    Announcer announcer(agent.getValue(),
-                        {{"executor_id", id.getValue()},
-                         {"address", "127.0.0.1:" + std::to_string(port.getValue())},
-                         {"slots", slots.getValue()},
-                         {"connections", connections.getValue()},
-                         {"memory_mb", 65536}});
+    Announcer announcer(
+        agent.getValue(),
+        {{"executor_id", id.getValue()},
+         {"address", "127.0.0.1:" + std::to_string(announce_port.isSet() ? announce_port.getValue()
+                                                                         : port.getValue())},
+         {"slots", slots.getValue()},
+         {"connections", connections.getValue()},
+         {"memory_mb", 65536}});
     const auto announce_at = steady_clock::now() + milliseconds(start_delay.getValue());
     auto next_statistics = steady_clock::now();
     auto next_leave = next_statistics;
