agent: destroy ended streams on the main thread

The agent aborted (gRPC: 'assertion failed: prior > 0') 3 s after its only entry went silent. The last channel of a process joins gRPC's callback threads when it is destroyed; the stream's last hook destroyed it on such a thread. Ended connections are now kept until the main thread drops them. A trial that stops the only entry for 5 s aborted before and reattaches now.

--- a/src/zinniamuxd/agent_daemon.cc
+++ b/src/zinniamuxd/agent_daemon.cc
@@ -266,7 +266,7 @@
                             const std::shared_ptr<EntryConnection>& from,
                             v1::EntryMessage message) { OnEntryMessage(from, std::move(message)); },
           .on_closed =
-              [this](const std::shared_ptr<EntryConnection>& from) { OnEntryClosed(from); }},
+              [this](std::shared_ptr<EntryConnection> from) { OnEntryClosed(std::move(from)); }},
       clock_);
   ++open_connections_;
   v1::AgentMessage hello;
@@ -381,16 +381,28 @@
   return milliseconds(jitter(random_));
 }
 
-void AgentDaemon::OnEntryClosed(const std::shared_ptr<EntryConnection>& connection) {
+void AgentDaemon::OnEntryClosed(std::shared_ptr<EntryConnection> connection) {
   const std::lock_guard lock(mutex_);
   --open_connections_;
-  if (!IsCurrent(connection)) return;
-  Link& link = links_[connection->address()];
+  ended_connections_.push_back(std::move(connection));
+  const std::shared_ptr<EntryConnection>& ended = ended_connections_.back();
+  if (!IsCurrent(ended)) return;
+  Link& link = links_[ended->address()];
   link.connection = nullptr;
   link.retry_at = clock_.now() + RetryDelay(link.failures);
   if (link.failures++ > 0) return;
   log_.Write(LogLevel::kWarning, "entry_detached",
-             {{"entry", connection->entry_id()}, {"address", connection->address()}});
+             {{"entry", ended->entry_id()}, {"address", ended->address()}});
+}
+
+void AgentDaemon::DestroyEnded() {
+  std::vector<std::shared_ptr<EntryConnection>> ended;
+  {
+    const std::lock_guard lock(mutex_);
+    ended.swap(ended_connections_);
+  }
+  // Without the lock, because the destruction may wait for a callback that wants it.
+  ended.clear();
 }
 
 std::vector<AgentDaemon::ExecutorCall> AgentDaemon::CarryOut() {
@@ -480,6 +492,7 @@
 }
 
 void AgentDaemon::OnTimer() {
+  DestroyEnded();
   bool read_row = false;
   Apply([&] {
     core_.OnTimer();
@@ -574,9 +587,10 @@
   // The hooks of connections and store reads use this object, so it must outlive them.
   const core::TimePoint limit = clock_.now() + kCloseLimit;
   while (clock_.now() < limit) {
+    DestroyEnded();
     {
       const std::lock_guard lock(mutex_);
-      if (open_connections_ == 0 && !row_read_running_) return;
+      if (open_connections_ == 0 && ended_connections_.empty() && !row_read_running_) return;
     }
     std::this_thread::sleep_for(kShutdownPoll);
   }
--- a/src/zinniamuxd/agent_daemon.h
+++ b/src/zinniamuxd/agent_daemon.h
@@ -79,7 +79,9 @@
 
   // Called without the lock.
   void OnEntryMessage(const std::shared_ptr<EntryConnection>& connection, v1::EntryMessage message);
-  void OnEntryClosed(const std::shared_ptr<EntryConnection>& connection);
+  void OnEntryClosed(std::shared_ptr<EntryConnection> connection);
+  // Destroys ended connections. Called by the main thread.
+  void DestroyEnded();
   void RunTask(ExecutorCall call);
   void OnTaskResponse(const core::TaskKey& key, core::TimePoint started,
                       adapters::HttpResult result);
@@ -100,6 +102,8 @@
   std::map<std::string, std::string> roster_addresses_;
   std::string executor_address_;
   core::TimePoint last_announce_;
+  // Ended connections that the main thread destroys; see EntryConnection::Hooks.
+  std::vector<std::shared_ptr<EntryConnection>> ended_connections_;
   // Connections whose last hook has not been called yet.
   std::size_t open_connections_ = 0;
   bool row_read_running_ = false;
--- a/src/zinniamuxd/entry_connection.cc
+++ b/src/zinniamuxd/entry_connection.cc
@@ -86,8 +86,9 @@
 }
 
 void EntryConnection::OnDone(const grpc::Status& /*status*/) {
-  const std::shared_ptr<EntryConnection> self = std::move(self_);
-  hooks_.on_closed(self);
+  // The receiver may destroy this object, and the hook with it, before the call returns.
+  const auto on_closed = hooks_.on_closed;
+  on_closed(std::move(self_));
 }
 
 }  // namespace zinniamux::daemon
--- a/src/zinniamuxd/entry_connection.h
+++ b/src/zinniamuxd/entry_connection.h
@@ -23,7 +23,10 @@
  public:
   struct Hooks {
     std::function<void(const std::shared_ptr<EntryConnection>&, v1::EntryMessage)> on_message;
-    std::function<void(const std::shared_ptr<EntryConnection>&)> on_closed;
+    // Called last. The receiver keeps the connection and lets go of it on a thread that is not
+    // gRPC's: the last channel of a process joins gRPC's callback threads when it is destroyed, and
+    // a thread that joins itself aborts the process.
+    std::function<void(std::shared_ptr<EntryConnection>)> on_closed;
   };
 
   EntryConnection(std::string address, Hooks hooks, const core::Clock& clock);
