--- a/src/zinniamuxd/agent_daemon.cc
+++ b/src/zinniamuxd/agent_daemon.cc
@@ -425,6 +425,8 @@
     } else if (auto* fenced = std::get_if<core::SendFenceReply>(&action)) {
       SendTo(fenced->entry_id, ToMessage(*fenced, settings_.shard));
     } else if (const auto* status = std::get_if<core::BroadcastStatus>(&action)) {
+      log_.Write(LogLevel::kInfo, "executor_status",
+                 {{"available", status->status.available}, {"leaving", status->status.leaving}});
       v1::AgentMessage report;
       *report.mutable_report() = rpc::ToProto(status->status);
       Broadcast(report);
--- a/src/zinniamuxd/main.cc
+++ b/src/zinniamuxd/main.cc
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "adapters/http_client.h"
+#include "adapters/http_table_store.h"
 #include "adapters/json_log.h"
 #include "adapters/settings.h"
 #include "adapters/steady_clock.h"
@@ -50,7 +52,11 @@
     zinniamux::daemon::EntryDaemon daemon(*settings.entry, clock, log);
     return Run(daemon, log);
   }
-  zinniamux::daemon::AgentDaemon daemon(*settings.agent, clock, log);
+  zinniamux::adapters::HttpClient store_client;
+  zinniamux::adapters::HttpTableStore store({.url = settings.agent->store_url}, store_client,
+                                            clock);
+  zinniamux::daemon::AgentDaemon daemon(*settings.agent, clock, log,
+                                        settings.agent->store_url.empty() ? nullptr : &store);
   return Run(daemon, log);
 }
 
