--- a/src/core/start_ledger.cc
+++ b/src/core/start_ledger.cc
@@ -6,7 +6,7 @@
 namespace zinniamux::core {
 namespace {
 
-// Hash map node, expiry node and allocator overhead of one record, measured on x86-64.
+// Sizes of the two map nodes of a record and of their allocations on x86-64, rounded up.
 constexpr std::size_t kRecordOverheadBytes = 320;
 
 std::size_t BytesOf(const TaskOutcome& outcome) {
--- a/tests/property/agent_core_property_test.cc
+++ b/tests/property/agent_core_property_test.cc
@@ -258,6 +258,8 @@
   void Reattach() {
     stream_.clear();
     last_processed_ = milliseconds(0);
+    // Hello is the first message of a stream.
+    stream_.push_back({.stamp = core_.AgentTime(), .outcomes = {}});
     core_.OnAttached("entry-1");
     Send();
   }
--- a/tests/unit/agent_core_test.cc
+++ b/tests/unit/agent_core_test.cc
@@ -218,6 +218,19 @@
   cr_assert(agent.core_.unacknowledged() == 0);
 }
 
+// Guards against a shutdown that ends after the previous owner acknowledged, before the new owner
+// has the ledger.
+Test(agent_core, a_new_owner_acknowledges_the_whole_ledger) {
+  Fixture agent;
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0})));
+  agent.Finish({"order-1", 0});
+  const std::vector<TaskKey> tasks{{"order-1", 0}};
+  agent.core_.OnResultAck("entry-1", tasks);
+  cr_assert(agent.core_.unacknowledged() == 0);
+  agent.core_.OnFence("entry-2", kEpoch + 1);
+  cr_assert(agent.core_.unacknowledged() == 1);
+}
+
 // Guards against one message per result where the job allows to join them, and against a result
 // that is held although nothing can join it.
 Test(agent_core, joins_results_of_one_job) {
@@ -253,6 +266,16 @@
   cr_assert(agent.Dispatch(agent.Order("order-3", {0})) == RefusalReason::kStaleEpoch);
 }
 
+// Guards against a row that gives authority to an owner that it does not name.
+Test(agent_core, row_gives_authority_to_its_own_epoch_only) {
+  Fixture agent;
+  agent.clock_.Advance(seconds(11));
+  agent.core_.OnShardRow(kEpoch, agent.clock_.now());
+  DispatchOrder newer = agent.Order("order-1", {0});
+  newer.epoch = kEpoch + 1;
+  cr_assert(agent.Dispatch(newer) == RefusalReason::kNotAuthorised);
+}
+
 // Guards against a row that gives authority although the read began before the isolation limit.
 Test(agent_core, row_read_counts_from_its_beginning) {
   Fixture agent;
@@ -282,11 +305,42 @@
   Fixture agent;
   agent.Welcome("entry-1", {"entry-2"});
   agent.Welcome("entry-3", {});
+  agent.Welcome("entry-3", {});
   cr_assert(agent.core_.roster().contains("entry-2"));
   agent.Welcome("entry-1", {"entry-3"});
   cr_assert(!agent.core_.roster().contains("entry-2"));
 }
 
+// Guards against starts towards an executor that is gone, and against a lost executor that never
+// gets work again.
+Test(agent_core, starts_nothing_while_the_executor_is_lost) {
+  Fixture agent;
+  agent.core_.OnExecutorLost();
+  cr_assert(agent.Dispatch(agent.Order("order-1", {0})) == RefusalReason::kExecutorDown);
+  agent.core_.OnAnnounce(Fixture::Executor("executor-1"), std::nullopt);
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0})));
+}
+
+// Guards against a message too large for the stream, which would end every new stream again.
+Test(agent_core, fails_a_task_with_an_oversized_result) {
+  Fixture agent;
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0})));
+  agent.Finish({"order-1", 0}, std::string((1U << 20U) + 1, 'r'));
+  const auto results = agent.Take<SendResults>();
+  cr_assert(results[0].outcomes[0].state == TaskState::kFailed);
+  cr_assert(results[0].outcomes[0].result.empty());
+}
+
+// Guards against an epoch of another shard that fences this one.
+Test(agent_core, refuses_a_dispatch_of_another_shard) {
+  Fixture agent;
+  DispatchOrder other = agent.Order("order-1", {0});
+  other.shard = 1;
+  other.epoch = kEpoch + 1;
+  cr_assert(agent.Dispatch(other) == RefusalReason::kNotAuthorised);
+  cr_assert(!agent.Dispatch(agent.Order("order-1", {0})));
+}
+
 // Guards against new work for an executor that leaves, and against a late announcement that ends
 // the leave; a restarted executor takes work again.
 Test(agent_core, starts_nothing_while_leaving) {
