--- a/src/adapters/job_files.cc
+++ b/src/adapters/job_files.cc
@@ -71,7 +71,9 @@
 // Reads files one after the other into one configuration. The team file comes first.
 class Collector {
  public:
-  explicit Collector(ProblemList& problems) : problems_(problems) {}
+  // Without `check_teams`, the jobs' teams may be unknown.
+  Collector(ProblemList& problems, bool check_teams)
+      : problems_(problems), check_teams_(check_teams) {}
 
   void ReadTeamFile(const std::string& path) {
     Read(path, [this](CheckedObject& root, const DocumentContext& context) {
@@ -91,7 +93,7 @@
   void ReadJobFile(const std::string& path) {
     Read(path, [this](CheckedObject& root, const DocumentContext& context) {
       const std::string team = root.Id("team");
-      if (!team.empty() && !config_.teams.contains(team)) {
+      if (check_teams_ && !team.empty() && !config_.teams.contains(team)) {
         root.Reject("team", fmt::format("a team of {}", kTeamFileName));
       }
       root.Members("jobs",
@@ -133,6 +135,7 @@
   }
 
   ProblemList& problems_;
+  const bool check_teams_;
   core::DispatchConfig config_;
   // Where each job was declared first.
   std::map<std::string, std::string> places_;
@@ -157,15 +160,13 @@
     problems.Add("", fmt::format("file {}", kTeamFileName), TeamFilesSeen(team_files),
                  "exactly one below the given folders");
   }
-  // Without a team file, every job file's team would be reported as well.
-  if (!team_files.empty()) {
-    Collector collector(problems);
-    collector.ReadTeamFile(team_files.front());
-    for (auto file = first_job_file; file != collected.files.end(); ++file) {
-      collector.ReadJobFile(*file);
-    }
-    collected.config = collector.TakeConfig();
+  // All files are read even so, to report what else is wrong with them.
+  Collector collector(problems, /*check_teams=*/!team_files.empty());
+  for (const std::string& file : team_files) collector.ReadTeamFile(file);
+  for (auto file = first_job_file; file != collected.files.end(); ++file) {
+    collector.ReadJobFile(*file);
   }
+  collected.config = collector.TakeConfig();
   if (!problems.empty()) {
     return tl::unexpected(problems.ToError(core::ErrorKind::kInvalidRequest, "\n"));
   }
