--- /dev/null
+++ b/src/adapters/row_codec.h
@@ -0,0 +1,38 @@
+// JSON of the table rows that entries share: shards, entries, and the agents of a shard.
+#ifndef ZINNIAMUX_ADAPTERS_ROW_CODEC_H_
+#define ZINNIAMUX_ADAPTERS_ROW_CODEC_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/entry_roster.h"
+#include "core/error_kind.h"
+#include "core/shard_ownership.h"
+#include "core/table_store.h"
+
+namespace zinniamux::adapters {
+
+inline constexpr std::string_view kEntryRowPrefix = "entry/";
+
+std::string ShardRowKey(std::uint32_t shard);
+std::string AgentsRowKey(std::uint32_t shard);
+std::string EntryRowKey(std::string_view entry_id);
+
+// {"epoch", "owner_id", "incarnation", "rpc_address"}.
+std::string ToJson(const core::ShardRow& row);
+core::Result<core::ShardRow> ParseShardRow(std::string_view json);
+
+// {"incarnation", "rpc_address", "counter"}; the id is part of the key.
+std::string ToJson(const core::EntryRow& row);
+core::Result<core::VersionedEntryRow> ParseEntryRow(const core::TableRow& row);
+
+// {"epoch", "agents": [id, ...]}.
+std::string AgentsRowJson(std::uint64_t epoch, const std::vector<std::string>& agent_ids);
+core::Result<std::set<std::string>> ParseAgentsRow(std::string_view json);
+
+}  // namespace zinniamux::adapters
+
+#endif  // ZINNIAMUX_ADAPTERS_ROW_CODEC_H_
