--- a/src/rpc/convert.cc
+++ b/src/rpc/convert.cc
@@ -109,6 +109,20 @@
           .epoch = hello.epoch()};
 }
 
+v1::EntryAddress ToProto(const core::EntryAddress& entry) {
+  v1::EntryAddress message;
+  message.set_entry_id(entry.entry_id);
+  message.set_incarnation(entry.incarnation);
+  message.set_rpc_address(entry.rpc_address);
+  return message;
+}
+
+core::EntryAddress FromProto(const v1::EntryAddress& entry) {
+  return {.entry_id = entry.entry_id(),
+          .incarnation = entry.incarnation(),
+          .rpc_address = entry.rpc_address()};
+}
+
 v1::Dispatch ToProto(core::DispatchOrder&& order) {
   v1::Dispatch message;
   message.set_shard(order.shard);
@@ -211,6 +225,7 @@
   request.set_deadline_ms(static_cast<std::uint32_t>(time_left.count()));
   request.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
   request.set_content_hash(submission.content_hash);
+  request.set_attempt(submission.attempt);
   for (const core::TaskDeclaration& task : submission.tasks) {
     v1::TaskDeclaration* item = request.add_tasks();
     item->set_run_ms(static_cast<std::uint32_t>(task.run_time.count()));
@@ -229,6 +244,7 @@
   submission.request_key = request.request_key();
   submission.deadline = now + milliseconds(request.deadline_ms());
   submission.content_hash = request.content_hash();
+  submission.attempt = request.attempt();
   submission.tasks.reserve(static_cast<std::size_t>(request.tasks_size()));
   for (v1::TaskDeclaration& item : *request.mutable_tasks()) {
     submission.tasks.push_back({.run_time = milliseconds(item.run_ms()),
--- a/src/rpc/convert.h
+++ b/src/rpc/convert.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/dispatch_order.h"
+#include "core/entry_address.h"
 #include "core/executor_info.h"
 #include "core/job_answer.h"
 #include "core/submission.h"
@@ -29,6 +30,9 @@
 v1::Hello ToProto(const core::AgentHello& hello);
 core::AgentHello FromProto(const v1::Hello& hello);
 
+v1::EntryAddress ToProto(const core::EntryAddress& entry);
+core::EntryAddress FromProto(const v1::EntryAddress& entry);
+
 v1::Dispatch ToProto(core::DispatchOrder&& order);
 core::DispatchOrder FromProto(v1::Dispatch&& dispatch);
 
--- /dev/null
+++ b/src/zinniamuxd/peer_client.cc
@@ -0,0 +1,166 @@
+// gRPC calls to another entry.
+#include "zinniamuxd/peer_client.h"
+
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "rpc/convert.h"
+
+namespace zinniamux::daemon {
+namespace {
+
+// A call that got no answer on a replaced channel for this long is abandoned, so that its request
+// is sent again on the new one.
+constexpr std::chrono::milliseconds kOldChannelGrace{1000};
+constexpr int kMinReconnectMs = 100;
+constexpr int kMaxReconnectMs = 1000;
+
+std::shared_ptr<v1::EntryService::Stub> NewStub(const std::string& address) {
+  grpc::ChannelArguments arguments;
+  // A pool of its own, so that a new channel does not share a connection that went silent.
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  // gRPC's default of 1 s and more would delay the use of a peer that was restarted.
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kMinReconnectMs);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMaxReconnectMs);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxReconnectMs);
+  return v1::EntryService::NewStub(
+      grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
+}
+
+PeerReply::Outcome OutcomeOf(const grpc::Status& status) {
+  if (status.ok()) return PeerReply::Outcome::kAnswered;
+  if (status.error_code() == grpc::StatusCode::FAILED_PRECONDITION) {
+    return PeerReply::Outcome::kNotOwner;
+  }
+  return IsConnectionRefused(status) ? PeerReply::Outcome::kRefused : PeerReply::Outcome::kLost;
+}
+
+}  // namespace
+
+bool IsConnectionRefused(const grpc::Status& status) {
+  // gRPC reports a refused connection in the text only.
+  return status.error_code() == grpc::StatusCode::UNAVAILABLE &&
+         status.error_message().find("Connection refused") != std::string::npos;
+}
+
+PeerClient::PeerClient(std::string address, const core::Clock& clock)
+    : address_(std::move(address)),
+      clock_(clock),
+      stub_(NewStub(address_)),
+      replaced_at_(clock.now()) {}
+
+PeerClient::Lease PeerClient::Begin(core::Duration deadline) {
+  auto context = std::make_shared<grpc::ClientContext>();
+  context->set_deadline(std::chrono::system_clock::now() + deadline);
+  const std::lock_guard lock(mutex_);
+  const std::uint64_t call_id = next_call_++;
+  active_[call_id] = {.channel = channel_, .context = context};
+  return {.call_id = call_id, .channel = channel_, .stub = stub_, .context = std::move(context)};
+}
+
+void PeerClient::End(std::uint64_t call_id) {
+  const std::lock_guard lock(mutex_);
+  active_.erase(call_id);
+}
+
+template <typename Request, typename Method>
+PeerClient::CancelCall PeerClient::Call(Request request, core::Duration deadline,
+                                        ReplyCallback callback, Method method) {
+  struct State {
+    Request request;
+    v1::JobAnswer response;
+    Lease lease;
+    std::shared_ptr<PeerClient> client;
+  };
+  auto state = std::make_shared<State>();
+  state->request = std::move(request);
+  state->lease = Begin(deadline);
+  state->client = shared_from_this();
+  auto* async = state->lease.stub->async();
+  (async->*method)(state->lease.context.get(), &state->request, &state->response,
+                   [state, callback = std::move(callback)](const grpc::Status& status) {
+                     state->client->End(state->lease.call_id);
+                     PeerReply reply{.outcome = OutcomeOf(status), .channel = state->lease.channel};
+                     if (status.ok()) reply.answer = rpc::FromProto(std::move(state->response));
+                     callback(std::move(reply));
+                   });
+  return [context = std::weak_ptr(state->lease.context)] {
+    if (const auto alive = context.lock()) alive->TryCancel();
+  };
+}
+
+PeerClient::CancelCall PeerClient::Forward(v1::ForwardRequest request, core::Duration deadline,
+                                           ReplyCallback callback) {
+  using Async = v1::EntryService::Stub::async;
+  using Method = void (Async::*)(grpc::ClientContext*, const v1::ForwardRequest*, v1::JobAnswer*,
+                                 std::function<void(grpc::Status)>);
+  return Call(std::move(request), deadline, std::move(callback), Method(&Async::Forward));
+}
+
+PeerClient::CancelCall PeerClient::Fetch(v1::JobReference request, core::Duration deadline,
+                                         ReplyCallback callback) {
+  using Async = v1::EntryService::Stub::async;
+  using Method = void (Async::*)(grpc::ClientContext*, const v1::JobReference*, v1::JobAnswer*,
+                                 std::function<void(grpc::Status)>);
+  return Call(std::move(request), deadline, std::move(callback), Method(&Async::FetchJob));
+}
+
+PeerClient::CancelCall PeerClient::Cancel(v1::JobReference request, core::Duration deadline,
+                                          ReplyCallback callback) {
+  using Async = v1::EntryService::Stub::async;
+  using Method = void (Async::*)(grpc::ClientContext*, const v1::JobReference*, v1::JobAnswer*,
+                                 std::function<void(grpc::Status)>);
+  return Call(std::move(request), deadline, std::move(callback), Method(&Async::CancelJob));
+}
+
+void PeerClient::Heartbeat(v1::PeerStatus status, core::Duration deadline,
+                           StatusCallback callback) {
+  struct State {
+    v1::PeerStatus request;
+    v1::PeerStatus response;
+    Lease lease;
+    std::shared_ptr<PeerClient> client;
+  };
+  auto state = std::make_shared<State>();
+  state->request = std::move(status);
+  state->lease = Begin(deadline);
+  state->client = shared_from_this();
+  state->lease.stub->async()->PeerHeartbeat(
+      state->lease.context.get(), &state->request, &state->response,
+      [state, callback = std::move(callback)](const grpc::Status& result) {
+        state->client->End(state->lease.call_id);
+        if (result.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
+          state->client->ReplaceChannel(state->lease.channel);
+        }
+        callback(result, std::move(state->response));
+      });
+}
+
+void PeerClient::ReplaceChannel(std::uint64_t channel) {
+  const std::lock_guard lock(mutex_);
+  if (channel != channel_) return;
+  ++channel_;
+  replaced_at_ = clock_.now();
+  stub_ = NewStub(address_);
+}
+
+std::uint64_t PeerClient::channel() const {
+  const std::lock_guard lock(mutex_);
+  return channel_;
+}
+
+void PeerClient::OnTimer() {
+  std::vector<std::shared_ptr<grpc::ClientContext>> abandoned;
+  {
+    const std::lock_guard lock(mutex_);
+    if (clock_.now() - replaced_at_ < kOldChannelGrace) return;
+    for (const auto& [id, call] : active_) {
+      if (call.channel < channel_) abandoned.push_back(call.context);
+    }
+  }
+  for (const auto& context : abandoned) context->TryCancel();
+}
+
+}  // namespace zinniamux::daemon
--- /dev/null
+++ b/src/zinniamuxd/peer_exchange.cc
@@ -0,0 +1,155 @@
+// Timing of heartbeats and knowledge about peers.
+#include "zinniamuxd/peer_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "rpc/convert.h"
+
+namespace zinniamux::daemon {
+namespace {
+
+constexpr std::chrono::milliseconds kHeartbeatPeriod{1000};
+// A peer that does not answer in time gets the next heartbeat on a new channel. With 1 s, two
+// channels are tried before the peer counts as silent (3 s).
+constexpr std::chrono::milliseconds kHeartbeatDeadline{1000};
+constexpr std::chrono::milliseconds kSilenceLimit{3000};
+// After a refused connection the peer is asked more often, to notice its restart.
+constexpr std::chrono::milliseconds kRefusedPeriod{250};
+
+}  // namespace
+
+PeerExchange::PeerExchange(Options options, const core::Clock& clock, Hooks hooks)
+    : options_(std::move(options)), clock_(clock), hooks_(std::move(hooks)) {}
+
+std::vector<std::string> PeerExchange::Addresses() const {
+  std::vector<std::string> addresses = options_.seeds;
+  for (const core::EntryAddress& entry : hooks_.members()) {
+    addresses.push_back(entry.rpc_address);
+  }
+  std::erase(addresses, options_.self.rpc_address);
+  std::sort(addresses.begin(), addresses.end());
+  addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
+  return addresses;
+}
+
+void PeerExchange::OnTimer() {
+  struct Due {
+    std::string address;
+    std::shared_ptr<PeerClient> client;
+    std::uint64_t config_version;
+  };
+  const std::vector<std::string> addresses = Addresses();
+  const core::TimePoint now = clock_.now();
+  std::vector<Due> due;
+  std::vector<std::shared_ptr<PeerClient>> clients;
+  {
+    const std::lock_guard lock(mutex_);
+    std::erase_if(peers_, [&](const auto& peer) {
+      return !std::binary_search(addresses.begin(), addresses.end(), peer.first);
+    });
+    for (const std::string& address : addresses) {
+      Peer& peer = peers_[address];
+      if (peer.client == nullptr) peer.client = std::make_shared<PeerClient>(address, clock_);
+      clients.push_back(peer.client);
+      if (peer.waiting || now < peer.next_heartbeat_at) continue;
+      peer.waiting = true;
+      peer.next_heartbeat_at = now + kHeartbeatPeriod;
+      due.push_back({address, peer.client, peer.config_version});
+    }
+  }
+  for (const auto& client : clients) client->OnTimer();
+  for (const Due& item : due) SendHeartbeat(item.address, item.client, item.config_version);
+}
+
+void PeerExchange::SendNow() {
+  {
+    const std::lock_guard lock(mutex_);
+    for (auto& [address, peer] : peers_) {
+      peer.next_heartbeat_at = clock_.now();
+      // A heartbeat under way was composed before the change.
+      peer.waiting = false;
+    }
+  }
+  OnTimer();
+}
+
+void PeerExchange::SendHeartbeat(const std::string& address,
+                                 const std::shared_ptr<PeerClient>& client,
+                                 std::uint64_t config_version) {
+  const core::TimePoint sent_at = clock_.now();
+  client->Heartbeat(
+      hooks_.status(config_version), kHeartbeatDeadline,
+      [weak = weak_from_this(), address, sent_at](const grpc::Status& result,
+                                                  const v1::PeerStatus& status) {
+        const auto self = weak.lock();
+        if (self == nullptr) return;
+        const bool refused = IsConnectionRefused(result);
+        {
+          const std::lock_guard lock(self->mutex_);
+          const auto found = self->peers_.find(address);
+          if (found != self->peers_.end()) {
+            Peer& peer = found->second;
+            peer.waiting = false;
+            if (refused) peer.next_heartbeat_at = self->clock_.now() + kRefusedPeriod;
+            if (result.ok()) {
+              peer.config_version = status.config_version();
+              peer.answered_at = sent_at;
+            }
+          }
+        }
+        if (refused) self->hooks_.on_refused(address);
+        if (result.ok()) self->NoteStatus(status);
+      });
+}
+
+v1::PeerStatus PeerExchange::OnHeartbeat(const v1::PeerStatus& status) {
+  NoteStatus(status);
+  return hooks_.status(status.config_version());
+}
+
+void PeerExchange::NoteStatus(const v1::PeerStatus& status) {
+  if (status.sender().entry_id() == options_.self.entry_id) return;
+  {
+    const std::lock_guard lock(mutex_);
+    senders_[status.sender().entry_id()] = {.entry = rpc::FromProto(status.sender()),
+                                            .stopping = status.stopping(),
+                                            .heard_at = clock_.now()};
+    const auto peer = peers_.find(status.sender().rpc_address());
+    if (peer != peers_.end()) peer->second.config_version = status.config_version();
+  }
+  hooks_.on_status(status);
+}
+
+std::shared_ptr<PeerClient> PeerExchange::ClientOf(const std::string& address) {
+  const std::lock_guard lock(mutex_);
+  Peer& peer = peers_[address];
+  if (peer.client == nullptr) peer.client = std::make_shared<PeerClient>(address, clock_);
+  return peer.client;
+}
+
+std::optional<core::EntryAddress> PeerExchange::HandoverTarget() const {
+  const std::lock_guard lock(mutex_);
+  const Sender* best = nullptr;
+  for (const auto& [id, sender] : senders_) {
+    if (sender.stopping || clock_.now() - sender.heard_at > kSilenceLimit) continue;
+    if (best == nullptr || sender.heard_at > best->heard_at) best = &sender;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->entry;
+}
+
+std::optional<core::TimePoint> PeerExchange::AgreedSince() const {
+  const std::vector<core::EntryAddress> members = hooks_.members();
+  const std::lock_guard lock(mutex_);
+  core::TimePoint oldest = clock_.now();
+  for (const core::EntryAddress& entry : members) {
+    if (entry.entry_id == options_.self.entry_id) continue;
+    const auto peer = peers_.find(entry.rpc_address);
+    if (peer == peers_.end() || !peer->second.answered_at) return std::nullopt;
+    oldest = std::min(oldest, *peer->second.answered_at);
+  }
+  return oldest;
+}
+
+}  // namespace zinniamux::daemon
--- /dev/null
+++ b/src/zinniamuxd/peer_exchange.h
@@ -0,0 +1,89 @@
+// Heartbeats between this entry and the others.
+#ifndef ZINNIAMUX_ZINNIAMUXD_PEER_EXCHANGE_H_
+#define ZINNIAMUX_ZINNIAMUXD_PEER_EXCHANGE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/entry_address.h"
+#include "zinniamux.pb.h"
+#include "zinniamuxd/peer_client.h"
+
+namespace zinniamux::daemon {
+
+// Sends a heartbeat to every other entry each second and keeps a client for each. Thread-safe. Create
+// with std::make_shared.
+class PeerExchange : public std::enable_shared_from_this<PeerExchange> {
+ public:
+  struct Options {
+    core::EntryAddress self;
+    // rpc addresses from the settings.
+    std::vector<std::string> seeds;
+  };
+
+  // Hooks run without a lock of this class.
+  struct Hooks {
+    // This entry's status for a peer that has this configuration version.
+    std::function<v1::PeerStatus(std::uint64_t peer_config_version)> status;
+    // A peer's status, as its heartbeat or its answer carries it.
+    std::function<void(const v1::PeerStatus&)> on_status;
+    std::function<void(const std::string& address)> on_refused;
+    // All live entries.
+    std::function<std::vector<core::EntryAddress>()> members;
+  };
+
+  PeerExchange(Options options, const core::Clock& clock, Hooks hooks);
+
+  // Called every few milliseconds.
+  void OnTimer();
+  // Sends heartbeats at once, for a change that peers should know soon.
+  void SendNow();
+  // A peer's heartbeat; the result answers it.
+  v1::PeerStatus OnHeartbeat(const v1::PeerStatus& status);
+
+  std::shared_ptr<PeerClient> ClientOf(const std::string& address);
+  // A live entry that is not stopping, heard from within the silence limit.
+  std::optional<core::EntryAddress> HandoverTarget() const;
+  // Since when every member has agreed with what this entry last told it; the oldest of the last
+  // answered heartbeats' send times.
+  std::optional<core::TimePoint> AgreedSince() const;
+
+ private:
+  struct Peer {
+    std::shared_ptr<PeerClient> client;
+    core::TimePoint next_heartbeat_at;
+    bool waiting = false;
+    std::uint64_t config_version = 0;
+    // The send time of the last answered heartbeat.
+    std::optional<core::TimePoint> answered_at;
+  };
+  struct Sender {
+    core::EntryAddress entry;
+    bool stopping = false;
+    core::TimePoint heard_at;
+  };
+
+  void NoteStatus(const v1::PeerStatus& status);
+  void SendHeartbeat(const std::string& address, const std::shared_ptr<PeerClient>& client,
+                     std::uint64_t config_version);
+  std::vector<std::string> Addresses() const;
+
+  const Options options_;
+  const core::Clock& clock_;
+  const Hooks hooks_;
+  mutable std::mutex mutex_;
+  // Guarded by mutex_. By rpc address.
+  std::map<std::string, Peer> peers_;
+  // By entry id.
+  std::map<std::string, Sender> senders_;
+};
+
+}  // namespace zinniamux::daemon
+
+#endif  // ZINNIAMUX_ZINNIAMUXD_PEER_EXCHANGE_H_
--- /dev/null
+++ b/src/zinniamuxd/rpc_service.cc
@@ -0,0 +1,101 @@
+// Calls of agents and other entries.
+#include "zinniamuxd/rpc_service.h"
+
+#include <utility>
+
+#include "rpc/convert.h"
+
+namespace zinniamux::daemon {
+
+RpcService::RpcService(Hooks hooks, const core::Clock& clock)
+    : hooks_(std::move(hooks)),
+      clock_(clock),
+      in_flight_(std::make_shared<std::atomic<int>>(0)) {}
+
+grpc::ServerBidiReactor<v1::AgentMessage, v1::EntryMessage>* RpcService::Attach(
+    grpc::CallbackServerContext* context) {
+  return hooks_.accept_agent(context);
+}
+
+RouteCallback RpcService::Responder(grpc::ServerUnaryReactor* reactor, v1::JobAnswer* response) {
+  ++*in_flight_;
+  return [reactor, response, in_flight = in_flight_](std::optional<core::JobAnswer> answer) {
+    if (answer) {
+      *response = rpc::ToProto(*answer);
+      reactor->Finish(grpc::Status::OK);
+    } else {
+      reactor->Finish({grpc::StatusCode::FAILED_PRECONDITION, "not the owner of the shard"});
+    }
+    --*in_flight;
+  };
+}
+
+grpc::ServerUnaryReactor* RpcService::Forward(grpc::CallbackServerContext* context,
+                                              const v1::ForwardRequest* request,
+                                              v1::JobAnswer* response) {
+  grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+  RouteCallback respond = Responder(reactor, response);
+  const core::Duration wait = std::chrono::milliseconds(request->wait_ms());
+  core::Submission submission = rpc::FromProto(v1::ForwardRequest(*request), clock_.now());
+  const std::shared_ptr<OwnedShard> shard = hooks_.owned_for(submission);
+  if (shard == nullptr) {
+    respond(std::nullopt);
+  } else if (!request->resubmission() && hooks_.refuses_new()) {
+    core::JobAnswer answer = core::FailedAnswer(
+        submission.id, {core::ErrorKind::kShuttingDown, "the shard's owner is stopping", {}});
+    answer.not_run = submission.attempt == 1;
+    respond(std::move(answer));
+  } else {
+    shard->Submit(std::move(submission), wait, std::move(respond));
+  }
+  return reactor;
+}
+
+std::shared_ptr<OwnedShard> RpcService::ShardKnowing(const std::string& submission_id) const {
+  const std::vector<std::shared_ptr<OwnedShard>> shards = hooks_.owned();
+  if (shards.empty()) return nullptr;
+  for (const auto& shard : shards) {
+    if (shard->Knows(submission_id)) return shard;
+  }
+  return shards.front();
+}
+
+grpc::ServerUnaryReactor* RpcService::FetchJob(grpc::CallbackServerContext* context,
+                                               const v1::JobReference* request,
+                                               v1::JobAnswer* response) {
+  grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+  RouteCallback respond = Responder(reactor, response);
+  const auto shard = ShardKnowing(request->submission_id());
+  if (shard == nullptr) {
+    respond(std::nullopt);
+    return reactor;
+  }
+  shard->Fetch(request->submission_id(), std::chrono::milliseconds(request->wait_ms()),
+               std::move(respond));
+  return reactor;
+}
+
+grpc::ServerUnaryReactor* RpcService::CancelJob(grpc::CallbackServerContext* context,
+                                                const v1::JobReference* request,
+                                                v1::JobAnswer* response) {
+  grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+  const RouteCallback respond = Responder(reactor, response);
+  const auto shard = ShardKnowing(request->submission_id());
+  if (shard == nullptr) {
+    respond(std::nullopt);
+    return reactor;
+  }
+  shard->Cancel(request->submission_id(), respond);
+  return reactor;
+}
+
+grpc::ServerUnaryReactor* RpcService::PeerHeartbeat(grpc::CallbackServerContext* context,
+                                                    const v1::PeerStatus* request,
+                                                    v1::PeerStatus* response) {
+  grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+  *response = hooks_.heartbeat(*request);
+  reactor->Finish(grpc::Status::OK);
+  return reactor;
+}
+
+}  // namespace zinniamux::daemon
--- a/src/zinniamuxd/shard_runtime.cc
+++ b/src/zinniamuxd/shard_runtime.cc
@@ -1,4 +1,4 @@
-// Locking, actions and waiting callers of one shard.
+// Locking, actions and waiting requests of one shard.
 #include "zinniamuxd/shard_runtime.h"
 
 #include <utility>
@@ -11,64 +11,96 @@
     : hooks_(std::move(hooks)), clock_(clock), dispatcher_(options, clock) {}
 
 void ShardRuntime::Submit(core::Submission submission, core::Duration wait,
-                          AnswerCallback callback) {
+                          RouteCallback callback) {
   std::vector<Delivery> deliveries;
   {
     const std::lock_guard lock(mutex_);
-    const core::JobAnswer answer = dispatcher_.Submit(std::move(submission));
-    AddWaiter(answer, wait, std::move(callback), deliveries);
-    CarryOut(deliveries);
+    if (closed_) {
+      deliveries.push_back({std::move(callback), std::nullopt});
+    } else {
+      const core::JobAnswer answer = dispatcher_.Submit(std::move(submission));
+      AddWaiter(answer, wait, std::move(callback), deliveries);
+      CarryOut(deliveries);
+    }
   }
-  for (Delivery& delivery : deliveries) delivery.callback(std::move(delivery.answer));
+  Deliver(deliveries);
 }
 
 void ShardRuntime::Fetch(const std::string& submission_id, core::Duration wait,
-                         AnswerCallback callback) {
+                         RouteCallback callback) {
   std::vector<Delivery> deliveries;
   {
     const std::lock_guard lock(mutex_);
-    core::Result<core::JobAnswer> answer = dispatcher_.Fetch(submission_id);
-    if (!answer) answer = core::FailedAnswer(submission_id, std::move(answer).error());
-    AddWaiter(*answer, wait, std::move(callback), deliveries);
+    if (closed_) {
+      deliveries.push_back({std::move(callback), std::nullopt});
+    } else {
+      core::Result<core::JobAnswer> answer = dispatcher_.Fetch(submission_id);
+      if (!answer) answer = core::FailedAnswer(submission_id, std::move(answer).error());
+      AddWaiter(*answer, wait, std::move(callback), deliveries);
+    }
   }
-  for (Delivery& delivery : deliveries) delivery.callback(std::move(delivery.answer));
+  Deliver(deliveries);
 }
 
-core::JobAnswer ShardRuntime::Cancel(const std::string& submission_id) {
+void ShardRuntime::Cancel(const std::string& submission_id, const RouteCallback& callback) {
   core::Result<core::JobAnswer> answer;
-  Apply([&](core::ShardDispatcher& dispatcher) { answer = dispatcher.Cancel(submission_id); });
-  if (!answer) return core::FailedAnswer(submission_id, std::move(answer).error());
-  return *std::move(answer);
+  const bool applied = Apply(
+      [&](core::ShardDispatcher& dispatcher) { answer = dispatcher.Cancel(submission_id); });
+  if (!applied) {
+    callback(std::nullopt);
+    return;
+  }
+  if (!answer) answer = core::FailedAnswer(submission_id, std::move(answer).error());
+  callback(*std::move(answer));
 }
 
-void ShardRuntime::Apply(const std::function<void(core::ShardDispatcher&)>& event) {
+bool ShardRuntime::Apply(const std::function<void(core::ShardDispatcher&)>& event) {
   std::vector<Delivery> deliveries;
   {
     const std::lock_guard lock(mutex_);
+    if (closed_) return false;
     event(dispatcher_);
     CarryOut(deliveries);
   }
-  for (Delivery& delivery : deliveries) delivery.callback(std::move(delivery.answer));
+  Deliver(deliveries);
+  return true;
 }
 
 void ShardRuntime::OnTimer() {
   std::vector<Delivery> deliveries;
   {
     const std::lock_guard lock(mutex_);
+    if (closed_) return;
     dispatcher_.OnTimer();
     CarryOut(deliveries);
     ExpireWaiters(deliveries);
   }
-  for (Delivery& delivery : deliveries) delivery.callback(std::move(delivery.answer));
+  Deliver(deliveries);
 }
 
-std::size_t ShardRuntime::waiting() const {
-  const std::lock_guard lock(mutex_);
-  return waiters_.size();
+std::vector<core::Submission> ShardRuntime::Close() {
+  std::vector<Delivery> deliveries;
+  std::vector<core::Submission> unfinished;
+  {
+    const std::lock_guard lock(mutex_);
+    if (closed_) return {};
+    closed_ = true;
+    unfinished = dispatcher_.UnfinishedSubmissions();
+    for (auto& [id, waiters] : waiters_) {
+      for (Waiter& waiter : waiters) deliveries.push_back({std::move(waiter.callback), {}});
+    }
+    waiters_.clear();
+  }
+  Deliver(deliveries);
+  return unfinished;
+}
+
+void ShardRuntime::Deliver(std::vector<Delivery>& deliveries) {
+  for (Delivery& delivery : deliveries) delivery.callback(std::move(delivery.answer));
 }
 
 void ShardRuntime::AddWaiter(const core::JobAnswer& answer, core::Duration wait,
-                             AnswerCallback callback, std::vector<Delivery>& deliveries) {
+                             RouteCallback callback, std::vector<Delivery>& deliveries) {
   if (answer.finished() || wait <= core::Duration::zero()) {
     deliveries.push_back({std::move(callback), answer});
     return;
--- a/src/zinniamuxd/shard_runtime.h
+++ b/src/zinniamuxd/shard_runtime.h
@@ -1,9 +1,9 @@
-// One shard in a running entry: the dispatcher, its lock, and who waits for answers.
+// One shard in a running entry: the dispatcher of an epoch, its lock, and who waits for answers.
 #ifndef ZINNIAMUX_ZINNIAMUXD_SHARD_RUNTIME_H_
 #define ZINNIAMUX_ZINNIAMUXD_SHARD_RUNTIME_H_
 
 #include <functional>
-#include <memory>
+#include <optional>
 #include <mutex>
 #include <string>
 #include <unordered_map>
@@ -14,14 +14,16 @@
 
 namespace zinniamux::daemon {
 
-using AnswerCallback = std::function<void(core::JobAnswer)>;
+// Nothing instead of an answer: this process does not own the shard any more, and the request has
+// to go to the new owner.
+using RouteCallback = std::function<void(std::optional<core::JobAnswer>)>;
 
-// Feeds events to a ShardDispatcher under the shard's lock and carries out its actions.
+// Feeds events to a ShardDispatcher under the shard's lock and carries out its actions. Thread-safe.
 class ShardRuntime {
  public:
   struct Hooks {
-    // Sends a message to an agent. Called under the shard's lock, so that messages to one agent
-    // keep their order; must not block.
+    // Carries out an action other than DeliverAnswer. Called under the shard's lock, so that
+    // messages to one agent keep their order; must not block.
     std::function<void(core::DispatcherAction)> on_action;
   };
 
@@ -29,29 +31,40 @@
                const core::Clock& clock);
 
   // `callback` gets the final answer, or the current one after `wait`.
-  void Submit(core::Submission submission, core::Duration wait, AnswerCallback callback);
-  void Fetch(const std::string& submission_id, core::Duration wait, AnswerCallback callback);
-  core::JobAnswer Cancel(const std::string& submission_id);
+  void Submit(core::Submission submission, core::Duration wait, RouteCallback callback);
+  void Fetch(const std::string& submission_id, core::Duration wait, RouteCallback callback);
+  void Cancel(const std::string& submission_id, const RouteCallback& callback);
 
-  // Passes an event to the dispatcher and carries out what follows from it.
-  void Apply(const std::function<void(core::ShardDispatcher&)>& event);
+  // Passes an event to the dispatcher and carries out what follows from it. Returns false, and does
+  // nothing, after Close.
+  bool Apply(const std::function<void(core::ShardDispatcher&)>& event);
   void OnTimer();
-  std::size_t waiting() const;
+  // Ends everything: waiting requests get no answer, and no action is carried out any more. Returns
+  // the jobs without an answer.
+  std::vector<core::Submission> Close();
+
+  // Calls `reader` with the dispatcher under the lock.
+  template <typename Reader>
+  auto Read(Reader&& reader) const {
+    const std::lock_guard lock(mutex_);
+    return reader(dispatcher_);
+  }
 
  private:
   struct Waiter {
     core::TimePoint until;
-    AnswerCallback callback;
+    RouteCallback callback;
   };
   struct Delivery {
-    AnswerCallback callback;
-    core::JobAnswer answer;
+    RouteCallback callback;
+    std::optional<core::JobAnswer> answer;
   };
 
-  void AddWaiter(const core::JobAnswer& answer, core::Duration wait, AnswerCallback callback,
+  void AddWaiter(const core::JobAnswer& answer, core::Duration wait, RouteCallback callback,
                  std::vector<Delivery>& deliveries);
   void CarryOut(std::vector<Delivery>& deliveries);
   void ExpireWaiters(std::vector<Delivery>& deliveries);
+  static void Deliver(std::vector<Delivery>& deliveries);
 
   const Hooks hooks_;
   const core::Clock& clock_;
@@ -59,6 +72,7 @@
   // Guarded by mutex_.
   core::ShardDispatcher dispatcher_;
   std::unordered_map<std::string, std::vector<Waiter>> waiters_;
+  bool closed_ = false;
 };
 
 }  // namespace zinniamux::daemon
