--- a/src/core/entry_roster.cc
+++ b/src/core/entry_roster.cc
@@ -37,11 +37,10 @@
   if (!rows.has_value()) return;
   table_known_ = true;
   if (!answered_before) RestartSilence();
+  std::set<std::string> ids;
+  for (const VersionedEntryRow& read : *rows) ids.insert(read.row.entry.entry_id);
   for (auto& [id, member] : members_) {
-    const bool has_row = std::any_of(rows->begin(), rows->end(), [&](const auto& read) {
-      return read.row.entry.entry_id == id;
-    });
-    if (!has_row) member.counter.reset();
+    if (!ids.contains(id)) member.counter.reset();
   }
   for (const VersionedEntryRow& read : *rows) ReadRow(read);
   if (!table_answers_) return;
--- a/src/core/entry_roster.h
+++ b/src/core/entry_roster.h
@@ -38,7 +38,8 @@
 // Read all entry rows; answered by EntryRoster::OnRowsRead.
 struct ReadEntryRows {};
 
-// Delete the row if it still has this version. A lost answer needs no care: the rows are read again.
+// Delete the row if it still has this version. A lost answer needs no care: the rows are read
+// again.
 struct DeleteEntryRow {
   std::string entry_id;
   std::uint64_t version = 0;
--- a/src/core/shard_dispatcher.cc
+++ b/src/core/shard_dispatcher.cc
@@ -587,6 +587,12 @@
   return {ErrorKind::kDeadlineExceeded, "the deadline passed before the job was complete", {}};
 }
 
+std::map<std::string, std::uint32_t> ShardDispatcher::UsedSlots() const {
+  std::map<std::string, std::uint32_t> used;
+  for (const auto& [id, agent] : agents_) used[id] = agent.used_slots();
+  return used;
+}
+
 std::vector<DispatcherAction> ShardDispatcher::TakeActions() { return std::exchange(actions_, {}); }
 
 void ShardDispatcher::Enqueue(const TaskKey& key) { queue_.push_back(key); }
--- a/src/core/shard_dispatcher.h
+++ b/src/core/shard_dispatcher.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "core/agent_instance.h"
+#include "core/claim_decision.h"
 #include "core/clock.h"
 #include "core/dispatch_config.h"
 #include "core/dispatcher_action.h"
@@ -28,16 +29,6 @@
 
 namespace zinniamux::core {
 
-// The table's answer to PersistClaim.
-enum class ClaimDecision {
-  // The claim is persisted, or was already, for the same submission id.
-  kGranted,
-  // Another submission id has claimed the request key.
-  kDuplicate,
-  // The table did not answer, or the answer is unknown.
-  kUnavailable,
-};
-
 // Decides admission, order and placement for the shard that this entry owns under one epoch.
 // Events go in through the On... functions and Submit; actions come out of TakeActions. Not
 // thread-safe: the caller holds the shard's lock around every call.
@@ -110,6 +101,8 @@
   std::size_t queued_tasks() const { return queued_tasks_; }
   // Slots in use, including those of tasks that an earlier owner dispatched.
   std::size_t running_tasks() const { return running_tasks_; }
+  // Slots in use by agent id.
+  std::map<std::string, std::uint32_t> UsedSlots() const;
   std::size_t known_jobs() const { return jobs_.size(); }
   std::uint64_t epoch() const { return options_.epoch; }
   // A higher epoch exists. Nothing is placed or admitted any more.
--- a/src/core/shard_ownership.cc
+++ b/src/core/shard_ownership.cc
@@ -47,7 +47,7 @@
     turn_at_.reset();
     return;
   }
-  if (turn_at_ || stopping_) return;
+  if (turn_at_ || !may_take_over_) return;
   turn_at_ = clock_.now() + TurnDelay();
 }
 
@@ -99,7 +99,7 @@
     if (handover_target_ && current) StartWrite(read.version, *handover_target_);
     return;
   }
-  if (stopping_ || !owner_missing() || !turn_at_ || clock_.now() < *turn_at_) return;
+  if (!may_take_over_ || !owner_missing() || !turn_at_ || clock_.now() < *turn_at_) return;
   StartWrite(read.version, options_.self);
 }
 
@@ -191,9 +191,9 @@
   candidates_ = std::move(entry_ids);
 }
 
-void ShardOwnership::SetStopping() {
-  stopping_ = true;
-  turn_at_.reset();
+void ShardOwnership::SetMayTakeOver(bool may_take_over) {
+  may_take_over_ = may_take_over;
+  if (!may_take_over_) turn_at_.reset();
 }
 
 void ShardOwnership::HandOver(const EntryAddress& target) {
--- a/src/core/shard_ownership.h
+++ b/src/core/shard_ownership.h
@@ -67,7 +67,7 @@
     EntryAddress self;
     std::chrono::milliseconds owner_silence_limit{3000};
     // How often the row is read while an owner is known and alive.
-    std::chrono::milliseconds check_period{2000};
+    std::chrono::milliseconds check_period{1000};
     // How soon a read follows one that failed.
     std::chrono::milliseconds retry_period{500};
     // Wait of each candidate for each one that comes before it, so that few write at once.
@@ -94,8 +94,9 @@
   void OnRowVersionOutdated();
   // Live entries that may take over; decides this entry's turn among them.
   void SetCandidates(std::vector<std::string> entry_ids);
-  // A stopping entry takes over no shard. It may still be named as the owner by an earlier write.
-  void SetStopping();
+  // Whether this entry takes over, false at first: it may not while it does not know the
+  // configuration in force, or stops. An earlier write may still make it the owner.
+  void SetMayTakeOver(bool may_take_over);
   // Makes `target` the owner with the next epoch, if this entry owns the shard.
   void HandOver(const EntryAddress& target);
 
@@ -148,7 +149,7 @@
   TimePoint next_read_at_;
   TimePoint last_timer_at_;
   bool store_answers_ = false;
-  bool stopping_ = false;
+  bool may_take_over_ = false;
   std::vector<OwnershipAction> actions_;
 };
 
--- a/src/zinniamuxd/entry_daemon.cc
+++ b/src/zinniamuxd/entry_daemon.cc
@@ -1,7 +1,9 @@
 // Wiring of the entry role.
 #include "zinniamuxd/entry_daemon.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -15,354 +17,453 @@
 
 using adapters::HttpRequest;
 using adapters::HttpResponder;
-using adapters::HttpResponse;
+using adapters::LogLevel;
+using std::chrono::milliseconds;
 
-constexpr std::chrono::seconds kSilenceLimit{3};
-constexpr std::chrono::seconds kHeartbeatPeriod{1};
-constexpr std::chrono::milliseconds kAnswerMargin{500};
-constexpr std::chrono::milliseconds kShutdownPoll{10};
-constexpr std::string_view kJobsPath = "/v1/jobs";
+constexpr milliseconds kTimerPeriod{10};
+constexpr milliseconds kServerShutdown{500};
+// Nothing was in flight for this long before the servers stop.
+constexpr milliseconds kQuietTime{200};
+// An entry that was just made the owner waits for what the former owner sends it.
+constexpr milliseconds kArrivalTime{2000};
+// How long a stopping entry tries to hand over while another entry and the table answer.
+constexpr milliseconds kHandoverTime{10'000};
+// The longest deadline of a submission, with a margin for its answer.
+constexpr std::chrono::minutes kLongestStop{11};
 
-std::string Address(const adapters::ListenAddress& listen) {
-  return listen.host + ":" + std::to_string(listen.port);
+std::uint64_t NewIncarnation() {
+  // 48 bits are exact in every JSON reader.
+  constexpr std::uint64_t kMask = (1ULL << 48U) - 1;
+  std::random_device random;
+  const std::uint64_t number = (static_cast<std::uint64_t>(random()) << 32U) ^ random();
+  return (number & kMask) | 1U;
 }
 
-HttpResponse PlainText(int status, std::string body) {
-  HttpResponse response;
-  response.status = status;
-  response.body = std::move(body);
-  response.content_type = "text/plain";
-  return response;
-}
-
-core::Duration WaitOf(const HttpRequest& request, core::Duration longest) {
-  const std::string value = adapters::QueryValue(request.query, "wait_ms");
-  if (value.empty()) return longest;
-  return std::chrono::milliseconds(std::strtoul(value.c_str(), nullptr, 10));
+core::EntryAddress SelfOf(const adapters::EntrySettings& settings) {
+  return {.entry_id = settings.id,
+          .incarnation = NewIncarnation(),
+          .rpc_address = settings.rpc_advertised.empty() ? adapters::AddressText(settings.rpc)
+                                                         : settings.rpc_advertised};
 }
 
 }  // namespace
 
-// The gRPC service; every call is passed on to the daemon.
-class EntryDaemon::RpcService : public v1::EntryService::CallbackService {
- public:
-  explicit RpcService(EntryDaemon& daemon) : daemon_(daemon) {}
-
-  grpc::ServerBidiReactor<v1::AgentMessage, v1::EntryMessage>* Attach(
-      grpc::CallbackServerContext* context) override {
-    auto stream = std::make_shared<AgentStream>(
-        context,
-        AgentStream::Hooks{
-            .on_message =
-                [this](const std::shared_ptr<AgentStream>& from, v1::AgentMessage message) {
-                  daemon_.OnAgentMessage(from, std::move(message));
-                },
-            .on_closed =
-                [this](const std::shared_ptr<AgentStream>& from) { daemon_.OnAgentClosed(from); }},
-        daemon_.clock_);
-    stream->Start();
-    return stream.get();
-  }
-
-  grpc::ServerUnaryReactor* Forward(grpc::CallbackServerContext* context,
-                                    const v1::ForwardRequest* request,
-                                    v1::JobAnswer* response) override {
-    grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
-    const core::Duration wait = std::chrono::milliseconds(request->wait_ms());
-    daemon_.shard_->Submit(rpc::FromProto(v1::ForwardRequest(*request), daemon_.clock_.now()), wait,
-                           [reactor, response](const core::JobAnswer& answer) {
-                             *response = rpc::ToProto(answer);
-                             reactor->Finish(grpc::Status::OK);
-                           });
-    return reactor;
-  }
-
-  grpc::ServerUnaryReactor* FetchJob(grpc::CallbackServerContext* context,
-                                     const v1::JobReference* request,
-                                     v1::JobAnswer* response) override {
-    grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
-    daemon_.shard_->Fetch(request->submission_id(), std::chrono::milliseconds(request->wait_ms()),
-                          [reactor, response](const core::JobAnswer& answer) {
-                            *response = rpc::ToProto(answer);
-                            reactor->Finish(grpc::Status::OK);
-                          });
-    return reactor;
-  }
-
-  grpc::ServerUnaryReactor* CancelJob(grpc::CallbackServerContext* context,
-                                      const v1::JobReference* request,
-                                      v1::JobAnswer* response) override {
-    grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
-    *response = rpc::ToProto(daemon_.shard_->Cancel(request->submission_id()));
-    reactor->Finish(grpc::Status::OK);
-    return reactor;
-  }
-
- private:
-  EntryDaemon& daemon_;
-};
-
 EntryDaemon::EntryDaemon(adapters::EntrySettings settings, const core::Clock& clock,
                          adapters::JsonLog& log)
     : settings_(std::move(settings)),
       clock_(clock),
       log_(log),
-      owner_(settings_.peers.empty() || Address(settings_.rpc) < settings_.peers.front()),
-      shard_(std::make_unique<ShardRuntime>(
-          core::ShardDispatcher::Options{.shard = 0, .epoch = 1},
-          ShardRuntime::Hooks{
-              .on_action = [this](core::DispatcherAction action) { CarryOut(std::move(action)); }},
-          clock)),
-      service_(std::make_unique<RpcService>(*this)) {}
+      self_(SelfOf(settings_)),
+      metrics_(clock),
+      decisions_(log, {.max_bytes = settings_.limits.max_explain_bytes}),
+      store_({.url = settings_.store_url}, store_client_, clock),
+      last_owned_at_(clock.now()),
+      agents_(std::make_unique<AgentRegistry>(
+          clock,
+          AgentRegistry::Hooks{
+              .welcome = [this] { return WelcomeMessage(); },
+              .on_attached = [this](const core::AgentHello& hello) { OnAgentAttached(hello); },
+              .on_message =
+                  [this](const std::string& agent_id, std::uint32_t shard,
+                         v1::AgentMessage message) {
+                    const ShardHost* host = HostOf(shard);
+                    const auto owned = host == nullptr ? nullptr : host->owned();
+                    return owned != nullptr && owned->OnAgentMessage(agent_id, std::move(message));
+                  },
+              .on_detached =
+                  [this](const std::string& agent_id, std::uint32_t shard) {
+                    log_.Write(LogLevel::kWarning, "agent_detached", {{"agent", agent_id}});
+                    const ShardHost* host = HostOf(shard);
+                    const auto owned = host == nullptr ? nullptr : host->owned();
+                    if (owned != nullptr) owned->OnAgentDetached(agent_id);
+                  }})) {
+  MakePeers();
+  MakeShards();
+  config_service_ = std::make_unique<ConfigService>(
+      store_, clock_,
+      ConfigService::Hooks{
+          .check = [](std::string_view body) -> core::Result<void> {
+            const auto config = adapters::ParseConfig(body, 1);
+            if (!config) return tl::unexpected(config.error());
+            return {};
+          },
+          .on_in_force = [this](const core::ConfigVersion& version) { OnConfigInForce(version); },
+          .on_problem = [this](const std::string& text) { OnProblem("configuration", text); }});
+  caller_api_ = std::make_unique<CallerApi>(
+      *router_, clock_,
+      CallerApi::Hooks{
+          .refusal = [this] { return Refusal(); },
+          .explain = [this](const std::string& id) { return decisions_.Explain(id); }});
+  admin_api_ =
+      std::make_unique<AdminApi>(*agents_, *config_service_, shards_,
+                                 AdminApi::Hooks{.ready = [this] { return Ready(); },
+                                                 .metrics = [this] { return metrics_.Text(); }});
+  rpc_service_ = std::make_unique<RpcService>(
+      RpcService::Hooks{
+          .accept_agent =
+              [this](grpc::CallbackServerContext* context) { return agents_->Accept(context); },
+          .heartbeat = [this](const v1::PeerStatus& status) { return peers_->OnHeartbeat(status); },
+          .owned_for =
+              [this](const core::Submission& submission) {
+                return shards_[router_->ShardOf(submission)]->owned();
+              },
+          .owned = [this] { return Owned(); },
+          .refuses_new = [this] { return refuses_new_.load(); }},
+      clock_);
+}
 
-EntryDaemon::~EntryDaemon() = default;
+EntryDaemon::~EntryDaemon() {
+  // The servers call the other parts, and the shards' callbacks call the router.
+  if (caller_server_ != nullptr) caller_server_->Stop();
+  if (admin_server_ != nullptr) admin_server_->Stop();
+  if (rpc_server_ != nullptr) rpc_server_->Shutdown(std::chrono::system_clock::now());
+  roster_->Close();
+  for (const auto& host : shards_) host->Close();
+}
+
+void EntryDaemon::MakePeers() {
+  roster_ = std::make_shared<RosterService>(core::EntryRoster::Options{.self = self_}, store_,
+                                            clock_, [this] { OnRosterChanged(); });
+  peers_ = std::make_shared<PeerExchange>(
+      PeerExchange::Options{.self = self_, .seeds = settings_.peers}, clock_,
+      PeerExchange::Hooks{
+          .status = [this](std::uint64_t peer_version) { return Status(peer_version); },
+          .on_status = [this](const v1::PeerStatus& status) { OnPeerStatus(status); },
+          .on_refused =
+              [this](const std::string& address) {
+                for (const auto& host : shards_) {
+                  host->Apply([&](core::ShardOwnership& ownership) {
+                    ownership.OnConnectionRefused(address);
+                  });
+                }
+              },
+          .members = [this] { return roster_->members(); }});
+}
+
+void EntryDaemon::MakeShards() {
+  for (std::uint32_t shard = 0; shard < settings_.shards; ++shard) {
+    shards_.push_back(std::make_shared<ShardHost>(
+        core::ShardOwnership::Options{
+            .shard = shard, .self = self_, .seed = self_.incarnation + shard},
+        store_, clock_,
+        ShardHost::Hooks{
+            .make_owned =
+                [this, shard](const core::StartOwning& start) { return MakeOwned(shard, start); },
+            .on_route_changed = [this, shard] { OnRouteChanged(shard); },
+            .on_unfinished =
+                [this](std::vector<core::Submission> submissions) {
+                  for (core::Submission& submission : submissions) {
+                    router_->Resubmit(std::move(submission));
+                  }
+                },
+            .on_problem = [this](const std::string& text) { OnProblem("shard row", text); }}));
+  }
+  router_ = std::make_unique<JobRouter>(
+      JobRouter::Options{}, shards_, clock_,
+      JobRouter::Hooks{
+          .client_of = [this](const std::string& address) { return peers_->ClientOf(address); },
+          .on_peer_failure =
+              [this](const std::string& address, bool refused) {
+                if (!refused) return;
+                for (const auto& host : shards_) {
+                  host->Apply([&](core::ShardOwnership& ownership) {
+                    ownership.OnConnectionRefused(address);
+                  });
+                }
+              }});
+}
+
+std::shared_ptr<OwnedShard> EntryDaemon::MakeOwned(std::uint32_t shard,
+                                                   const core::StartOwning& start) {
+  log_.Write(LogLevel::kInfo, "shard_won", {{"shard", shard}, {"epoch", start.epoch}});
+  last_owned_at_ = clock_.now();
+  const std::shared_ptr<ShardHost> host = shards_[shard];
+  return std::make_shared<OwnedShard>(
+      OwnedShard::Options{.shard = shard,
+                          .epoch = start.epoch,
+                          .row_version = start.row_version,
+                          .incarnation = self_.incarnation},
+      OwnedShard::Hooks{
+          .on_action =
+              [this](core::DispatcherAction action) {
+                if (auto* log = std::get_if<core::LogDecision>(&action)) {
+                  decisions_.Record(std::move(log->record));
+                }
+              },
+          .config = [this] { return config(); },
+          .on_running = [host] { host->OnOwnedRunning(); },
+          .on_row_outdated =
+              [host] {
+                host->Apply([](core::ShardOwnership& own) { own.OnRowVersionOutdated(); });
+              },
+          .on_epoch_seen =
+              [host](std::uint64_t epoch) {
+                host->Apply([epoch](core::ShardOwnership& own) { own.OnEpochSeen(epoch); });
+              },
+          .on_problem = [this](const std::string& text) { OnProblem("shard", text); }},
+      store_, *agents_, clock_);
+}
 
 core::Result<void> EntryDaemon::Start() {
+  if (settings_.store_url.empty()) {
+    return tl::unexpected(core::Error{
+        core::ErrorKind::kInvalidRequest, "entry.store: an entry needs the table service", {}});
+  }
+  return StartServers();
+}
+
+core::Result<void> EntryDaemon::StartServers() {
   grpc::ServerBuilder builder;
   int bound_port = 0;
-  builder.AddListeningPort(Address(settings_.rpc), grpc::InsecureServerCredentials(), &bound_port);
-  builder.RegisterService(service_.get());
+  const std::string address = adapters::AddressText(settings_.rpc);
+  builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &bound_port);
+  builder.RegisterService(rpc_service_.get());
   rpc_server_ = builder.BuildAndStart();
   if (rpc_server_ == nullptr || bound_port == 0) {
     return tl::unexpected(
-        core::Error{core::ErrorKind::kInternal, "cannot listen on " + Address(settings_.rpc), {}});
-  }
-  if (!owner_) {
-    owner_stub_ = v1::EntryService::NewStub(
-        grpc::CreateChannel(settings_.peers.front(), grpc::InsecureChannelCredentials()));
+        core::Error{core::ErrorKind::kInternal, "cannot listen on " + address, {}});
   }
   auto caller =
-      adapters::HttpServer::Start({.address = settings_.caller.host, .port = settings_.caller.port},
-                                  [this](const HttpRequest& request, HttpResponder respond) {
-                                    ServeCaller(request, std::move(respond));
+      adapters::HttpServer::Start({.address = settings_.caller.host,
+                                   .port = settings_.caller.port,
+                                   .threads = settings_.threads,
+                                   .max_body_bytes = settings_.limits.max_body_bytes},
+                                  [this](const HttpRequest& request, const HttpResponder& respond) {
+                                    caller_api_->Serve(request, respond);
                                   });
   if (!caller) return tl::unexpected(caller.error());
   caller_server_ = *std::move(caller);
-  auto admin = adapters::HttpServer::Start(
-      {.address = settings_.admin.host, .port = settings_.admin.port, .threads = 1},
-      [this](const HttpRequest& request, const HttpResponder& respond) {
-        ServeAdmin(request, respond);
-      });
+  auto admin =
+      adapters::HttpServer::Start({.address = settings_.admin.host,
+                                   .port = settings_.admin.port,
+                                   .threads = 1,
+                                   .max_body_bytes = settings_.limits.max_body_bytes},
+                                  [this](const HttpRequest& request, const HttpResponder& respond) {
+                                    admin_api_->Serve(request, respond);
+                                  });
   if (!admin) return tl::unexpected(admin.error());
   admin_server_ = *std::move(admin);
   return {};
 }
 
-void EntryDaemon::ServeCaller(const HttpRequest& request, HttpResponder respond) {
-  ++requests_in_flight_;
-  AnswerCallback reply = [this, respond = std::move(respond)](const core::JobAnswer& answer) {
-    respond(adapters::ToHttp(answer));
-    --requests_in_flight_;
-  };
-  if (request.path == kJobsPath && request.method == "POST") {
-    core::Result<core::Submission> submission =
-        adapters::ParseSubmission(request.body, clock_.now());
-    if (!submission) {
-      reply(core::FailedAnswer("", submission.error()));
-      return;
-    }
-    const core::Duration longest = submission->deadline - clock_.now() + kAnswerMargin;
-    SubmitJob(*std::move(submission), WaitOf(request, longest), std::move(reply));
-    return;
+ShardHost* EntryDaemon::HostOf(std::uint32_t shard) const {
+  return shard < shards_.size() ? shards_[shard].get() : nullptr;
+}
+
+std::vector<std::shared_ptr<OwnedShard>> EntryDaemon::Owned() const {
+  std::vector<std::shared_ptr<OwnedShard>> owned;
+  for (const auto& host : shards_) {
+    if (auto shard = host->owned()) owned.push_back(std::move(shard));
   }
-  const std::string prefix = std::string(kJobsPath) + "/";
-  if (request.path.starts_with(prefix)) {
-    const std::string id = request.path.substr(prefix.size());
-    if (request.method == "GET") {
-      shard_->Fetch(id, WaitOf(request, core::Duration::zero()), std::move(reply));
-      return;
-    }
-    if (request.method == "DELETE") {
-      reply(shard_->Cancel(id));
-      return;
-    }
+  return owned;
+}
+
+std::optional<core::DispatchConfig> EntryDaemon::config() const {
+  const std::lock_guard lock(mutex_);
+  return config_;
+}
+
+v1::Welcome EntryDaemon::WelcomeMessage() const {
+  v1::Welcome welcome;
+  welcome.set_entry_id(self_.entry_id);
+  welcome.set_incarnation(self_.incarnation);
+  for (const core::EntryAddress& entry : roster_->members()) {
+    *welcome.add_roster() = rpc::ToProto(entry);
   }
-  reply(core::FailedAnswer("", {core::ErrorKind::kNotFound, "no such path", {}}));
+  return welcome;
 }
 
-void EntryDaemon::SubmitJob(core::Submission submission, core::Duration wait,
-                            AnswerCallback callback) {
-  if (owns_shard()) {
-    shard_->Submit(std::move(submission), wait, std::move(callback));
-    return;
+v1::PeerStatus EntryDaemon::Status(std::uint64_t peer_config_version) const {
+  v1::PeerStatus status;
+  *status.mutable_sender() = rpc::ToProto(self_);
+  for (const core::EntryAddress& entry : roster_->members()) {
+    *status.add_roster() = rpc::ToProto(entry);
+  }
+  for (const auto& host : shards_) {
+    const ShardRoute route = host->route();
+    if (!route.owner) continue;
+    v1::ShardOwner* owner = status.add_owners();
+    owner->set_shard(host->shard());
+    owner->set_epoch(route.owner->epoch);
+    *owner->mutable_owner() = rpc::ToProto(route.owner->owner);
   }
-  ForwardJob(submission, wait, std::move(callback));
+  const std::uint64_t version = config_version_;
+  status.set_config_version(version);
+  if (peer_config_version < version) {
+    const core::ConfigVersion in_force = config_service_->in_force();
+    status.set_config_version(in_force.version);
+    status.set_config_body(in_force.body);
+  }
+  status.set_stopping(stopping_);
+  return status;
 }
 
-void EntryDaemon::ForwardJob(const core::Submission& submission, core::Duration wait,
-                             AnswerCallback callback) {
-  struct Call {
-    grpc::ClientContext context;
-    v1::ForwardRequest request;
-    v1::JobAnswer response;
-  };
-  auto call = std::make_shared<Call>();
-  const auto to_ms = [](core::Duration duration) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
-  };
-  call->request = rpc::ToProto(submission, to_ms(submission.deadline - clock_.now()), to_ms(wait));
-  call->context.set_deadline(std::chrono::system_clock::now() + wait + kAnswerMargin);
-  owner_stub_->async()->Forward(
-      &call->context, &call->request, &call->response,
-      [call, callback = std::move(callback)](const grpc::Status& status) {
-        if (status.ok()) {
-          callback(rpc::FromProto(std::move(call->response)));
-          return;
-        }
-        callback(core::FailedAnswer(
-            call->request.submission_id(),
-            {core::ErrorKind::kOwnerUnavailable, "the shard's owner did not answer", {}}));
-      });
+void EntryDaemon::OnPeerStatus(const v1::PeerStatus& status) {
+  const core::EntryAddress sender = rpc::FromProto(status.sender());
+  roster_->OnEntryHeard(sender);
+  std::vector<core::EntryAddress> roster;
+  for (const v1::EntryAddress& entry : status.roster()) roster.push_back(rpc::FromProto(entry));
+  roster_->OnPeerRoster(roster);
+  for (const auto& host : shards_) {
+    host->Apply([&](core::ShardOwnership& ownership) { ownership.OnEntryHeard(sender); });
+  }
+  for (const v1::ShardOwner& owner : status.owners()) {
+    ShardHost* host = HostOf(owner.shard());
+    if (host == nullptr) continue;
+    const core::ShardRow row{.epoch = owner.epoch(), .owner = rpc::FromProto(owner.owner())};
+    host->Apply([&](core::ShardOwnership& ownership) { ownership.OnOwnerReported(row); });
+  }
+  if (!status.config_body().empty()) {
+    config_service_->OnPeerConfig(
+        {.version = status.config_version(), .body = status.config_body()});
+  } else if (status.config_version() > 0) {
+    config_service_->OnPeerVersion(status.config_version());
+  }
 }
 
-void EntryDaemon::ServeAdmin(const HttpRequest& request, const HttpResponder& respond) {
-  if (request.path == "/healthz") {
-    respond(PlainText(200, "ok\n"));
+void EntryDaemon::OnAgentAttached(const core::AgentHello& hello) {
+  log_.Write(LogLevel::kInfo, "agent_attached",
+             {{"agent", hello.agent_id}, {"shard", hello.shard}, {"epoch", hello.epoch}});
+  ShardHost* host = HostOf(hello.shard);
+  if (host == nullptr) {
+    OnProblem("agent", hello.agent_id + " names a shard that does not exist");
     return;
   }
-  if (request.path == "/readyz") {
-    const bool ready = !stopping_ && (!owner_ || config_version_ > 0);
-    respond(PlainText(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
-    return;
+  host->Apply([&](core::ShardOwnership& ownership) { ownership.OnEpochSeen(hello.epoch); });
+  const auto owned = host->owned();
+  if (owned != nullptr) owned->OnAgentAttached(hello.agent_id);
+}
+
+void EntryDaemon::OnRosterChanged() {
+  std::vector<std::string> ids;
+  for (const core::EntryAddress& entry : roster_->members()) ids.push_back(entry.entry_id);
+  log_.Write(LogLevel::kInfo, "roster", {{"entries", ids}});
+  for (const auto& host : shards_) {
+    host->Apply([&](core::ShardOwnership& ownership) { ownership.SetCandidates(ids); });
   }
-  if (request.path == "/v1/config" && request.method == "POST") {
-    core::Result<core::DispatchConfig> config =
-        adapters::ParseConfig(request.body, config_version_ + 1);
-    if (!config) {
-      respond(adapters::ToHttp(config.error()));
-      return;
-    }
-    ++config_version_;
-    shard_->Apply([&](core::ShardDispatcher& dispatcher) { dispatcher.OnConfig(*config); });
-    respond(HttpResponse{.body = R"({"version":)" + std::to_string(config_version_) + "}\n"});
-    return;
+  agents_->SendWelcomes();
+}
+
+void EntryDaemon::OnRouteChanged(std::uint32_t shard) {
+  const ShardRoute route = shards_[shard]->route();
+  if (route.owner) {
+    log_.Write(LogLevel::kInfo, "shard_owner",
+               {{"shard", shard},
+                {"epoch", route.owner->epoch},
+                {"owner", route.owner->owner.entry_id},
+                {"running_here", route.local != nullptr}});
   }
-  respond(adapters::ToHttp(core::Error{core::ErrorKind::kNotFound, "no such path", {}}));
+  router_->OnRouteChanged(shard);
+  peers_->SendNow();
 }
 
-void EntryDaemon::OnAgentMessage(const std::shared_ptr<AgentStream>& stream,
-                                 v1::AgentMessage message) {
-  if (message.has_hello()) {
-    const core::AgentHello hello = rpc::FromProto(message.hello());
-    std::shared_ptr<AgentStream> replaced;
-    {
-      const std::lock_guard lock(mutex_);
-      replaced = std::exchange(streams_[hello.agent_id], stream);
-      agent_ids_[stream.get()] = hello.agent_id;
-    }
-    if (replaced != nullptr) replaced->Cancel();
-    v1::EntryMessage welcome;
-    welcome.mutable_welcome()->set_entry_id(settings_.id);
-    stream->Send(std::move(welcome));
-    log_.Write(adapters::LogLevel::kInfo, "agent_attached", {{"agent", hello.agent_id}});
-    shard_->Apply([&](core::ShardDispatcher& dispatcher) { dispatcher.OnAgentAttached(hello); });
+void EntryDaemon::OnConfigInForce(const core::ConfigVersion& version) {
+  core::Result<core::DispatchConfig> parsed = adapters::ParseConfig(version.body, version.version);
+  if (!parsed) {
+    OnProblem("configuration", parsed.error().message);
     return;
   }
-  std::string agent_id;
   {
     const std::lock_guard lock(mutex_);
-    const auto found = agent_ids_.find(stream.get());
-    if (found == agent_ids_.end() || streams_[found->second] != stream) return;
-    agent_id = found->second;
+    config_ = *parsed;
   }
-  shard_->Apply([&](core::ShardDispatcher& dispatcher) {
-    dispatcher.OnAgentTime(agent_id, std::chrono::milliseconds(message.now_mono_ms()));
-    switch (message.body_case()) {
-      case v1::AgentMessage::kResults:
-        dispatcher.OnOutcomes(
-            agent_id, rpc::FromProto(std::move(*message.mutable_results()->mutable_outcomes())));
-        break;
-      case v1::AgentMessage::kReconcileReply:
-        dispatcher.OnOutcomes(
-            agent_id,
-            rpc::FromProto(std::move(*message.mutable_reconcile_reply()->mutable_outcomes())));
-        break;
-      case v1::AgentMessage::kReport:
-        dispatcher.OnExecutorStatus(agent_id, rpc::FromProto(message.report()));
-        break;
-      case v1::AgentMessage::kRefusal:
-        dispatcher.OnRefusal(agent_id, rpc::FromProto(message.refusal().tasks()),
-                             rpc::FromProto(message.refusal().reason()));
-        break;
-      default:
-        break;
-    }
-  });
+  config_version_ = version.version;
+  log_.Write(LogLevel::kInfo, "config_in_force", {{"version", version.version}});
+  for (const auto& owned : Owned()) owned->OnConfig(*parsed);
+  peers_->SendNow();
 }
 
-void EntryDaemon::OnAgentClosed(const std::shared_ptr<AgentStream>& stream) {
-  std::string agent_id;
-  {
-    const std::lock_guard lock(mutex_);
-    const auto found = agent_ids_.find(stream.get());
-    if (found == agent_ids_.end()) return;
-    agent_id = found->second;
-    agent_ids_.erase(found);
-    const auto current = streams_.find(agent_id);
-    if (current == streams_.end() || current->second != stream) return;
-    streams_.erase(current);
-  }
-  log_.Write(adapters::LogLevel::kWarning, "agent_detached", {{"agent", agent_id}});
-  shard_->Apply([&](core::ShardDispatcher& dispatcher) { dispatcher.OnAgentDetached(agent_id); });
+void EntryDaemon::OnProblem(std::string_view part, const std::string& text) {
+  log_.Write(LogLevel::kWarning, "problem", {{"part", part}, {"text", text}});
 }
 
-void EntryDaemon::CarryOut(core::DispatcherAction action) {
-  v1::EntryMessage message;
-  if (auto* dispatch = std::get_if<core::SendDispatch>(&action)) {
-    *message.mutable_dispatch() = rpc::ToProto(std::move(dispatch->order));
-    SendToAgent(dispatch->agent_id, std::move(message));
-  } else if (const auto* ack = std::get_if<core::SendResultAck>(&action)) {
-    // Acknowledgements are sent when the agent needs them; see AgentCore::OnResultAck.
-    static_cast<void>(ack);
-  } else if (const auto* reconcile = std::get_if<core::SendReconcile>(&action)) {
-    message.mutable_reconcile()->set_epoch(1);
-    for (const core::TaskKey& key : reconcile->tasks) {
-      *message.mutable_reconcile()->add_tasks() = rpc::ToProto(key);
-    }
-    SendToAgent(reconcile->agent_id, std::move(message));
+bool EntryDaemon::Ready() const {
+  if (stopping_ || config_version_ == 0) return false;
+  if (config_service_->knowledge() == core::ConfigKnowledge::kFromTable) return true;
+  return std::all_of(shards_.begin(), shards_.end(), [](const auto& host) {
+    const ShardRoute route = host->route();
+    return route.owner && !route.is_self && !route.owner_missing;
+  });
+}
+
+std::optional<core::Error> EntryDaemon::Refusal() const {
+  if (refuses_new_) {
+    return core::Error{core::ErrorKind::kShuttingDown, "this entry is stopping", {}};
+  }
+  if (config_version_ == 0) {
+    return core::Error{core::ErrorKind::kNotReady, "no configuration is known yet", {}};
   }
+  return std::nullopt;
 }
 
-void EntryDaemon::SendToAgent(const std::string& agent_id, v1::EntryMessage message) {
-  std::shared_ptr<AgentStream> stream;
-  {
-    const std::lock_guard lock(mutex_);
-    const auto found = streams_.find(agent_id);
-    if (found == streams_.end()) return;
-    stream = found->second;
+void EntryDaemon::UpdateTakeover() {
+  const bool may = !stopping_ && config_service_->knowledge() == core::ConfigKnowledge::kFromTable;
+  if (may_take_over_ == may) return;
+  may_take_over_ = may;
+  for (const auto& host : shards_) {
+    host->Apply([may](core::ShardOwnership& ownership) { ownership.SetMayTakeOver(may); });
   }
-  stream->Send(std::move(message));
 }
 
 void EntryDaemon::OnTimer() {
-  shard_->OnTimer();
-  const core::TimePoint now = clock_.now();
-  std::vector<std::shared_ptr<AgentStream>> streams;
-  {
-    const std::lock_guard lock(mutex_);
-    for (const auto& [id, stream] : streams_) streams.push_back(stream);
+  config_service_->OnTimer();
+  UpdateTakeover();
+  roster_->OnTimer();
+  peers_->OnTimer();
+  for (const auto& host : shards_) host->OnTimer();
+  router_->OnTimer();
+  agents_->OnTimer();
+}
+
+void EntryDaemon::RunTimerUntil(core::TimePoint until) {
+  while (clock_.now() < until) {
+    OnTimer();
+    std::this_thread::sleep_for(kTimerPeriod);
   }
-  for (const std::shared_ptr<AgentStream>& stream : streams) {
-    if (now - stream->last_received() > kSilenceLimit) {
-      stream->Cancel();
-    } else if (now - stream->last_sent() > kHeartbeatPeriod) {
-      v1::EntryMessage heartbeat;
-      heartbeat.mutable_heartbeat();
-      stream->Send(std::move(heartbeat));
-    }
+}
+
+void EntryDaemon::HandOverShards() {
+  const std::optional<core::EntryAddress> target = peers_->HandoverTarget();
+  bool kept = false;
+  for (const auto& host : shards_) {
+    if (host->owned_epoch() == 0) continue;
+    kept = kept || !target || !host->route().store_answers;
+    if (!target || host->handing_over()) continue;
+    log_.Write(LogLevel::kInfo, "hand_over",
+               {{"shard", host->shard()}, {"target", target->entry_id}});
+    host->Apply([&](core::ShardOwnership& ownership) { ownership.HandOver(*target); });
   }
+  refuses_new_ = kept;
+}
+
+bool EntryDaemon::Idle() const {
+  if (router_->in_flight() > 0 || rpc_service_->in_flight() > 0) return false;
+  const auto owned = Owned();
+  return std::all_of(owned.begin(), owned.end(),
+                     [](const auto& shard) { return shard->unfinished() == 0; });
 }
 
 void EntryDaemon::Stop() {
   stopping_ = true;
-  std::this_thread::sleep_for(settings_.drain_notice);
-  while (requests_in_flight_ > 0) {
-    OnTimer();
-    std::this_thread::sleep_for(kShutdownPoll);
+  const core::TimePoint started_at = clock_.now();
+  UpdateTakeover();
+  peers_->SendNow();
+  RunTimerUntil(started_at + settings_.drain_notice);
+  const core::TimePoint notice_ended_at = clock_.now();
+  core::TimePoint busy_at = clock_.now();
+  while (clock_.now() < started_at + kLongestStop) {
+    HandOverShards();
+    RunTimerUntil(clock_.now() + kTimerPeriod);
+    const core::TimePoint now = clock_.now();
+    const bool handover_due =
+        !Owned().empty() && !refuses_new_ && now - notice_ended_at < kHandoverTime;
+    const bool arriving = !Owned().empty() && now - last_owned_at_.load() < kArrivalTime;
+    if (handover_due || arriving || !Idle()) busy_at = now;
+    if (now - busy_at >= kQuietTime) break;
   }
   caller_server_->Stop();
   admin_server_->Stop();
-  rpc_server_->Shutdown(std::chrono::system_clock::now() + kAnswerMargin);
+  rpc_server_->Shutdown(std::chrono::system_clock::now() + kServerShutdown);
   rpc_server_->Wait();
 }
 
--- a/src/zinniamuxd/entry_daemon.h
+++ b/src/zinniamuxd/entry_daemon.h
@@ -5,23 +5,36 @@
 #include <grpcpp/grpcpp.h>
 
 #include <atomic>
-#include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <vector>
 
-#include "adapters/http_message.h"
+#include "adapters/decision_log.h"
+#include "adapters/http_client.h"
 #include "adapters/http_server.h"
+#include "adapters/http_table_store.h"
 #include "adapters/json_log.h"
+#include "adapters/metrics.h"
 #include "adapters/settings.h"
 #include "core/clock.h"
-#include "zinniamux.grpc.pb.h"
-#include "zinniamuxd/agent_stream.h"
-#include "zinniamuxd/shard_runtime.h"
+#include "core/dispatch_config.h"
+#include "core/entry_address.h"
+#include "zinniamuxd/admin_api.h"
+#include "zinniamuxd/agent_registry.h"
+#include "zinniamuxd/caller_api.h"
+#include "zinniamuxd/config_service.h"
+#include "zinniamuxd/job_router.h"
+#include "zinniamuxd/peer_exchange.h"
+#include "zinniamuxd/roster_service.h"
+#include "zinniamuxd/rpc_service.h"
+#include "zinniamuxd/shard_host.h"
 
 namespace zinniamux::daemon {
 
-// One entry process. Threads: RESTinio's, gRPC's, and the caller of OnTimer.
+// One entry process: makes the parts and connects them. Threads: RESTinio's, gRPC's, the store
+// client's, and the caller of OnTimer.
 class EntryDaemon {
  public:
   EntryDaemon(adapters::EntrySettings settings, const core::Clock& clock, adapters::JsonLog& log);
@@ -30,39 +43,67 @@
   core::Result<void> Start();
   // Called every few milliseconds by the main thread.
   void OnTimer();
-  // A graceful shutdown: returns when no request is in flight.
+  // A graceful shutdown: hands over the shards and returns when no request is in flight.
   void Stop();
 
  private:
-  class RpcService;
+  void MakeShards();
+  void MakePeers();
+  core::Result<void> StartServers();
 
-  void ServeCaller(const adapters::HttpRequest& request, adapters::HttpResponder respond);
-  void ServeAdmin(const adapters::HttpRequest& request, const adapters::HttpResponder& respond);
-  void SubmitJob(core::Submission submission, core::Duration wait, AnswerCallback callback);
-  void ForwardJob(const core::Submission& submission, core::Duration wait, AnswerCallback callback);
-  void OnAgentMessage(const std::shared_ptr<AgentStream>& stream, v1::AgentMessage message);
-  void OnAgentClosed(const std::shared_ptr<AgentStream>& stream);
-  void CarryOut(core::DispatcherAction action);
-  void SendToAgent(const std::string& agent_id, v1::EntryMessage message);
-  bool owns_shard() const { return settings_.peers.empty() || owner_; }
+  v1::Welcome WelcomeMessage() const;
+  v1::PeerStatus Status(std::uint64_t peer_config_version) const;
+  void OnPeerStatus(const v1::PeerStatus& status);
+  void OnAgentAttached(const core::AgentHello& hello);
+  void OnRosterChanged();
+  void OnRouteChanged(std::uint32_t shard);
+  void OnConfigInForce(const core::ConfigVersion& version);
+  void OnProblem(std::string_view part, const std::string& text);
+  std::shared_ptr<OwnedShard> MakeOwned(std::uint32_t shard, const core::StartOwning& start);
+  std::optional<core::DispatchConfig> config() const;
+  ShardHost* HostOf(std::uint32_t shard) const;
+  std::vector<std::shared_ptr<OwnedShard>> Owned() const;
+
+  bool Ready() const;
+  std::optional<core::Error> Refusal() const;
+  void UpdateTakeover();
+  // One step of the handover of all owned shards; see Stop.
+  void HandOverShards();
+  bool Idle() const;
+  void RunTimerUntil(core::TimePoint until);
 
   const adapters::EntrySettings settings_;
   const core::Clock& clock_;
   adapters::JsonLog& log_;
-  const bool owner_;
-  std::unique_ptr<ShardRuntime> shard_;
-  std::unique_ptr<RpcService> service_;
+  const core::EntryAddress self_;
+  adapters::Metrics metrics_;
+  adapters::DecisionLog decisions_;
+  adapters::HttpClient store_client_;
+  adapters::HttpTableStore store_;
+  std::atomic<bool> stopping_{false};
+  // This entry stops and cannot hand over a shard that it owns.
+  std::atomic<bool> refuses_new_{false};
+  std::atomic<std::uint64_t> config_version_{0};
+  std::optional<bool> may_take_over_;
+  // When a shard was last won.
+  std::atomic<core::TimePoint> last_owned_at_;
+  mutable std::mutex mutex_;
+  // Guarded by mutex_.
+  std::optional<core::DispatchConfig> config_;
+
+  // In the order of construction; the servers come last, because they call all others.
+  std::unique_ptr<AgentRegistry> agents_;
+  std::shared_ptr<RosterService> roster_;
+  std::shared_ptr<PeerExchange> peers_;
+  std::vector<std::shared_ptr<ShardHost>> shards_;
+  std::unique_ptr<JobRouter> router_;
+  std::unique_ptr<ConfigService> config_service_;
+  std::unique_ptr<CallerApi> caller_api_;
+  std::unique_ptr<AdminApi> admin_api_;
+  std::unique_ptr<RpcService> rpc_service_;
   std::unique_ptr<grpc::Server> rpc_server_;
-  std::unique_ptr<v1::EntryService::Stub> owner_stub_;
   std::unique_ptr<adapters::HttpServer> caller_server_;
   std::unique_ptr<adapters::HttpServer> admin_server_;
-  std::atomic<std::uint64_t> config_version_{0};
-  std::atomic<bool> stopping_{false};
-  std::atomic<int> requests_in_flight_{0};
-  std::mutex mutex_;
-  // Guarded by mutex_. The latest stream of each agent.
-  std::map<std::string, std::shared_ptr<AgentStream>> streams_;
-  std::map<const AgentStream*, std::string> agent_ids_;
 };
 
 }  // namespace zinniamux::daemon
--- a/src/zinniamuxd/job_router.cc
+++ b/src/zinniamuxd/job_router.cc
@@ -130,8 +130,7 @@
   const bool remote = route.owner && !route.is_self && !route.owner_missing;
   if (route.local == nullptr && !remote) {
     if (!request.waits_since) request.waits_since = now;
-    const bool store_down =
-        route.owner_missing && !route.store_answers && !request.maybe_received;
+    const bool store_down = route.owner_missing && !route.store_answers && !request.maybe_received;
     if (!store_down && now < WaitLimit(request)) {
       WaitFor(request_id, request, kNoOwnerPoll);
       return std::nullopt;
@@ -160,8 +159,7 @@
 }
 
 core::JobAnswer JobRouter::NoOwnerAnswer(const Request& request, const ShardRoute& route) const {
-  const bool store_down =
-      route.owner_missing && !route.store_answers && !request.maybe_received;
+  const bool store_down = route.owner_missing && !route.store_answers && !request.maybe_received;
   core::JobAnswer answer = core::FailedAnswer(
       request.submission_id,
       store_down ? core::Error{core::ErrorKind::kStoreUnavailable,
@@ -203,16 +201,13 @@
 
 void JobRouter::RunRemote(const Attempt& attempt, const std::string& address) {
   const std::shared_ptr<PeerClient> client = hooks_.client_of(address);
-  auto on_reply = [this, client, id = attempt.request_id,
-                   number = attempt.number](PeerReply reply) {
-    OnPeerReply(id, number, client, std::move(reply));
-  };
+  auto on_reply = [this, client, id = attempt.request_id, number = attempt.number](
+                      PeerReply reply) { OnPeerReply(id, number, client, std::move(reply)); };
   const core::Duration deadline = attempt.wait + kAnswerMargin;
   PeerClient::CancelCall cancel;
   if (attempt.kind == Kind::kSubmit) {
-    v1::ForwardRequest request =
-        rpc::ToProto(*attempt.submission, ToMs(attempt.submission->deadline - clock_.now()),
-                     ToMs(attempt.wait));
+    v1::ForwardRequest request = rpc::ToProto(
+        *attempt.submission, ToMs(attempt.submission->deadline - clock_.now()), ToMs(attempt.wait));
     request.set_resubmission(attempt.resubmission);
     if (attempt.resubmission) request.set_attempt(0);
     cancel = client->Forward(std::move(request), std::max<core::Duration>(deadline, kShortCall),
@@ -294,8 +289,7 @@
   Finish(request_id, callback, std::move(answer));
 }
 
-std::optional<core::Duration> JobRouter::Holdback(Request& request,
-                                                  const core::JobAnswer& answer) {
+std::optional<core::Duration> JobRouter::Holdback(Request& request, const core::JobAnswer& answer) {
   if (answer.state != core::JobState::kFailed) return std::nullopt;
   if (answer.error.kind == core::ErrorKind::kRecovering) {
     const core::TimePoint now = clock_.now();
--- a/src/zinniamuxd/owned_shard.cc
+++ b/src/zinniamuxd/owned_shard.cc
@@ -36,25 +36,24 @@
     const std::lock_guard lock(mutex_);
     read_agents_at_.reset();
   }
-  store_.ReadRow(
-      adapters::AgentsRowKey(options_.shard),
-      [weak = weak_from_this()](const core::Result<std::optional<core::TableRow>>& row) {
-        const auto self = weak.lock();
-        if (self == nullptr) return;
-        core::Result<std::set<std::string>> agents;
-        if (!row) {
-          agents = tl::unexpected(row.error());
-        } else if (*row) {
-          agents = adapters::ParseAgentsRow((*row)->value);
-        }
-        if (agents) {
-          self->Run(*std::move(agents));
-          return;
-        }
-        self->hooks_.on_problem("agents row: " + agents.error().message);
-        const std::lock_guard lock(self->mutex_);
-        self->read_agents_at_ = self->clock_.now() + kStoreRetryPeriod;
-      });
+  store_.ReadRow(adapters::AgentsRowKey(options_.shard),
+                 [weak = weak_from_this()](const core::Result<std::optional<core::TableRow>>& row) {
+                   const auto self = weak.lock();
+                   if (self == nullptr) return;
+                   core::Result<std::set<std::string>> agents;
+                   if (!row) {
+                     agents = tl::unexpected(row.error());
+                   } else if (*row) {
+                     agents = adapters::ParseAgentsRow((*row)->value);
+                   }
+                   if (agents) {
+                     self->Run(*std::move(agents));
+                     return;
+                   }
+                   self->hooks_.on_problem("agents row: " + agents.error().message);
+                   const std::lock_guard lock(self->mutex_);
+                   self->read_agents_at_ = self->clock_.now() + kStoreRetryPeriod;
+                 });
 }
 
 void OwnedShard::Run(std::set<std::string> expected_agents) {
@@ -196,9 +195,8 @@
   if (message.has_refusal()) seen_epoch = message.refusal().epoch();
   if (message.has_fence_reply()) seen_epoch = message.fence_reply().epoch();
   if (seen_epoch > options_.epoch) hooks_.on_epoch_seen(seen_epoch);
-  return runtime->Apply([&](core::ShardDispatcher& dispatcher) {
-    Apply(dispatcher, agent_id, std::move(message));
-  });
+  return runtime->Apply(
+      [&](core::ShardDispatcher& dispatcher) { Apply(dispatcher, agent_id, std::move(message)); });
 }
 
 void OwnedShard::Apply(core::ShardDispatcher& dispatcher, const std::string& agent_id,
@@ -224,8 +222,7 @@
     case v1::AgentMessage::kFenceReply: {
       v1::FenceReply* reply = message.mutable_fence_reply();
       dispatcher.OnLedger(agent_id, reply->epoch(),
-                          rpc::FromProto(std::move(*reply->mutable_records())),
-                          reply->last_part());
+                          rpc::FromProto(std::move(*reply->mutable_records())), reply->last_part());
       break;
     }
     default:
@@ -264,6 +261,13 @@
   });
 }
 
+std::map<std::string, std::uint32_t> OwnedShard::UsedSlots() const {
+  const auto runtime = Runtime();
+  if (runtime == nullptr) return {};
+  return runtime->Read(
+      [](const core::ShardDispatcher& dispatcher) { return dispatcher.UsedSlots(); });
+}
+
 void OwnedShard::CarryOut(core::DispatcherAction action) {
   v1::EntryMessage message;
   if (auto* dispatch = std::get_if<core::SendDispatch>(&action)) {
@@ -330,31 +334,30 @@
     instances = *std::exchange(agents_to_write_, std::nullopt);
   }
   const std::vector<std::string> names(instances.begin(), instances.end());
-  store_.Commit(
-      {.conditions = {{.key = adapters::ShardRowKey(options_.shard),
-                       .version = options_.row_version}},
-       .puts = {{.key = adapters::AgentsRowKey(options_.shard),
-                 .value = adapters::AgentsRowJson(options_.epoch, names)}}},
-      [weak = weak_from_this(), instances](core::CommitOutcome outcome) {
-        const auto self = weak.lock();
-        if (self == nullptr) return;
-        {
-          const std::lock_guard lock(self->mutex_);
-          self->writing_agents_ = false;
-          if (outcome != core::CommitOutcome::kCommitted) {
-            // A newer set takes the place of the one that was not written.
-            if (!self->agents_to_write_) self->agents_to_write_ = instances;
-            self->write_agents_at_ = self->clock_.now() + kStoreRetryPeriod;
-          }
-        }
-        if (outcome == core::CommitOutcome::kConflict) self->hooks_.on_row_outdated();
-        if (outcome != core::CommitOutcome::kCommitted) return;
-        if (const auto runtime = self->Runtime()) {
-          runtime->Apply([&](core::ShardDispatcher& dispatcher) {
-            dispatcher.OnAgentsPersisted(instances);
-          });
-        }
-      });
+  store_.Commit({.conditions = {{.key = adapters::ShardRowKey(options_.shard),
+                                 .version = options_.row_version}},
+                 .puts = {{.key = adapters::AgentsRowKey(options_.shard),
+                           .value = adapters::AgentsRowJson(options_.epoch, names)}}},
+                [weak = weak_from_this(), instances](core::CommitOutcome outcome) {
+                  const auto self = weak.lock();
+                  if (self == nullptr) return;
+                  {
+                    const std::lock_guard lock(self->mutex_);
+                    self->writing_agents_ = false;
+                    if (outcome != core::CommitOutcome::kCommitted) {
+                      // A newer set takes the place of the one that was not written.
+                      if (!self->agents_to_write_) self->agents_to_write_ = instances;
+                      self->write_agents_at_ = self->clock_.now() + kStoreRetryPeriod;
+                    }
+                  }
+                  if (outcome == core::CommitOutcome::kConflict) self->hooks_.on_row_outdated();
+                  if (outcome != core::CommitOutcome::kCommitted) return;
+                  if (const auto runtime = self->Runtime()) {
+                    runtime->Apply([&](core::ShardDispatcher& dispatcher) {
+                      dispatcher.OnAgentsPersisted(instances);
+                    });
+                  }
+                });
 }
 
 }  // namespace zinniamux::daemon
--- a/src/zinniamuxd/owned_shard.h
+++ b/src/zinniamuxd/owned_shard.h
@@ -29,7 +29,8 @@
   struct Options {
     std::uint32_t shard = 0;
     std::uint64_t epoch = 0;
-    // Version of the shard row that names this owner; every write of the owner is conditional on it.
+    // Version of the shard row that names this owner; every write of the owner is conditional on
+    // it.
     std::uint64_t row_version = 0;
     // The entry's incarnation.
     std::uint64_t incarnation = 0;
@@ -83,6 +84,8 @@
   // Nothing if the shard is not running.
   std::optional<Figures> figures() const;
   std::size_t unfinished() const;
+  // Slots in use by agent id; empty if the shard is not running.
+  std::map<std::string, std::uint32_t> UsedSlots() const;
 
  private:
   std::shared_ptr<ShardRuntime> Runtime() const;
--- a/src/zinniamuxd/peer_client.cc
+++ b/src/zinniamuxd/peer_client.cc
@@ -65,9 +65,9 @@
   active_.erase(call_id);
 }
 
-template <typename Request, typename Method>
+template <typename Request, typename Start>
 PeerClient::CancelCall PeerClient::Call(Request request, core::Duration deadline,
-                                        ReplyCallback callback, Method method) {
+                                        ReplyCallback callback, Start start) {
   struct State {
     Request request;
     v1::JobAnswer response;
@@ -78,14 +78,13 @@
   state->request = std::move(request);
   state->lease = Begin(deadline);
   state->client = shared_from_this();
-  auto* async = state->lease.stub->async();
-  (async->*method)(state->lease.context.get(), &state->request, &state->response,
-                   [state, callback = std::move(callback)](const grpc::Status& status) {
-                     state->client->End(state->lease.call_id);
-                     PeerReply reply{.outcome = OutcomeOf(status), .channel = state->lease.channel};
-                     if (status.ok()) reply.answer = rpc::FromProto(std::move(state->response));
-                     callback(std::move(reply));
-                   });
+  start(*state->lease.stub->async(), state->lease.context.get(), &state->request, &state->response,
+        [state, callback = std::move(callback)](const grpc::Status& status) {
+          state->client->End(state->lease.call_id);
+          PeerReply reply{.outcome = OutcomeOf(status), .channel = state->lease.channel};
+          if (status.ok()) reply.answer = rpc::FromProto(std::move(state->response));
+          callback(std::move(reply));
+        });
   return [context = std::weak_ptr(state->lease.context)] {
     if (const auto alive = context.lock()) alive->TryCancel();
   };
@@ -93,26 +92,26 @@
 
 PeerClient::CancelCall PeerClient::Forward(v1::ForwardRequest request, core::Duration deadline,
                                            ReplyCallback callback) {
-  using Async = v1::EntryService::Stub::async;
-  using Method = void (Async::*)(grpc::ClientContext*, const v1::ForwardRequest*, v1::JobAnswer*,
-                                 std::function<void(grpc::Status)>);
-  return Call(std::move(request), deadline, std::move(callback), Method(&Async::Forward));
+  return Call(std::move(request), deadline, std::move(callback),
+              [](auto& async, auto* context, auto* message, auto* response, auto done) {
+                async.Forward(context, message, response, std::move(done));
+              });
 }
 
 PeerClient::CancelCall PeerClient::Fetch(v1::JobReference request, core::Duration deadline,
                                          ReplyCallback callback) {
-  using Async = v1::EntryService::Stub::async;
-  using Method = void (Async::*)(grpc::ClientContext*, const v1::JobReference*, v1::JobAnswer*,
-                                 std::function<void(grpc::Status)>);
-  return Call(std::move(request), deadline, std::move(callback), Method(&Async::FetchJob));
+  return Call(std::move(request), deadline, std::move(callback),
+              [](auto& async, auto* context, auto* message, auto* response, auto done) {
+                async.FetchJob(context, message, response, std::move(done));
+              });
 }
 
 PeerClient::CancelCall PeerClient::Cancel(v1::JobReference request, core::Duration deadline,
                                           ReplyCallback callback) {
-  using Async = v1::EntryService::Stub::async;
-  using Method = void (Async::*)(grpc::ClientContext*, const v1::JobReference*, v1::JobAnswer*,
-                                 std::function<void(grpc::Status)>);
-  return Call(std::move(request), deadline, std::move(callback), Method(&Async::CancelJob));
+  return Call(std::move(request), deadline, std::move(callback),
+              [](auto& async, auto* context, auto* message, auto* response, auto done) {
+                async.CancelJob(context, message, response, std::move(done));
+              });
 }
 
 void PeerClient::Heartbeat(v1::PeerStatus status, core::Duration deadline,
--- a/src/zinniamuxd/peer_client.h
+++ b/src/zinniamuxd/peer_client.h
@@ -76,8 +76,8 @@
     std::shared_ptr<grpc::ClientContext> context;
   };
 
-  template <typename Request, typename Method>
-  CancelCall Call(Request request, core::Duration deadline, ReplyCallback callback, Method method);
+  template <typename Request, typename Start>
+  CancelCall Call(Request request, core::Duration deadline, ReplyCallback callback, Start start);
   Lease Begin(core::Duration deadline);
   void End(std::uint64_t call_id);
 
--- a/src/zinniamuxd/peer_exchange.h
+++ b/src/zinniamuxd/peer_exchange.h
@@ -17,8 +17,8 @@
 
 namespace zinniamux::daemon {
 
-// Sends a heartbeat to every other entry each second and keeps a client for each. Thread-safe. Create
-// with std::make_shared.
+// Sends a heartbeat to every other entry each second and keeps a client for each. Thread-safe.
+// Create with std::make_shared.
 class PeerExchange : public std::enable_shared_from_this<PeerExchange> {
  public:
   struct Options {
--- a/src/zinniamuxd/roster_service.cc
+++ b/src/zinniamuxd/roster_service.cc
@@ -48,31 +48,31 @@
 }
 
 void RosterService::WriteRow(const core::EntryRow& row) {
-  store_.Commit(
-      {.puts = {{.key = adapters::EntryRowKey(row.entry.entry_id), .value = adapters::ToJson(row)}}},
-      [self = weak_from_this()](core::CommitOutcome outcome) {
-        const auto alive = self.lock();
-        if (alive == nullptr) return;
-        alive->runner_.Apply([&](EntryRoster& roster) { roster.OnWriteDone(outcome); });
-      });
+  store_.Commit({.puts = {{.key = adapters::EntryRowKey(row.entry.entry_id),
+                           .value = adapters::ToJson(row)}}},
+                [self = weak_from_this()](core::CommitOutcome outcome) {
+                  const auto alive = self.lock();
+                  if (alive == nullptr) return;
+                  alive->runner_.Apply([&](EntryRoster& roster) { roster.OnWriteDone(outcome); });
+                });
 }
 
 void RosterService::ReadRows() {
-  store_.ReadRows(
-      std::string(adapters::kEntryRowPrefix),
-      [self = weak_from_this()](const core::Result<std::vector<core::TableRow>>& rows) {
-        const auto alive = self.lock();
-        if (alive == nullptr) return;
-        core::Result<std::vector<core::VersionedEntryRow>> parsed;
-        if (!rows) {
-          parsed = tl::unexpected(rows.error());
-        } else {
-          for (const core::TableRow& row : *rows) {
-            if (auto entry = adapters::ParseEntryRow(row)) parsed->push_back(*std::move(entry));
-          }
-        }
-        alive->runner_.Apply([&](EntryRoster& roster) { roster.OnRowsRead(parsed); });
-      });
+  store_.ReadRows(std::string(adapters::kEntryRowPrefix),
+                  [self = weak_from_this()](const core::Result<std::vector<core::TableRow>>& rows) {
+                    const auto alive = self.lock();
+                    if (alive == nullptr) return;
+                    core::Result<std::vector<core::VersionedEntryRow>> parsed;
+                    if (!rows) {
+                      parsed = tl::unexpected(rows.error());
+                    } else {
+                      for (const core::TableRow& row : *rows) {
+                        auto entry = adapters::ParseEntryRow(row);
+                        if (entry) parsed->push_back(*std::move(entry));
+                      }
+                    }
+                    alive->runner_.Apply([&](EntryRoster& roster) { roster.OnRowsRead(parsed); });
+                  });
 }
 
 }  // namespace zinniamux::daemon
--- a/src/zinniamuxd/rpc_service.cc
+++ b/src/zinniamuxd/rpc_service.cc
@@ -8,9 +8,7 @@
 namespace zinniamux::daemon {
 
 RpcService::RpcService(Hooks hooks, const core::Clock& clock)
-    : hooks_(std::move(hooks)),
-      clock_(clock),
-      in_flight_(std::make_shared<std::atomic<int>>(0)) {}
+    : hooks_(std::move(hooks)), clock_(clock), in_flight_(std::make_shared<std::atomic<int>>(0)) {}
 
 grpc::ServerBidiReactor<v1::AgentMessage, v1::EntryMessage>* RpcService::Attach(
     grpc::CallbackServerContext* context) {
--- a/src/zinniamuxd/shard_host.cc
+++ b/src/zinniamuxd/shard_host.cc
@@ -18,7 +18,7 @@
       clock_(clock),
       hooks_(std::move(hooks)),
       runner_(ShardOwnership(std::move(options), clock),
-              [this](core::OwnershipAction action) { CarryOut(std::move(action)); }) {}
+              [this](const core::OwnershipAction& action) { CarryOut(action); }) {}
 
 void ShardHost::OnTimer() {
   Apply([](ShardOwnership& ownership) { ownership.OnTimer(); });
@@ -29,7 +29,7 @@
 
 void ShardHost::OnOwnedRunning() { hooks_.on_route_changed(); }
 
-void ShardHost::CarryOut(core::OwnershipAction action) {
+void ShardHost::CarryOut(const core::OwnershipAction& action) {
   if (std::holds_alternative<core::ReadShardRow>(action)) {
     ReadRow();
   } else if (const auto* write = std::get_if<core::WriteShardRow>(&action)) {
@@ -44,30 +44,29 @@
 }
 
 void ShardHost::ReadRow() {
-  store_.ReadRow(
-      adapters::ShardRowKey(shard_),
-      [weak = weak_from_this(),
-       started_at = clock_.now()](const core::Result<std::optional<core::TableRow>>& read) {
-        const auto self = weak.lock();
-        if (self == nullptr) return;
-        core::Result<core::VersionedShardRow> row;
-        if (!read) {
-          row = tl::unexpected(read.error());
-        } else if (*read) {
-          core::Result<core::ShardRow> parsed = adapters::ParseShardRow((*read)->value);
-          if (parsed) {
-            row->row = *std::move(parsed);
-            row->version = (*read)->version;
-          } else {
-            row = tl::unexpected(std::move(parsed).error());
-            self->hooks_.on_problem(row.error().message);
-          }
-        }
-        self->Apply([&](ShardOwnership& ownership) { ownership.OnRowRead(row); });
-        const auto owned = self->owned();
-        if (owned == nullptr || !row || !row->row) return;
-        if (row->row->epoch == owned->epoch()) owned->OnOwnershipConfirmed(started_at);
-      });
+  store_.ReadRow(adapters::ShardRowKey(shard_),
+                 [weak = weak_from_this(), started_at = clock_.now()](
+                     const core::Result<std::optional<core::TableRow>>& read) {
+                   const auto self = weak.lock();
+                   if (self == nullptr) return;
+                   core::Result<core::VersionedShardRow> row;
+                   if (!read) {
+                     row = tl::unexpected(read.error());
+                   } else if (*read) {
+                     core::Result<core::ShardRow> parsed = adapters::ParseShardRow((*read)->value);
+                     if (parsed) {
+                       row->row = *std::move(parsed);
+                       row->version = (*read)->version;
+                     } else {
+                       row = tl::unexpected(std::move(parsed).error());
+                       self->hooks_.on_problem(row.error().message);
+                     }
+                   }
+                   self->Apply([&](ShardOwnership& ownership) { ownership.OnRowRead(row); });
+                   const auto owned = self->owned();
+                   if (owned == nullptr || !row || !row->row) return;
+                   if (row->row->epoch == owned->epoch()) owned->OnOwnershipConfirmed(started_at);
+                 });
 }
 
 void ShardHost::WriteRow(const core::WriteShardRow& write) {
--- a/src/zinniamuxd/shard_host.h
+++ b/src/zinniamuxd/shard_host.h
@@ -65,7 +65,7 @@
  private:
   using Runner = ActionRunner<core::ShardOwnership, core::OwnershipAction>;
 
-  void CarryOut(core::OwnershipAction action);
+  void CarryOut(const core::OwnershipAction& action);
   void ReadRow();
   void WriteRow(const core::WriteShardRow& write);
   void StartOwning(const core::StartOwning& start);
--- a/src/zinniamuxd/shard_runtime.cc
+++ b/src/zinniamuxd/shard_runtime.cc
@@ -44,8 +44,8 @@
 
 void ShardRuntime::Cancel(const std::string& submission_id, const RouteCallback& callback) {
   core::Result<core::JobAnswer> answer;
-  const bool applied = Apply(
-      [&](core::ShardDispatcher& dispatcher) { answer = dispatcher.Cancel(submission_id); });
+  const bool applied =
+      Apply([&](core::ShardDispatcher& dispatcher) { answer = dispatcher.Cancel(submission_id); });
   if (!applied) {
     callback(std::nullopt);
     return;
--- a/src/zinniamuxd/shard_runtime.h
+++ b/src/zinniamuxd/shard_runtime.h
@@ -3,8 +3,8 @@
 #define ZINNIAMUX_ZINNIAMUXD_SHARD_RUNTIME_H_
 
 #include <functional>
-#include <optional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -18,7 +18,8 @@
 // to go to the new owner.
 using RouteCallback = std::function<void(std::optional<core::JobAnswer>)>;
 
-// Feeds events to a ShardDispatcher under the shard's lock and carries out its actions. Thread-safe.
+// Feeds events to a ShardDispatcher under the shard's lock and carries out its actions.
+// Thread-safe.
 class ShardRuntime {
  public:
   struct Hooks {
