--- a/tests/unit/start_ledger_test.cc
+++ b/tests/unit/start_ledger_test.cc
@@ -23,6 +23,8 @@
   StartLedger ledger({}, clock);
   cr_assert(ledger.Revoke(kTask, kRetention).state == TaskState::kRevoked);
   cr_assert(!ledger.TryStart(kTask, {}, kRetention));
+  ledger.Finish({.key = kTask, .state = TaskState::kFinished});
+  cr_assert(ledger.Find(kTask)->state == TaskState::kRevoked);
 }
 
 // Guards against a record that is forgotten while the task may be submitted again, and against one
