--- a/src/core/shard_dispatcher.cc
+++ b/src/core/shard_dispatcher.cc
@@ -87,7 +87,7 @@
     // A job that ended untouched for a passing reason is admitted again.
     const bool again = job.finished() && job.answer().state == JobState::kFailed &&
                        job.untouched() && RowOf(job.answer().error.kind).retryable;
-    if (!again) return job.CurrentAnswer();
+    if (!again) return CurrentAnswer(job);
     jobs_.erase(known);
   }
   if (superseded_ || frozen_) {
@@ -170,6 +170,13 @@
          clock_.now() - ownership_confirmed_at_ < validity;
 }
 
+// A retained answer outlives the ownership under which its claim was made.
+JobAnswer ShardDispatcher::CurrentAnswer(const Job& job) const {
+  JobAnswer answer = job.CurrentAnswer();
+  answer.not_run = answer.not_run && MayClaimNotRun();
+  return answer;
+}
+
 JobAnswer ShardDispatcher::Admit(Submission submission) {
   const std::string id = submission.id;
   return Enter(jobs_.emplace(id, JobEntry(std::move(submission))).first->second);
@@ -216,7 +223,7 @@
   EnqueuePending(entry);
   Settle(entry);
   PlaceQueued();
-  return job.CurrentAnswer();
+  return CurrentAnswer(job);
 }
 
 void ShardDispatcher::OnClaimDecided(const std::string& submission_id, ClaimDecision decision) {
@@ -244,7 +251,7 @@
 Result<JobAnswer> ShardDispatcher::Fetch(std::string_view submission_id) const {
   const std::string id(submission_id);
   if (const auto found = jobs_.find(id); found != jobs_.end()) {
-    return found->second.job.CurrentAnswer();
+    return CurrentAnswer(found->second.job);
   }
   if (const RecoveredJob* recovered = recovered_.Find(id)) return AnswerOf(id, *recovered);
   if (recovering()) {
@@ -265,7 +272,7 @@
   JobEntry& entry = found->second;
   FailJob(entry, {ErrorKind::kCancelled, "cancelled by the caller", {}});
   Settle(entry);
-  return entry.job.CurrentAnswer();
+  return CurrentAnswer(entry.job);
 }
 
 void ShardDispatcher::OnConfig(DispatchConfig config) {
--- a/src/core/shard_dispatcher.h
+++ b/src/core/shard_dispatcher.h
@@ -163,6 +163,7 @@
   JobAnswer Enter(JobEntry& entry);
   bool MayPlace() const { return !superseded_ && !frozen_ && config_.version > 0; }
   bool MayClaimNotRun() const;
+  JobAnswer CurrentAnswer(const Job& job) const;
 
   // Queue and placement.
   void Enqueue(const TaskKey& key);
--- a/tests/unit/shard_dispatcher_test.cc
+++ b/tests/unit/shard_dispatcher_test.cc
@@ -198,9 +198,9 @@
   shard.dispatcher.Submit(MakeSubmission("x", 1));
   shard.Refuse("a", "x", RefusalReason::kStaleEpoch, kEpoch);
   cr_assert(!shard.dispatcher.superseded());
+  shard.dispatcher.TakeActions();
   shard.Refuse("a", "x", RefusalReason::kStaleEpoch, kEpoch + 1);
   cr_assert(shard.dispatcher.superseded());
-  shard.Take<SendDispatch>();
   shard.dispatcher.Submit(MakeSubmission("y", 1));
   shard.dispatcher.OnTimer();
   cr_assert(shard.Take<SendDispatch>().empty());
