--- a/src/adapters/json_log.cc
+++ b/src/adapters/json_log.cc
@@ -18,6 +18,8 @@
 namespace zinniamux::adapters {
 namespace {
 
+constexpr std::size_t kMaxBufferBytes = 64U << 10U;
+
 using SystemTime = std::chrono::system_clock::time_point;
 
 log4cxx::LevelPtr ToLog4cxx(LogLevel level) {
@@ -137,6 +139,7 @@
       lock.unlock();
       for (const Line& line : lines) Print(line);
       ReportDropped();
+      WriteBuffer();
       lock.lock();
       written_ += lines.size();
       lines.clear();
@@ -158,8 +161,17 @@
     object["level"] = LevelName(line.level);
     object["event"] = line.event;
     object["process"] = options_.process;
-    logger_->forcedLog(ToLog4cxx(line.level),
-                       object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    if (!buffer_.empty()) buffer_ += '\n';
+    // ASCII only, because log4cxx replaces other characters in the C locale.
+    buffer_ += object.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+    if (buffer_.size() >= kMaxBufferBytes) WriteBuffer();
+  }
+
+  // Hands several lines to log4cxx at once: its work per call is larger than the formatting.
+  void WriteBuffer() {
+    if (buffer_.empty()) return;
+    logger_->forcedLog(ToLog4cxx(options_.level), buffer_);
+    buffer_.clear();
   }
 
   void ReportDropped() {
@@ -184,7 +196,9 @@
   std::uint64_t written_ = 0;
   bool stopping_ = false;
   std::atomic<std::uint64_t> dropped_{0};
-  // Used by the writer thread only: how many drops the last report covered.
+  // Used by the writer thread only: lines that are formatted, and how many drops the last report
+  // covered.
+  std::string buffer_;
   std::uint64_t reported_ = 0;
   std::thread thread_;
 };
--- a/src/zinniamuxctl/command_line.cc
+++ b/src/zinniamuxctl/command_line.cc
@@ -64,7 +64,7 @@
   const bool admin = server == Server::kAdmin;
   const std::string option = admin ? "--server" : "--caller";
   const std::string variable = admin ? kAdminVariable : kCallerVariable;
-  const std::string address = ValueOr(admin ? admin_ : caller_, variable.c_str());
+  std::string address = ValueOr(admin ? admin_ : caller_, variable.c_str());
   if (address.empty()) {
     throw TCLAP::CmdLineParseException("give " + option + " IP:PORT or set " + variable);
   }
--- a/tests/unit/json_log_test.cc
+++ b/tests/unit/json_log_test.cc
@@ -90,9 +90,11 @@
     log.WriteDeferred(LogLevel::kInfo, "throwing",
                       [](json& /*line*/) { throw std::runtime_error("no fields"); });
     log.Write(LogLevel::kInfo, "array", json::array({1, 2}));
+    log.Write(LogLevel::kInfo, "umlauts", {{"text", "gr\xc3\xbc\xc3\x9f"}});
   }
   const std::vector<json> lines = file.Lines();
-  cr_assert_eq(lines.size(), 3U);
+  cr_assert_eq(lines.size(), 4U);
   cr_assert(lines[1]["log_error"] == "no fields");
   cr_assert(lines[2]["fields"] == json::array({1, 2}));
+  cr_assert(lines[3]["text"] == "gr\xc3\xbc\xc3\x9f");
 }
