--- a/tests/support/fault_round.cc
+++ b/tests/support/fault_round.cc
@@ -64,7 +64,10 @@
   for (const JobReport& report : reports) {
     ++round.submitted;
     if (report.state == "complete") ++round.complete;
-    if (report.state == "failed") ++round.failed;
+    if (report.state == "failed") {
+      ++round.failed;
+      ++round.errors[report.error_kind];
+    }
     if (report.state.empty()) ++round.unanswered;
     if (report.not_run) ++round.refused_not_run;
     if (report.not_run && records.StartsOf(report.plan.id) > 0) ++round.false_not_run;
@@ -89,6 +92,7 @@
                                 {"submitted", submitted},
                                 {"complete", complete},
                                 {"failed", failed},
+                                {"errors", errors},
                                 {"refused_not_run", refused_not_run},
                                 {"unanswered", unanswered},
                                 {"lost_answers", lost_answers},
--- a/tests/support/fault_round.h
+++ b/tests/support/fault_round.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <span>
 #include <string>
 #include <vector>
@@ -31,6 +32,8 @@
   std::size_t complete = 0;
   std::size_t failed = 0;
   std::size_t refused_not_run = 0;
+  // Failed jobs by error kind.
+  std::map<std::string, std::size_t> errors;
   // Jobs without a final answer within the caller's patience.
   std::size_t unanswered = 0;
   // Connections that ended without an answer, whatever the fault.
