--- a/src/core/shard_dispatcher.cc
+++ b/src/core/shard_dispatcher.cc
@@ -724,7 +724,8 @@
 
 std::map<std::string, std::uint32_t> ShardDispatcher::UsedSlots() const {
   std::map<std::string, std::uint32_t> used;
-  for (const auto& [id, agent] : agents_) used[id] = agent.used_slots();
+  for (const auto& [id, agent] : agents_)
+    used[id] = static_cast<std::uint32_t>(agent.open_tasks.size());
   return used;
 }
 
