--- a/src/core/shard_ownership.cc
+++ b/src/core/shard_ownership.cc
@@ -87,8 +87,9 @@
   if (!store_answers_) return;
   if (row->row) {
     Adopt(*row->row);
-    const bool names_self = IsSelf(row->row->owner) && row->row->epoch >= highest_epoch_;
-    if (names_self && row->row->epoch > given_up_epoch_) Own(row->row->epoch, row->version);
+    if (IsSelf(row->row->owner) && row->row->epoch >= highest_epoch_) {
+      Own(row->row->epoch, row->version);
+    }
   }
   DecideWrite(*row);
 }
@@ -146,7 +147,6 @@
 }
 
 void ShardOwnership::GiveUp() {
-  given_up_epoch_ = owned_epoch_;
   handover_target_.reset();
   actions_.emplace_back(StopOwning{std::exchange(owned_epoch_, 0)});
 }
--- a/src/core/shard_ownership.h
+++ b/src/core/shard_ownership.h
@@ -137,10 +137,8 @@
   // When this entry may try to take over; set while the owner is missing.
   std::optional<TimePoint> turn_at_;
   std::uint64_t owned_epoch_ = 0;
-  // Invariants: neither ever decreases; this entry owns no epoch below highest_epoch_, and none up
-  // to given_up_epoch_ again.
+  // The highest epoch seen. Invariant: never decreases; this entry owns no epoch below it.
   std::uint64_t highest_epoch_ = 0;
-  std::uint64_t given_up_epoch_ = 0;
   Operation operation_ = Operation::kNone;
   // The row of the write under way.
   ShardRow written_;
