--- a/tests/property/agent_core_property_test.cc
+++ b/tests/property/agent_core_property_test.cc
@@ -1,9 +1,8 @@
 // AgentCore under arbitrary orders of messages from owners, old owners and the executor.
 #include <deque>
-#include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "core/agent_core.h"
@@ -164,9 +163,9 @@
   std::uint64_t epoch_ = 0;
   bool may_start_ = false;
   bool draining_ = false;
-  std::set<TaskKey> started_;
-  std::set<TaskKey> running_;
-  std::set<TaskKey> revoked_;
+  std::unordered_set<TaskKey, TaskKeyHash> started_;
+  std::unordered_set<TaskKey, TaskKeyHash> running_;
+  std::unordered_set<TaskKey, TaskKeyHash> revoked_;
 };
 
 // A stream that may end at any message, and the owner behind it.
@@ -270,8 +269,8 @@
   std::deque<Message> stream_;
   milliseconds last_processed_{0};
   std::deque<TaskKey> running_;
-  std::set<TaskKey> ended_;
-  std::set<TaskKey> known_;
+  std::unordered_set<TaskKey, TaskKeyHash> ended_;
+  std::unordered_set<TaskKey, TaskKeyHash> known_;
 };
 
 }  // namespace
