--- a/src/core/shard_dispatcher.cc
+++ b/src/core/shard_dispatcher.cc
@@ -18,6 +18,8 @@
 // A task that every free agent has revoked is tried again after this time.
 constexpr std::chrono::milliseconds kRevokedRetryDelay{50};
 
+// Instances are kept for minutes, so there is no need to look at all of them on every timer.
+constexpr std::chrono::milliseconds kInstanceExpiryPeriod{1000};
 // Jobs of which one pass tries a task that fits no free executor, before it gives up.
 constexpr std::size_t kMaxDeferredJobs = 16;
 
@@ -907,6 +909,8 @@
 // Records of an instance matter as long as a submission that it may have started can be
 // resubmitted.
 void ShardDispatcher::ExpireInstances(TimePoint now) {
+  if (now < expire_instances_at_) return;
+  expire_instances_at_ = now + kInstanceExpiryPeriod;
   for (auto& [id, agent] : agents_) {
     if (agent.attached) instances_[InstanceName(agent.instance())] = now;
   }
--- a/src/core/shard_dispatcher.h
+++ b/src/core/shard_dispatcher.h
@@ -256,6 +256,7 @@
   std::size_t queued_tasks_ = 0;
   std::size_t running_tasks_ = 0;
   TimePoint ownership_confirmed_at_;
+  TimePoint expire_instances_at_;
   bool superseded_ = false;
   bool frozen_ = false;
 };
--- a/tests/property/job_queue_property_test.cc
+++ b/tests/property/job_queue_property_test.cc
@@ -4,10 +4,10 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/job_queue.h"
-#include "core/task_record.h"
 #include "property/property.h"
 
 namespace {
@@ -17,10 +17,12 @@
 using zinniamux::core::Duration;
 using zinniamux::core::JobOrder;
 using zinniamux::core::JobQueue;
-using zinniamux::core::TaskKey;
 using zinniamux::core::TimePoint;
 using zinniamux::tests::CheckProperty;
 
+// Submission id and task index.
+using TaskId = std::pair<std::string, std::uint32_t>;
+
 const std::vector<std::string> kTeams{"anvil", "birch", "cedar"};
 
 TimePoint At(int ms) { return TimePoint(milliseconds(ms)); }
@@ -45,33 +47,33 @@
 // The tasks of live jobs by state, as the operations determine it.
 struct Model {
   std::map<std::string, std::string> team_of;
-  std::set<TaskKey> waiting;
-  std::set<TaskKey> running;
+  std::set<TaskId> waiting;
+  std::set<TaskId> running;
   std::set<std::string> removed;
 
   std::uint32_t Running(const std::string& team) const {
     return std::count_if(running.begin(), running.end(),
-                         [&](const TaskKey& key) { return team_of.at(key.submission_id) == team; });
+                         [&](const TaskId& key) { return team_of.at(key.first) == team; });
   }
 };
 
 template <typename Set>
-TaskKey AnyOf(const Set& set) {
+TaskId AnyOf(const Set& set) {
   return *std::next(set.begin(), *rc::gen::inRange<std::size_t>(0, set.size()));
 }
 
 void PopOne(JobQueue& queue, Model& model, const DispatchConfig& config) {
   const auto task = queue.Pop();
   if (!task) {
-    for (const TaskKey& key : model.waiting) {
-      const std::string& team = model.team_of.at(key.submission_id);
+    for (const TaskId& key : model.waiting) {
+      const std::string& team = model.team_of.at(key.first);
       const std::uint32_t limit = config.teams.at(team).max_running_tasks;
       RC_ASSERT(limit > 0U);
       RC_ASSERT(model.Running(team) == limit);
     }
     return;
   }
-  const TaskKey key{std::string(task->submission_id), task->task_index};
+  const TaskId key{std::string(task->submission_id), task->task_index};
   RC_ASSERT(model.waiting.erase(key) == 1U);
   model.running.insert(key);
   queue.OnTaskStarted(task->team);
@@ -82,7 +84,7 @@
 void RemoveJob(JobQueue& queue, Model& model, const std::string& id) {
   queue.Remove(id);
   model.removed.insert(id);
-  std::erase_if(model.waiting, [&](const TaskKey& key) { return key.submission_id == id; });
+  std::erase_if(model.waiting, [&](const TaskId& key) { return key.first == id; });
 }
 
 }  // namespace
@@ -115,17 +117,17 @@
       } else if (operation <= 4) {
         PopOne(queue, model, config);
       } else if (!model.running.empty() && operation == 5) {
-        const TaskKey key = AnyOf(model.running);
+        const TaskId key = AnyOf(model.running);
         model.running.erase(key);
-        queue.OnTaskEnded(model.team_of.at(key.submission_id));
+        queue.OnTaskEnded(model.team_of.at(key.first));
       } else if (!model.running.empty() && operation == 6) {
-        const TaskKey key = AnyOf(model.running);
+        const TaskId key = AnyOf(model.running);
         model.running.erase(key);
-        queue.OnTaskEnded(model.team_of.at(key.submission_id));
-        queue.Requeue(key.submission_id, key.task_index);
-        if (!model.removed.contains(key.submission_id)) model.waiting.insert(key);
+        queue.OnTaskEnded(model.team_of.at(key.first));
+        queue.Requeue(key.first, key.second);
+        if (!model.removed.contains(key.first)) model.waiting.insert(key);
       } else if (!model.waiting.empty()) {
-        RemoveJob(queue, model, AnyOf(model.waiting).submission_id);
+        RemoveJob(queue, model, AnyOf(model.waiting).first);
       }
       RC_ASSERT(queue.size() == model.waiting.size());
       RC_ASSERT(queue.running() == model.running.size());
