demo: ports below the range of outgoing connections, and a prefix to move them

Cause: a run failed because an agent's port was in use; the ports were in the range that Linux gives to outgoing connections. Change: ports 27100 to 27133 by default; ZINNIAMUX_DEMO_PORTS moves all of them.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,6 +4,7 @@
 # both entries, and stops everything gracefully. The last line counts jobs as their callers saw them
 # and task starts as the executors recorded them; the exit code is not 0 if a count is wrong.
 # Usage: demo.sh [--hold]
+# ZINNIAMUX_DEMO_PORTS, 271 by default, holds the first three of the five digits of all ports.
 #   --hold  after the start, print the addresses and wait for Enter or a signal instead of submitting
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -18,9 +19,16 @@
 
 run=$(mktemp -d)
 ctl=$build/src/zinniamuxctl
-entry_1=127.0.0.1:34101
-entry_2=127.0.0.1:34111
-export ZINNIAMUX_ADMIN=127.0.0.1:34102
+# Below the range that Linux gives to outgoing connections, so that none of them takes a port first.
+ports=${ZINNIAMUX_DEMO_PORTS:-271}
+caller_1=127.0.0.1:${ports}01
+caller_2=127.0.0.1:${ports}11
+admin_1=127.0.0.1:${ports}02
+admin_2=127.0.0.1:${ports}12
+export ZINNIAMUX_ADMIN=$admin_1
+for file in samples/demo/{entry,agent}-*.yaml; do
+  sed "s/127\.0\.0\.1:271/127.0.0.1:$ports/g" "$file" >"$run/${file##*/}"
+done
 config=(samples/demo/teams.zinniamux.yaml samples/arkivhylse/services samples/sundarban/services)
 
 # Processes by name, started in this order.
@@ -79,26 +87,26 @@
 }
 
 echo "demo: starting processes"
-start platform "$build/tests/platform_standin" --port 34100
-for n in 1 2; do start "entry-$n" "$build/src/zinniamuxd" --settings "samples/demo/entry-$n.yaml"; done
+start platform "$build/tests/platform_standin" --port "${ports}00"
+for n in 1 2; do start "entry-$n" "$build/src/zinniamuxd" --settings "$run/entry-$n.yaml"; done
 for n in 1 2 3; do
-  start "agent-$n" "$build/src/zinniamuxd" --settings "samples/demo/agent-$n.yaml"
-  start "executor-$n" "$build/tests/executor_standin" --id "executor-$n" --port "3413$n" \
-    --agent "127.0.0.1:3412$n" --record "$run/executor-$n.record"
+  start "agent-$n" "$build/src/zinniamuxd" --settings "$run/agent-$n.yaml"
+  start "executor-$n" "$build/tests/executor_standin" --id "executor-$n" --port "${ports}3$n" \
+    --agent "127.0.0.1:${ports}2$n" --record "$run/executor-$n.record"
 done
-wait_for "entry 1" curl -fsS http://127.0.0.1:34102/healthz
-wait_for "entry 2" curl -fsS http://127.0.0.1:34112/healthz
+wait_for "entry 1" curl -fsS "http://$admin_1/healthz"
+wait_for "entry 2" curl -fsS "http://$admin_2/healthz"
 
 echo "demo: publishing the configuration"
 "$ctl" publish --author demo "${config[@]}"
-wait_for "readiness of entry 1" curl -fsS http://127.0.0.1:34102/readyz
-wait_for "readiness of entry 2" curl -fsS http://127.0.0.1:34112/readyz
-wait_for "three executors at entry 1" has_executors 127.0.0.1:34102
-wait_for "three executors at entry 2" has_executors 127.0.0.1:34112
+wait_for "readiness of entry 1" curl -fsS "http://$admin_1/readyz"
+wait_for "readiness of entry 2" curl -fsS "http://$admin_2/readyz"
+wait_for "three executors at entry 1" has_executors "$admin_1"
+wait_for "three executors at entry 2" has_executors "$admin_2"
 "$ctl" executors
 
 if [ "$hold" = yes ]; then
-  echo "demo: callers at $entry_1 and $entry_2, operators at 127.0.0.1:34102 and 127.0.0.1:34112"
+  echo "demo: callers at $caller_1 and $caller_2, operators at $admin_1 and $admin_2"
   echo "demo: press Enter to stop"
   read -r _ || true
 else
@@ -110,25 +118,25 @@
     callers+=($!)
   }
   for n in 1 2 3 4 5; do
-    submit $entry_1 "stock-$n" samples/arkivhylse/services/stock/lookup.json
-    submit $entry_2 "price-$n" samples/arkivhylse/services/pricing/confirm.json
-    submit $entry_2 "certificate-$n" samples/sundarban/services/certificates/certificate.json
+    submit $caller_1 "stock-$n" samples/arkivhylse/services/stock/lookup.json
+    submit $caller_2 "price-$n" samples/arkivhylse/services/pricing/confirm.json
+    submit $caller_2 "certificate-$n" samples/sundarban/services/certificates/certificate.json
     jq ".request_key = \"hold-$n\"" samples/sundarban/services/reservations/hold.json \
       >"$run/hold-$n.json"
-    submit $entry_1 "hold-$n" "$run/hold-$n.json"
+    submit $caller_1 "hold-$n" "$run/hold-$n.json"
   done
   jq '.tasks[0].memory_mb = 10000000' samples/arkivhylse/services/stock/lookup.json \
     >"$run/too-large.json"
-  submit $entry_2 too-large "$run/too-large.json"
+  submit $caller_2 too-large "$run/too-large.json"
   for caller in "${callers[@]}"; do wait "$caller" || true; done
 
   echo "demo: sending hold-1 again, through the other entry"
-  "$ctl" submit --json --caller $entry_2 --id hold-1 "$run/hold-1.json" >"$run/hold-1.again"
+  "$ctl" submit --json --caller $caller_2 --id hold-1 "$run/hold-1.json" >"$run/hold-1.again"
   if ! diff "$run/hold-1.answer" "$run/hold-1.again"; then
     echo "demo: the repeated submission got another answer"
     touch "$run/wrong"
   fi
-  "$ctl" explain --caller $entry_1 certificate-1 || "$ctl" explain --caller $entry_2 certificate-1
+  "$ctl" explain --caller $caller_1 certificate-1 || "$ctl" explain --caller $caller_2 certificate-1
 fi
 
 echo "demo: stopping"
--- a/src/zinniamuxctl/config_command.cc
+++ b/src/zinniamuxctl/config_command.cc
@@ -21,7 +21,7 @@
     "config show prints the configuration in force, config history its versions, and config diff\n"
     "what a publish of the folders would change (exit code 9 if anything).";
 constexpr const char* kExamples =
-    "  zinniamuxctl config show --server 127.0.0.1:34102\n"
+    "  zinniamuxctl config show --server 127.0.0.1:27102\n"
     "  zinniamuxctl config history\n"
     "  zinniamuxctl config diff samples/arkivhylse\n";
 
--- a/src/zinniamuxctl/executors_command.cc
+++ b/src/zinniamuxctl/executors_command.cc
@@ -12,7 +12,7 @@
 
 int ExecutorsCommand::Run(const std::vector<std::string>& words) {
   CommandLine line(name(), "Lists the executors of the deployment with their state and slots.",
-                   "  zinniamuxctl executors --server 127.0.0.1:34102\n"
+                   "  zinniamuxctl executors --server 127.0.0.1:27102\n"
                    "  zinniamuxctl executors --json\n");
   line.Parse(words);
   ApiClient client(line.Address(Server::kAdmin));
--- a/src/zinniamuxctl/publish_command.cc
+++ b/src/zinniamuxctl/publish_command.cc
@@ -30,7 +30,7 @@
     "since the base version. A lost answer is asked for again with the same token, so a publish\n"
     "takes effect at most once.";
 constexpr const char* kExamples =
-    "  zinniamuxctl publish --server 127.0.0.1:34102 samples/arkivhylse\n"
+    "  zinniamuxctl publish --server 127.0.0.1:27102 samples/arkivhylse\n"
     "  zinniamuxctl publish --base-version 17 services/\n"
     "  zinniamuxctl publish --author kari services/ teams/\n";
 
