agent, entry: publish the final ledger of a leaving agent

Cause: an agent that had left gracefully was still expected by the next owner, so every id without a record was refused with 'recovering' for up to 130 s after a planned replacement of both. Change: the agent writes its ledger to the object store before it exits; a new owner reads it for expected instances that are not attached. Ruled out: removing the agent from the row at once, as a resubmission could then start its tasks again. The test of graceful stops now requires that only repeated request keys fail; its earlier sum did not allow for those planned refusals.

--- a/src/adapters/row_codec.cc
+++ b/src/adapters/row_codec.cc
@@ -19,6 +19,10 @@
 
 std::string AgentsRowKey(std::uint32_t shard) { return "agents/" + std::to_string(shard); }
 
+std::string DepartedLedgerKey(std::uint32_t shard, std::string_view instance_name) {
+  return "ledger/" + std::to_string(shard) + "/" + std::string(instance_name);
+}
+
 std::string EntryRowKey(std::string_view entry_id) {
   return std::string(kEntryRowPrefix) + std::string(entry_id);
 }
--- a/src/adapters/row_codec.h
+++ b/src/adapters/row_codec.h
@@ -20,6 +20,8 @@
 std::string ShardRowKey(std::uint32_t shard);
 std::string AgentsRowKey(std::uint32_t shard);
 std::string EntryRowKey(std::string_view entry_id);
+// The object that holds the final ledger of an agent instance that left gracefully.
+std::string DepartedLedgerKey(std::uint32_t shard, std::string_view instance_name);
 
 // {"epoch", "owner_id", "incarnation", "rpc_address"}.
 std::string ToJson(const core::ShardRow& row);
--- a/src/core/agent_core.h
+++ b/src/core/agent_core.h
@@ -58,6 +58,8 @@
   AgentCore(Options options, const Clock& clock);
 
   AgentHello Hello() const;
+  // Everything that a new owner has to know about starts on this agent.
+  std::vector<TaskOutcome> LedgerRecords() const { return ledger_.Records(); }
 
   void OnDispatch(std::string_view entry_id, DispatchOrder order);
   // Answered like Reconcile, so that the owner learns whether the task had started.
--- a/src/core/agent_instance.h
+++ b/src/core/agent_instance.h
@@ -2,8 +2,12 @@
 #ifndef ZINNIAMUX_CORE_AGENT_INSTANCE_H_
 #define ZINNIAMUX_CORE_AGENT_INSTANCE_H_
 
+#include <charconv>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <system_error>
 
 namespace zinniamux::core {
 
@@ -21,6 +25,18 @@
   return instance.agent_id + "@" + std::to_string(instance.incarnation);
 }
 
+// The instance that a name of InstanceName stands for; nothing for an agent id alone.
+inline std::optional<AgentInstance> ParseInstanceName(std::string_view name) {
+  const std::size_t separator = name.rfind('@');
+  if (separator == std::string_view::npos) return std::nullopt;
+  const std::string_view digits = name.substr(separator + 1);
+  std::uint64_t incarnation = 0;
+  const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), incarnation);
+  if (parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size()) return std::nullopt;
+  return AgentInstance{.agent_id = std::string(name.substr(0, separator)),
+                       .incarnation = incarnation};
+}
+
 }  // namespace zinniamux::core
 
 #endif  // ZINNIAMUX_CORE_AGENT_INSTANCE_H_
--- a/src/core/shard_dispatcher.cc
+++ b/src/core/shard_dispatcher.cc
@@ -417,10 +417,25 @@
   OnOutcomes(agent_id, std::move(records));
   if (!last_part) return;
   agent.ledger_merged = true;
+  OnLedgerMerged(agent.instance());
+  PlaceQueued();
+}
+
+void ShardDispatcher::OnDepartedLedger(const AgentInstance& instance,
+                                       std::vector<TaskOutcome> records) {
+  for (TaskOutcome& record : records) MergeRecord(instance, std::move(record));
+  OnLedgerMerged(instance);
+  PlaceQueued();
+}
+
+void ShardDispatcher::OnLedgerMerged(const AgentInstance& instance) {
   const bool was_complete = recovery_.complete();
-  recovery_.OnLedgerMerged(agent.instance());
+  recovery_.OnLedgerMerged(instance);
   if (!was_complete && recovery_.complete()) ReleaseWithheld();
-  PlaceQueued();
+}
+
+std::set<std::string> ShardDispatcher::UnheardInstances() const {
+  return recovering() ? recovery_.unheard() : std::set<std::string>();
 }
 
 void ShardDispatcher::OnRefusal(std::string_view agent_id, std::span<const TaskKey> tasks,
@@ -508,24 +523,28 @@
 
 void ShardDispatcher::ApplyOutcome(Agent& agent, TaskOutcome outcome) {
   const TaskKey key = outcome.key;
-  JobEntry* entry = FindTask(key);
   if (outcome.state == TaskState::kRunning) {
     OpenTask(agent, key);
   } else {
     CloseTask(agent, key);
   }
+  MergeRecord(agent.instance(), std::move(outcome));
+}
+
+void ShardDispatcher::MergeRecord(const AgentInstance& instance, TaskOutcome outcome) {
+  JobEntry* entry = FindTask(outcome.key);
   if (entry == nullptr) {
-    recovered_.Merge(agent.instance(), std::move(outcome), clock_.now());
+    recovered_.Merge(instance, std::move(outcome), clock_.now());
     return;
   }
-  ApplyToJob(*entry, agent, std::move(outcome));
+  ApplyToJob(*entry, instance, std::move(outcome));
   Settle(*entry);
 }
 
-void ShardDispatcher::ApplyToJob(JobEntry& entry, const Agent& agent, TaskOutcome outcome) {
+void ShardDispatcher::ApplyToJob(JobEntry& entry, const AgentInstance& instance,
+                                 TaskOutcome outcome) {
   Job& job = entry.job;
   const std::uint32_t index = outcome.key.task_index;
-  const AgentInstance instance = agent.instance();
   const bool held = job.IsHeldBy(index, instance);
   const bool unplaced =
       job.phase(index) == Job::Phase::kPending || job.phase(index) == Job::Phase::kWithheld;
@@ -726,7 +745,8 @@
 
 std::map<std::string, std::uint32_t> ShardDispatcher::UsedSlots() const {
   std::map<std::string, std::uint32_t> used;
-  for (const auto& [id, agent] : agents_) used[id] = static_cast<std::uint32_t>(agent.open_tasks.size());
+  for (const auto& [id, agent] : agents_)
+    used[id] = static_cast<std::uint32_t>(agent.open_tasks.size());
   return used;
 }
 
--- a/src/core/shard_dispatcher.h
+++ b/src/core/shard_dispatcher.h
@@ -89,6 +89,8 @@
   // answer; a higher one than this owner's says that the fence was not accepted.
   void OnLedger(std::string_view agent_id, std::uint64_t epoch, std::vector<TaskOutcome> records,
                 bool last_part);
+  // The final ledger of an agent instance that left gracefully, read from the object store.
+  void OnDepartedLedger(const AgentInstance& instance, std::vector<TaskOutcome> records);
   void OnClaimDecided(const std::string& submission_id, ClaimDecision decision);
   // The row `agents/<shard>` holds these instances.
   void OnAgentsPersisted(const std::set<std::string>& instances);
@@ -118,6 +120,8 @@
   bool superseded() const { return superseded_; }
   // Submission ids without a record may have been started under an earlier epoch.
   bool recovering() const { return recovery_.recovering(clock_.now()); }
+  // Instances whose ledgers are missing while the shard recovers; empty otherwise.
+  std::set<std::string> UnheardInstances() const;
 
  private:
   // The value is the task's team; empty if the job is not known here.
@@ -187,7 +191,9 @@
   // Outcomes.
   JobEntry* FindTask(const TaskKey& key);
   void ApplyOutcome(Agent& agent, TaskOutcome outcome);
-  void ApplyToJob(JobEntry& entry, const Agent& agent, TaskOutcome outcome);
+  void ApplyToJob(JobEntry& entry, const AgentInstance& instance, TaskOutcome outcome);
+  void MergeRecord(const AgentInstance& instance, TaskOutcome outcome);
+  void OnLedgerMerged(const AgentInstance& instance);
   void AdoptRecord(Job& job, const AgentInstance& agent, TaskOutcome outcome);
   // Places a task again that its agent has not started, if the team's retry budget allows.
   void Requeue(JobEntry& entry, std::uint32_t index, std::string_view reason);
--- a/src/zinniamuxd/agent_daemon.cc
+++ b/src/zinniamuxd/agent_daemon.cc
@@ -2,6 +2,7 @@
 #include "zinniamuxd/agent_daemon.h"
 
 #include <algorithm>
+#include <future>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string_view>
@@ -10,6 +11,8 @@
 #include <variant>
 
 #include "adapters/caller_codec.h"
+#include "adapters/row_codec.h"
+#include "core/agent_instance.h"
 #include "rpc/convert.h"
 #include "zinniamuxd/announcement.h"
 
@@ -35,6 +38,8 @@
 // Longer than a takeover takes (3 s of silence and a conditional write).
 constexpr std::chrono::seconds kAcknowledgeLimit{5};
 constexpr std::chrono::seconds kCloseLimit{3};
+// Longer than the deadline of a store request.
+constexpr milliseconds kPublishLimit{3000};
 constexpr milliseconds kShutdownPoll{10};
 // The longest deadline of a job; a bound for tasks that carry no time limit.
 constexpr std::chrono::minutes kMaxTaskTime{10};
@@ -565,10 +570,42 @@
     if (core_.running_tasks() > 0) continue;
     limit = std::min(limit, clock_.now() + kAcknowledgeLimit);
   }
+  PublishLedger();
   local_server_->Stop();
   CloseConnections();
 }
 
+void AgentDaemon::PublishLedger() {
+  if (store_ == nullptr) return;
+  v1::FenceReply ledger;
+  core::AgentInstance instance;
+  {
+    const std::lock_guard lock(mutex_);
+    // No task runs and none starts any more, so the ledger is final.
+    std::vector<core::TaskOutcome> records = core_.LedgerRecords();
+    AddOutcomes(records, *ledger.mutable_records());
+    const core::AgentHello hello = core_.Hello();
+    instance = {.agent_id = hello.agent_id, .incarnation = hello.incarnation};
+  }
+  ledger.set_shard(settings_.shard);
+  ledger.set_last_part(true);
+  auto written = std::make_shared<std::promise<core::Result<void>>>();
+  std::future<core::Result<void>> result = written->get_future();
+  store_->WriteObject(adapters::DepartedLedgerKey(settings_.shard, core::InstanceName(instance)),
+                      ledger.SerializeAsString(), [written](core::Result<void> outcome) {
+                        written->set_value(std::move(outcome));
+                      });
+  // Streams are kept alive meanwhile: an owner that fences this agent gets the ledger directly.
+  const core::TimePoint limit = clock_.now() + kPublishLimit;
+  while (result.wait_for(kShutdownPoll) != std::future_status::ready) {
+    if (clock_.now() >= limit) break;
+    OnTimer();
+  }
+  const bool done = result.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+  if (done && result.get().has_value()) return;
+  log_.Write(LogLevel::kWarning, "ledger_not_published", nlohmann::json::object());
+}
+
 bool AgentDaemon::ResultsDelivered(core::TimePoint limit) {
   const std::lock_guard lock(mutex_);
   if (core_.running_tasks() > 0) return false;
--- a/src/zinniamuxd/agent_daemon.h
+++ b/src/zinniamuxd/agent_daemon.h
@@ -88,6 +88,9 @@
   void OnShardRow(core::TimePoint requested_at,
                   const core::Result<std::optional<core::TableRow>>& row);
   bool ResultsDelivered(core::TimePoint limit);
+  // Writes the ledger to the object store, so that a new owner of the shard can read it after this
+  // process has ended. Waits for the store a bounded time.
+  void PublishLedger();
   void CloseConnections();
 
   const adapters::AgentSettings settings_;
--- a/src/zinniamuxd/owned_shard.cc
+++ b/src/zinniamuxd/owned_shard.cc
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds kStoreRetryPeriod{250};
 // Acknowledgements of this time go into one message per agent.
 constexpr std::chrono::milliseconds kAcknowledgePeriod{100};
+// A ledger that is missing is looked for again after this time.
+constexpr std::chrono::milliseconds kLedgerRereadPeriod{1000};
 // How long after the last proof of ownership "not run" is still claimed; the row is read each
 // second.
 constexpr std::chrono::milliseconds kOwnershipValidity{3000};
@@ -27,6 +29,7 @@
       agents_(agents),
       clock_(clock),
       acknowledge_at_(clock.now()),
+      reread_ledgers_at_(clock.now() + kLedgerRereadPeriod),
       write_agents_at_(clock.now()) {}
 
 void OwnedShard::Start() { ReadAgents(); }
@@ -47,7 +50,7 @@
                      agents = adapters::ParseAgentsRow((*row)->value);
                    }
                    if (agents) {
-                     self->Run(*std::move(agents));
+                     self->ReadDepartedLedgers(*std::move(agents));
                      return;
                    }
                    self->hooks_.on_problem("agents row: " + agents.error().message);
@@ -56,7 +59,71 @@
                  });
 }
 
-void OwnedShard::Run(std::set<std::string> expected_agents) {
+void OwnedShard::ReadDepartedLedger(const core::AgentInstance& instance,
+                                    std::function<void(std::optional<DepartedLedger>)> callback) {
+  store_.ReadObject(
+      adapters::DepartedLedgerKey(options_.shard, core::InstanceName(instance)),
+      [instance, callback = std::move(callback)](const core::Result<std::string>& body) {
+        v1::FenceReply ledger;
+        if (!body || !ledger.ParseFromString(*body)) return callback(std::nullopt);
+        callback(DepartedLedger{.instance = instance,
+                                .records = rpc::FromProto(std::move(*ledger.mutable_records()))});
+      });
+}
+
+void OwnedShard::ReadDepartedLedgers(std::set<std::string> expected_agents) {
+  struct Gathering {
+    std::mutex mutex;
+    std::size_t open = 1;
+    std::vector<DepartedLedger> ledgers;
+  };
+  auto gathering = std::make_shared<Gathering>();
+  const auto finish = [self = shared_from_this(), gathering,
+                       expected_agents](std::optional<DepartedLedger> ledger) {
+    {
+      const std::lock_guard lock(gathering->mutex);
+      if (ledger) gathering->ledgers.push_back(*std::move(ledger));
+      if (--gathering->open > 0) return;
+    }
+    self->Run(expected_agents, std::move(gathering->ledgers));
+  };
+  for (const std::string& name : expected_agents) {
+    const std::optional<core::AgentInstance> instance = core::ParseInstanceName(name);
+    if (!instance) continue;
+    const auto hello = agents_.Find(instance->agent_id);
+    if (hello && hello->incarnation == instance->incarnation) continue;
+    {
+      const std::lock_guard lock(gathering->mutex);
+      ++gathering->open;
+    }
+    ReadDepartedLedger(*instance, finish);
+  }
+  finish(std::nullopt);
+}
+
+void OwnedShard::RereadDepartedLedgers() {
+  {
+    const std::lock_guard lock(mutex_);
+    if (clock_.now() < reread_ledgers_at_) return;
+    reread_ledgers_at_ = clock_.now() + kLedgerRereadPeriod;
+  }
+  const auto runtime = Runtime();
+  if (runtime == nullptr) return;
+  const std::set<std::string> unheard = runtime->Read(
+      [](const core::ShardDispatcher& dispatcher) { return dispatcher.UnheardInstances(); });
+  for (const std::string& name : unheard) {
+    const std::optional<core::AgentInstance> instance = core::ParseInstanceName(name);
+    if (!instance) continue;
+    ReadDepartedLedger(*instance, [runtime](std::optional<DepartedLedger> ledger) {
+      if (!ledger) return;
+      runtime->Apply([&](core::ShardDispatcher& dispatcher) {
+        dispatcher.OnDepartedLedger(ledger->instance, std::move(ledger->records));
+      });
+    });
+  }
+}
+
+void OwnedShard::Run(std::set<std::string> expected_agents, std::vector<DepartedLedger> departed) {
   auto runtime = std::make_shared<ShardRuntime>(
       core::ShardDispatcher::Options{.shard = options_.shard,
                                      .epoch = options_.epoch,
@@ -84,6 +151,13 @@
           .on_superseded = [this](std::uint64_t) { hooks_.on_row_outdated(); },
           .on_problem = [this](const std::string& text) { hooks_.on_problem(text); }});
   claims->StartEpoch(options_.epoch, options_.row_version);
+  // Before any agent attaches: a new incarnation would make the records of the old one count as
+  // lost.
+  runtime->Apply([&](core::ShardDispatcher& dispatcher) {
+    for (DepartedLedger& ledger : departed) {
+      dispatcher.OnDepartedLedger(ledger.instance, std::move(ledger.records));
+    }
+  });
   if (const auto config = hooks_.config()) {
     runtime->Apply([&](core::ShardDispatcher& dispatcher) { dispatcher.OnConfig(*config); });
   }
@@ -144,6 +218,7 @@
   if (claims != nullptr) claims->OnTimer();
   SendAcknowledgements();
   WriteAgents();
+  RereadDepartedLedgers();
 }
 
 void OwnedShard::Submit(core::Submission submission, core::Duration wait, RouteCallback callback) {
--- a/src/zinniamuxd/owned_shard.h
+++ b/src/zinniamuxd/owned_shard.h
@@ -88,9 +88,20 @@
   std::map<std::string, std::uint32_t> UsedSlots() const;
 
  private:
+  struct DepartedLedger {
+    core::AgentInstance instance;
+    std::vector<core::TaskOutcome> records;
+  };
+
   std::shared_ptr<ShardRuntime> Runtime() const;
   void ReadAgents();
-  void Run(std::set<std::string> expected_agents);
+  // Reads the final ledgers of expected instances that are not attached, then runs the shard.
+  void ReadDepartedLedgers(std::set<std::string> expected_agents);
+  void Run(std::set<std::string> expected_agents, std::vector<DepartedLedger> departed);
+  // Looks again for ledgers of instances that left after the takeover began.
+  void RereadDepartedLedgers();
+  void ReadDepartedLedger(const core::AgentInstance& instance,
+                          std::function<void(std::optional<DepartedLedger>)> callback);
   void AttachKnownAgents();
   // Under the shard's lock.
   void CarryOut(core::DispatcherAction action);
@@ -114,6 +125,7 @@
   bool closed_ = false;
   std::optional<core::TimePoint> read_agents_at_;
   core::TimePoint acknowledge_at_;
+  core::TimePoint reread_ledgers_at_;
   // Acknowledgements not yet sent, by agent.
   std::map<std::string, std::vector<core::TaskKey>> acknowledgements_;
   // The content that the agents row should get; unset once it was written.
--- a/tests/integration/whole_path_test.cc
+++ b/tests/integration/whole_path_test.cc
@@ -111,9 +111,10 @@
 // Guards against a planned stop of the owner or of an agent that cuts requests off.
 Test(integration, graceful_stops_cut_off_nothing) {
   const Fault* const faults[] = {FaultByName("stop_owner"), FaultByName("stop_agent")};
-  const RoundReport round = RunFaultRound({.seed = 14}, faults);
+  RoundReport round = RunFaultRound({.seed = 14}, faults);
   AssertClean(round);
-  cr_assert_eq(round.complete + round.refused_not_run, round.submitted, "%s",
+  // The plan repeats some request keys under new ids; only those may fail.
+  cr_assert_eq(round.complete + round.errors["duplicate_request"], round.submitted, "%s",
                round.ToJson().c_str());
 }
 
