--- a/src/adapters/http_table_store.cc
+++ b/src/adapters/http_table_store.cc
@@ -1,6 +1,8 @@
 // Encoding of store calls as HTTP requests, and of their answers as results.
 #include "adapters/http_table_store.h"
 
+#include <atomic>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -44,13 +46,14 @@
   }
 }
 
-core::Result<std::vector<core::TableRow>> ParseRowsAnswer(const HttpResult& result) {
+// Appends the page's rows; returns whether more follow.
+core::Result<bool> ParsePage(const HttpResult& result, std::vector<core::TableRow>& rows) {
   if (result.status != kOk) return tl::unexpected(Unavailable(result));
   try {
-    std::vector<core::TableRow> rows;
     const json root = json::parse(result.body);
-    for (const json& item : root.at("rows")) rows.push_back(ParseRow(item));
-    return rows;
+    const json& items = root.at("rows");
+    for (const json& item : items) rows.push_back(ParseRow(item));
+    return !items.empty() && root.value("more", false);
   } catch (const json::exception& error) {
     return tl::unexpected(Malformed(error.what()));
   }
@@ -76,79 +79,105 @@
 
 }  // namespace
 
-struct HttpTableStore::Health {
-  // Time of the last request without a usable answer, in microseconds of the clock.
-  std::atomic<core::Duration::rep> last_failure{std::numeric_limits<core::Duration::rep>::min() /
-                                                2};
+class HttpTableStore::Link : public std::enable_shared_from_this<Link> {
+ public:
+  Link(Options options, HttpClient& client, const core::Clock& clock)
+      : options_(std::move(options)), client_(client), clock_(clock) {}
+
+  HttpCall CallOf(std::string method, const std::string& path) const {
+    return {.method = std::move(method), .url = options_.url + path, .timeout = options_.deadline};
+  }
+
+  void Send(HttpCall call, HttpClient::Callback callback) {
+    const core::Duration since_failure =
+        clock_.now().time_since_epoch() - core::Duration(last_failure_.load());
+    if (since_failure < kFreshAfterFailure) call.fresh_connection = true;
+    const auto on_result = [self = shared_from_this(),
+                            callback = std::move(callback)](HttpResult result) {
+      self->NoteResult(result);
+      callback(std::move(result));
+    };
+    client_.Send(std::move(call), on_result);
+  }
+
+ private:
+  void NoteResult(const HttpResult& result) {
+    if (result.status == 0) last_failure_ = clock_.now().time_since_epoch().count();
+  }
+
+  const Options options_;
+  HttpClient& client_;
+  const core::Clock& clock_;
+  // Time of the last request without an answer, in microseconds of the clock.
+  std::atomic<core::Duration::rep> last_failure_{std::numeric_limits<core::Duration::rep>::min() /
+                                                 2};
+};
+
+// A read of rows that is under way.
+struct HttpTableStore::RowsRead {
+  std::string prefix;
+  std::vector<core::TableRow> rows;
+  RowsCallback callback;
 };
 
 HttpTableStore::HttpTableStore(Options options, HttpClient& client, const core::Clock& clock)
-    : options_(std::move(options)),
-      client_(client),
-      clock_(clock),
-      health_(std::make_shared<Health>()) {}
+    : link_(std::make_shared<Link>(std::move(options), client, clock)) {}
 
 void HttpTableStore::ReadRow(std::string key, RowCallback callback) {
-  Send(CallOf("GET", "/table/row?key=" + PercentEncode(key)),
-       [callback = std::move(callback)](const HttpResult& result) {
-         callback(ParseRowAnswer(result));
-       });
+  link_->Send(link_->CallOf("GET", "/table/row?key=" + PercentEncode(key)),
+              [callback = std::move(callback)](const HttpResult& result) {
+                callback(ParseRowAnswer(result));
+              });
 }
 
 void HttpTableStore::ReadRows(std::string prefix, RowsCallback callback) {
-  Send(CallOf("GET", "/table/rows?prefix=" + PercentEncode(prefix)),
-       [callback = std::move(callback)](const HttpResult& result) {
-         callback(ParseRowsAnswer(result));
-       });
+  ReadPage(link_, std::make_shared<RowsRead>(RowsRead{
+                      .prefix = std::move(prefix), .rows = {}, .callback = std::move(callback)}));
+}
+
+void HttpTableStore::ReadPage(const std::shared_ptr<Link>& link, std::shared_ptr<RowsRead> read) {
+  std::string path = "/table/rows?prefix=" + PercentEncode(read->prefix);
+  if (!read->rows.empty()) path += "&after=" + PercentEncode(read->rows.back().key);
+  link->Send(link->CallOf("GET", path), [link, read = std::move(read)](const HttpResult& result) {
+    const auto more = ParsePage(result, read->rows);
+    if (!more) return read->callback(tl::unexpected(more.error()));
+    if (*more) return ReadPage(link, read);
+    read->callback(std::move(read->rows));
+  });
 }
 
 void HttpTableStore::Commit(core::TableTransaction transaction, CommitCallback callback) {
-  HttpCall call = CallOf("POST", "/table/transaction");
+  HttpCall call = link_->CallOf("POST", "/table/transaction");
   call.headers = {{"Content-Type", "application/json"}};
   call.body = FormatTransaction(transaction);
   // A transaction that libcurl sent a second time after it took effect would be answered with a
   // conflict, which says that nothing was written.
   call.fresh_connection = true;
-  Send(std::move(call), [callback = std::move(callback)](const HttpResult& result) {
+  link_->Send(std::move(call), [callback = std::move(callback)](const HttpResult& result) {
     callback(CommitOutcomeOf(result));
   });
 }
 
 void HttpTableStore::ReadObject(std::string key, ObjectCallback callback) {
-  Send(CallOf("GET", "/objects/" + PercentEncode(key)),
-       [callback = std::move(callback)](HttpResult result) {
-         if (result.status == kOk) return callback(std::move(result.body));
-         if (result.status == kNotFound) {
-           return callback(
-               tl::unexpected(core::Error{core::ErrorKind::kNotFound, "no such object", {}}));
-         }
-         callback(tl::unexpected(Unavailable(result)));
-       });
+  link_->Send(link_->CallOf("GET", "/objects/" + PercentEncode(key)),
+              [callback = std::move(callback)](HttpResult result) {
+                if (result.status == kOk) return callback(std::move(result.body));
+                if (result.status == kNotFound) {
+                  return callback(tl::unexpected(
+                      core::Error{core::ErrorKind::kNotFound, "no such object", {}}));
+                }
+                callback(tl::unexpected(Unavailable(result)));
+              });
 }
 
 void HttpTableStore::WriteObject(std::string key, std::string body, DoneCallback callback) {
-  HttpCall call = CallOf("PUT", "/objects/" + PercentEncode(key));
+  HttpCall call = link_->CallOf("PUT", "/objects/" + PercentEncode(key));
   call.headers = {{"Content-Type", "application/octet-stream"}};
   call.body = std::move(body);
-  Send(std::move(call), [callback = std::move(callback)](const HttpResult& result) {
+  link_->Send(std::move(call), [callback = std::move(callback)](const HttpResult& result) {
     if (result.status == kOk) return callback({});
     callback(tl::unexpected(Unavailable(result)));
   });
 }
 
-HttpCall HttpTableStore::CallOf(std::string method, const std::string& path) const {
-  return {.method = std::move(method), .url = options_.url + path, .timeout = options_.deadline};
-}
-
-void HttpTableStore::Send(HttpCall call, HttpClient::Callback callback) {
-  const core::Duration since_failure =
-      clock_.now().time_since_epoch() - core::Duration(health_->last_failure.load());
-  if (since_failure < kFreshAfterFailure) call.fresh_connection = true;
-  client_.Send(std::move(call), [health = health_, &clock = clock_,
-                                 callback = std::move(callback)](HttpResult result) {
-    if (result.status == 0) health->last_failure = clock.now().time_since_epoch().count();
-    callback(std::move(result));
-  });
-}
-
 }  // namespace zinniamux::adapters
--- a/src/adapters/http_table_store.h
+++ b/src/adapters/http_table_store.h
@@ -2,7 +2,6 @@
 #ifndef ZINNIAMUX_ADAPTERS_HTTP_TABLE_STORE_H_
 #define ZINNIAMUX_ADAPTERS_HTTP_TABLE_STORE_H_
 
-#include <atomic>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -13,8 +12,9 @@
 
 namespace zinniamux::adapters {
 
-// Callbacks run on the client's thread. Requests are not retried; the decision code does that. Keys
-// and values are UTF-8.
+// Callbacks run on the client's thread. Rows are read page by page, each page with a deadline of
+// its own, so that a reader of many rows gets them from a slow store as well. Requests are not
+// retried; the decision code does that. Keys and values are UTF-8.
 class HttpTableStore : public core::TableStore {
  public:
   struct Options {
@@ -23,7 +23,7 @@
     std::chrono::milliseconds deadline{2000};
   };
 
-  // `client` and `clock` outlive this object.
+  // `client` outlives this object, and `clock` outlives `client`.
   HttpTableStore(Options options, HttpClient& client, const core::Clock& clock);
 
   void ReadRow(std::string key, RowCallback callback) override;
@@ -33,16 +33,13 @@
   void WriteObject(std::string key, std::string body, DoneCallback callback) override;
 
  private:
-  // Shared with callbacks, which may run after this object has ended.
-  struct Health;
+  // What requests need; shared with callbacks, which may run after this object has ended.
+  class Link;
+  struct RowsRead;
 
-  HttpCall CallOf(std::string method, const std::string& path) const;
-  void Send(HttpCall call, HttpClient::Callback callback);
+  static void ReadPage(const std::shared_ptr<Link>& link, std::shared_ptr<RowsRead> read);
 
-  const Options options_;
-  HttpClient& client_;
-  const core::Clock& clock_;
-  const std::shared_ptr<Health> health_;
+  const std::shared_ptr<Link> link_;
 };
 
 }  // namespace zinniamux::adapters
--- a/src/core/claim_log.cc
+++ b/src/core/claim_log.cc
@@ -180,6 +180,7 @@
 void ClaimLog::Insert(const std::string& row_key, const ClaimRow& row) {
   StoredRow stored{.key = row_key, .claimed_at = row.claimed_at};
   for (const ClaimRow::Claim& claim : row.claims) {
+    // Rows come in the order of their keys: of two that hold one key, the later one counts.
     claims_[claim.request_key] = {.submission_id = claim.submission_id, .written = true};
     stored.request_keys.push_back(claim.request_key);
   }
--- a/src/core/table_store.h
+++ b/src/core/table_store.h
@@ -57,7 +57,8 @@
 
   virtual ~TableStore() = default;
   virtual void ReadRow(std::string key, RowCallback callback) = 0;
-  // All rows whose key begins with `prefix`, in key order.
+  // All rows whose key begins with `prefix`, in key order. A large answer is read in several parts,
+  // which may differ in time.
   virtual void ReadRows(std::string prefix, RowsCallback callback) = 0;
   virtual void Commit(TableTransaction transaction, CommitCallback callback) = 0;
   virtual void ReadObject(std::string key, ObjectCallback callback) = 0;
--- a/tests/property/claim_log_property_test.cc
+++ b/tests/property/claim_log_property_test.cc
@@ -14,7 +14,7 @@
 using zinniamux::core::ClaimDecision;
 using zinniamux::core::ManualClock;
 using zinniamux::standins::PlatformState;
-using zinniamux::tests::ClaimOwner;
+using zinniamux::testing::ClaimOwner;
 
 constexpr std::uint64_t kSeed = 20261204;
 constexpr std::size_t kKeys = 3;
--- a/tests/standins/platform_standin/main.cc
+++ b/tests/standins/platform_standin/main.cc
@@ -31,9 +31,13 @@
     TCLAP::ValueArg<std::uint16_t> port("", "port", "port to listen on", true, 0, "PORT", command);
     TCLAP::ValueArg<int> write_delay("", "write-delay-ms", "time that each write takes", false, 0,
                                      "MS", command);
+    TCLAP::ValueArg<std::uint32_t> write_rate("", "writes-per-second", "0: no limit", false, 0, "N",
+                                              command);
     command.parse(argc, argv);
 
-    zinniamux::standins::PlatformService service{std::chrono::milliseconds(write_delay.getValue())};
+    zinniamux::standins::PlatformService service(
+        {.write_delay = std::chrono::milliseconds(write_delay.getValue()),
+         .writes_per_second = write_rate.getValue()});
     auto server = HttpServer::Start({.port = port.getValue()},
                                     [&](HttpRequest request, HttpResponder respond) {
                                       service.Handle(std::move(request), std::move(respond));
--- a/tests/standins/platform_standin/platform_service.cc
+++ b/tests/standins/platform_standin/platform_service.cc
@@ -14,6 +14,7 @@
 using adapters::HttpResponse;
 using nlohmann::json;
 
+constexpr std::size_t kPageBytes = 1U << 20U;
 constexpr std::string_view kObjectPath = "/objects/";
 
 json RowJson(const core::TableRow& row) {
@@ -58,8 +59,8 @@
 
 }  // namespace
 
-PlatformService::PlatformService(std::chrono::milliseconds write_delay)
-    : write_delay_(write_delay), timer_thread_([this] { RunTimers(); }) {}
+PlatformService::PlatformService(const Options& options)
+    : options_(options), timer_thread_([this] { RunTimers(); }) {}
 
 PlatformService::~PlatformService() {
   {
@@ -87,8 +88,8 @@
   }
   if (faults.mode == FaultMode::kSilent) return;
   if (faults.mode == FaultMode::kDown) return respond({.status = 503});
-  std::chrono::milliseconds delay{0};
-  if (IsWrite(request)) delay += write_delay_;
+  Clock::duration delay{0};
+  if (IsWrite(request)) delay += WaitForWriteSlot() + options_.write_delay;
   if (faults.mode == FaultMode::kSlow) delay += faults.delay;
   HandleLater(delay, std::move(request), std::move(respond));
 }
@@ -123,7 +124,16 @@
   }
 }
 
-void PlatformService::HandleLater(std::chrono::milliseconds delay, HttpRequest request,
+PlatformService::Clock::duration PlatformService::WaitForWriteSlot() {
+  if (options_.writes_per_second == 0) return {};
+  const std::lock_guard lock(mutex_);
+  const Clock::time_point now = Clock::now();
+  const Clock::time_point slot = std::max(now, next_write_slot_);
+  next_write_slot_ = slot + Clock::duration(std::chrono::seconds(1)) / options_.writes_per_second;
+  return slot - now;
+}
+
+void PlatformService::HandleLater(Clock::duration delay, HttpRequest request,
                                   HttpResponder respond) {
   if (delay.count() == 0) return HandleNow(request, respond);
   {
@@ -159,8 +169,10 @@
     json rows = json::array();
     const std::string prefix =
         adapters::PercentDecode(adapters::QueryValue(request.query, "prefix"));
-    for (const core::TableRow& row : state_.Rows(prefix)) rows.push_back(RowJson(row));
-    const json body = {{"rows", std::move(rows)}};
+    const std::string after = adapters::PercentDecode(adapters::QueryValue(request.query, "after"));
+    const PlatformState::Page page = state_.RowsAfter(prefix, after, kPageBytes);
+    for (const core::TableRow& row : page.rows) rows.push_back(RowJson(row));
+    const json body = {{"rows", std::move(rows)}, {"more", page.more}};
     return {.body = body.dump()};
   }
   if (request.path.starts_with(kObjectPath)) {
--- a/tests/standins/platform_standin/platform_service.h
+++ b/tests/standins/platform_standin/platform_service.h
@@ -1,7 +1,8 @@
 // The platform stand-in's HTTP/JSON interface, its faults and its counters.
 //
 //   GET  /table/row?key=K          200 {"row": {"key", "value", "version"} | null}
-//   GET  /table/rows?prefix=P      200 {"rows": [...]}, in key order
+//   GET  /table/rows?prefix=P      200 {"rows": [...], "more": bool}, in key order, about 1 MiB;
+//        [&after=K]                the rest, if there is more, has keys above K
 //   POST /table/transaction        {"conditions": [{"key", "version"}], "puts": [{"key", "value"}],
 //                                  "deletes": [key]}; 200 committed, 409 conflict
 //   PUT, GET /objects/KEY          200, 404
@@ -56,7 +57,12 @@
 // writes do not wait for each other.
 class PlatformService {
  public:
-  explicit PlatformService(std::chrono::milliseconds write_delay);
+  struct Options {
+    std::chrono::milliseconds write_delay{0};
+    std::uint32_t writes_per_second = 0;
+  };
+
+  explicit PlatformService(const Options& options);
   // Delayed requests are abandoned.
   ~PlatformService();
   PlatformService(const PlatformService&) = delete;
@@ -74,7 +80,9 @@
   using Clock = std::chrono::steady_clock;
 
   void HandleFaults(const adapters::HttpRequest& request, const adapters::HttpResponder& respond);
-  void HandleLater(std::chrono::milliseconds delay, adapters::HttpRequest request,
+  // Time until a write that arrives now begins.
+  Clock::duration WaitForWriteSlot();
+  void HandleLater(Clock::duration delay, adapters::HttpRequest request,
                    adapters::HttpResponder respond);
   void HandleNow(const adapters::HttpRequest& request, const adapters::HttpResponder& respond);
   adapters::HttpResponse Read(const adapters::HttpRequest& request);
@@ -83,13 +91,14 @@
   bool LosesThisWrite();
   void RunTimers();
 
-  const std::chrono::milliseconds write_delay_;
+  const Options options_;
   mutable std::mutex mutex_;
   // Guarded by mutex_, as are all members up to the thread.
   PlatformState state_;
   Faults faults_;
   PlatformStats stats_;
   std::uint64_t writes_since_fault_ = 0;
+  Clock::time_point next_write_slot_;
   std::multimap<Clock::time_point, std::function<void()>> timers_;
   bool stopping_ = false;
   std::condition_variable timers_changed_;
--- a/tests/standins/platform_standin/platform_state.cc
+++ b/tests/standins/platform_standin/platform_state.cc
@@ -2,6 +2,7 @@
 #include "standins/platform_standin/platform_state.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace zinniamux::standins {
@@ -13,12 +14,21 @@
 }
 
 std::vector<core::TableRow> PlatformState::Rows(std::string_view prefix) const {
-  std::vector<core::TableRow> result;
-  for (auto row = rows_.lower_bound(prefix); row != rows_.end(); ++row) {
-    if (!row->first.starts_with(prefix)) break;
-    result.push_back(row->second);
+  return RowsAfter(prefix, "", std::numeric_limits<std::size_t>::max()).rows;
+}
+
+PlatformState::Page PlatformState::RowsAfter(std::string_view prefix, std::string_view after,
+                                             std::size_t max_bytes) const {
+  Page page;
+  std::size_t bytes = 0;
+  auto row = after < prefix ? rows_.lower_bound(prefix) : rows_.upper_bound(after);
+  for (; row != rows_.end() && row->first.starts_with(prefix); ++row) {
+    page.more = bytes >= max_bytes;
+    if (page.more) break;
+    page.rows.push_back(row->second);
+    bytes += row->second.value.size();
   }
-  return result;
+  return page;
 }
 
 bool PlatformState::Commit(const core::TableTransaction& transaction) {
--- a/tests/standins/platform_standin/platform_state.h
+++ b/tests/standins/platform_standin/platform_state.h
@@ -19,6 +19,12 @@
   std::optional<core::TableRow> Row(const std::string& key) const;
   // In key order.
   std::vector<core::TableRow> Rows(std::string_view prefix) const;
+  // Part of Rows: rows with keys above `after`, until their values have `max_bytes` together.
+  struct Page {
+    std::vector<core::TableRow> rows;
+    bool more = false;
+  };
+  Page RowsAfter(std::string_view prefix, std::string_view after, std::size_t max_bytes) const;
   // Applies all writes and returns true, or applies none if a condition does not hold.
   bool Commit(const core::TableTransaction& transaction);
 
--- a/tests/support/claim_owner.h
+++ b/tests/support/claim_owner.h
@@ -8,7 +8,7 @@
 #include "core/claim_log.h"
 #include "support/simulated_store.h"
 
-namespace zinniamux::tests {
+namespace zinniamux::testing {
 
 // Entries share the platform and the clock.
 class ClaimOwner {
@@ -65,6 +65,6 @@
   bool superseded_ = false;
 };
 
-}  // namespace zinniamux::tests
+}  // namespace zinniamux::testing
 
 #endif  // ZINNIAMUX_TESTS_SUPPORT_CLAIM_OWNER_H_
--- a/tests/support/simulated_store.h
+++ b/tests/support/simulated_store.h
@@ -12,7 +12,7 @@
 #include "core/store_action.h"
 #include "standins/platform_standin/platform_state.h"
 
-namespace zinniamux::tests {
+namespace zinniamux::testing {
 
 // Takes a core object's actions. Actions that are not store calls go to `on_other`.
 template <typename Core, typename Action>
@@ -140,6 +140,6 @@
   std::vector<std::function<Answer()>> delayed_;
 };
 
-}  // namespace zinniamux::tests
+}  // namespace zinniamux::testing
 
 #endif  // ZINNIAMUX_TESTS_SUPPORT_SIMULATED_STORE_H_
--- a/tests/unit/claim_log_test.cc
+++ b/tests/unit/claim_log_test.cc
@@ -11,7 +11,7 @@
 using zinniamux::core::ClaimDecision;
 using zinniamux::core::ManualClock;
 using zinniamux::standins::PlatformState;
-using zinniamux::tests::ClaimOwner;
+using zinniamux::testing::ClaimOwner;
 
 // The last answer, for the submission id that is expected.
 ClaimDecision LastAnswer(const ClaimOwner& owner, const std::string& submission_id) {
--- a/tests/unit/config_history_test.cc
+++ b/tests/unit/config_history_test.cc
@@ -72,7 +72,7 @@
 
   ManualClock clock_;
   ConfigHistory history_;
-  zinniamux::tests::SimulatedStore<ConfigHistory, ConfigAction> store_;
+  zinniamux::testing::SimulatedStore<ConfigHistory, ConfigAction> store_;
   std::map<std::uint64_t, Result<std::uint64_t>> answers_;
   std::vector<std::uint64_t> versions_;
 };
--- a/tests/unit/http_table_store_test.cc
+++ b/tests/unit/http_table_store_test.cc
@@ -3,91 +3,16 @@
 
 #include <criterion/criterion.h>
 
-#include <future>
-#include <vector>
-
-#include "adapters/http_server.h"
-#include "adapters/steady_clock.h"
-#include "standins/platform_standin/platform_service.h"
+#include "support/store_fixture.h"
 
 namespace {
 
 using namespace std::chrono_literals;
-using zinniamux::adapters::HttpClient;
-using zinniamux::adapters::HttpRequest;
-using zinniamux::adapters::HttpResponder;
-using zinniamux::adapters::HttpServer;
-using zinniamux::adapters::HttpTableStore;
-using zinniamux::adapters::SteadyClock;
 using zinniamux::core::CommitOutcome;
 using zinniamux::core::ErrorKind;
-using zinniamux::core::Result;
-using zinniamux::core::TableRow;
 using zinniamux::core::TableTransaction;
 using zinniamux::standins::FaultMode;
-using zinniamux::standins::PlatformService;
-
-// A stand-in on a free port, and a store that uses it.
-class StoreFixture {
- public:
-  explicit StoreFixture(std::chrono::milliseconds deadline = 10s) {
-    const auto handle = [this](HttpRequest request, HttpResponder respond) {
-      service_.Handle(std::move(request), std::move(respond));
-    };
-    std::uint16_t port = kFirstPort;
-    while (server_ == nullptr && port < kEndPort) {
-      auto server = HttpServer::Start({.port = ++port}, handle);
-      if (server) server_ = std::move(*server);
-    }
-    cr_assert(server_ != nullptr);
-    store_.emplace(HttpTableStore::Options{.url = "http://127.0.0.1:" + std::to_string(port),
-                                           .deadline = deadline},
-                   client_, clock_);
-  }
-
-  PlatformService& service() { return service_; }
-
-  CommitOutcome Commit(TableTransaction transaction) {
-    std::promise<CommitOutcome> promise;
-    store_->Commit(std::move(transaction),
-                   [&](CommitOutcome outcome) { promise.set_value(outcome); });
-    return promise.get_future().get();
-  }
-
-  Result<std::optional<TableRow>> ReadRow(const std::string& key) {
-    std::promise<Result<std::optional<TableRow>>> promise;
-    store_->ReadRow(key, [&](auto row) { promise.set_value(std::move(row)); });
-    return promise.get_future().get();
-  }
-
-  Result<std::vector<TableRow>> ReadRows(const std::string& prefix) {
-    std::promise<Result<std::vector<TableRow>>> promise;
-    store_->ReadRows(prefix, [&](auto rows) { promise.set_value(std::move(rows)); });
-    return promise.get_future().get();
-  }
-
-  Result<std::string> ReadObject(const std::string& key) {
-    std::promise<Result<std::string>> promise;
-    store_->ReadObject(key, [&](auto body) { promise.set_value(std::move(body)); });
-    return promise.get_future().get();
-  }
-
-  bool WriteObject(const std::string& key, const std::string& body) {
-    std::promise<bool> promise;
-    store_->WriteObject(key, body, [&](auto done) { promise.set_value(done.has_value()); });
-    return promise.get_future().get();
-  }
-
- private:
-  static constexpr std::uint16_t kFirstPort = 32100;
-  static constexpr std::uint16_t kEndPort = 32400;
-
-  SteadyClock clock_;
-  PlatformService service_{0ms};
-  std::unique_ptr<HttpServer> server_;
-  HttpClient client_;
-  std::optional<HttpTableStore> store_;
-};
+using zinniamux::testing::StoreFixture;
 
 TableTransaction PutIf(const std::string& key, std::uint64_t version, const std::string& value) {
   return {.conditions = {{key, version}}, .puts = {{key, value}}};
@@ -123,6 +48,23 @@
   cr_assert(fixture.ReadObject("config/z").error().kind == ErrorKind::kNotFound);
 }
 
+// Guards against rows that are missing or repeated where one page ends and the next begins.
+Test(http_table_store, reads_rows_over_several_pages) {
+  constexpr int kRows = 30;
+  StoreFixture fixture;
+  for (int number = 10; number < 10 + kRows; ++number) {
+    const TableTransaction put = PutIf("a/" + std::to_string(number), 0, std::string(100'000, 'x'));
+    cr_assert(fixture.service().Commit(put));
+  }
+  cr_assert(fixture.Commit(PutIf("b", 0, "")) == CommitOutcome::kCommitted);
+  const auto rows = fixture.ReadRows("a/");
+  cr_assert(rows->size() == kRows);
+  for (int i = 0; i < kRows; ++i) {
+    cr_assert((*rows)[static_cast<std::size_t>(i)].key == "a/" + std::to_string(10 + i));
+  }
+  cr_assert(fixture.service().Stats().reads > 1);
+}
+
 // Guards against a lost answer that is taken for a conflict or a success.
 Test(http_table_store, reports_a_lost_answer_as_unknown) {
   StoreFixture fixture;
