entry: end all calls before the parts that they call

On exit, the end of an owned epoch sent heartbeats, and answers of peers and of the store could call parts of EntryDaemon that were destroyed already.

Change: PeerClient counts a call until its callback has returned and can be closed; PeerExchange::Close ends all calls; the destructor ends servers, calls to peers and the store's client, in this order, before the other parts. ShardHost::Close ends the epoch without hooks.

--- a/src/zinniamuxd/entry_daemon.cc
+++ b/src/zinniamuxd/entry_daemon.cc
@@ -56,7 +56,8 @@
       self_(SelfOf(settings_)),
       metrics_(clock),
       decisions_(log, {.max_bytes = settings_.limits.max_explain_bytes}),
-      store_({.url = settings_.store_url}, store_client_, clock),
+      store_client_(std::make_unique<adapters::HttpClient>()),
+      store_({.url = settings_.store_url}, *store_client_, clock),
       last_owned_at_(clock.now()),
       agents_(std::make_unique<AgentRegistry>(
           clock,
@@ -113,12 +114,19 @@
 }
 
 EntryDaemon::~EntryDaemon() {
-  // The servers call the other parts, and the shards' callbacks call the router.
+  // Whatever may call back is ended before the parts that it calls: servers, calls to peers, then
+  // the store's client, whose callbacks run on its own thread.
   if (caller_server_ != nullptr) caller_server_->Stop();
   if (admin_server_ != nullptr) admin_server_->Stop();
-  if (rpc_server_ != nullptr) rpc_server_->Shutdown(std::chrono::system_clock::now());
+  if (rpc_server_ != nullptr) {
+    rpc_server_->Shutdown(std::chrono::system_clock::now());
+    rpc_server_->Wait();
+  }
+  peers_->Close();
   roster_->Close();
   for (const auto& host : shards_) host->Close();
+  config_service_.reset();
+  store_client_.reset();
 }
 
 void EntryDaemon::MakePeers() {
--- a/src/zinniamuxd/entry_daemon.h
+++ b/src/zinniamuxd/entry_daemon.h
@@ -78,7 +78,7 @@
   const core::EntryAddress self_;
   adapters::Metrics metrics_;
   adapters::DecisionLog decisions_;
-  adapters::HttpClient store_client_;
+  std::unique_ptr<adapters::HttpClient> store_client_;
   adapters::HttpTableStore store_;
   std::atomic<bool> stopping_{false};
   // This entry stops and cannot hand over a shard that it owns.
--- a/src/zinniamuxd/peer_client.cc
+++ b/src/zinniamuxd/peer_client.cc
@@ -57,12 +57,30 @@
   const std::lock_guard lock(mutex_);
   const std::uint64_t call_id = next_call_++;
   active_[call_id] = {.channel = channel_, .context = context};
+  if (closed_) context->TryCancel();
   return {.call_id = call_id, .channel = channel_, .stub = stub_, .context = std::move(context)};
 }
 
 void PeerClient::End(std::uint64_t call_id) {
   const std::lock_guard lock(mutex_);
   active_.erase(call_id);
+  ended_.notify_all();
+}
+
+bool PeerClient::idle() const {
+  const std::lock_guard lock(mutex_);
+  return active_.empty();
+}
+
+void PeerClient::Close() {
+  std::unique_lock lock(mutex_);
+  closed_ = true;
+  std::vector<std::shared_ptr<grpc::ClientContext>> contexts;
+  for (const auto& [id, call] : active_) contexts.push_back(call.context);
+  lock.unlock();
+  for (const auto& context : contexts) context->TryCancel();
+  lock.lock();
+  ended_.wait(lock, [this] { return active_.empty(); });
 }
 
 template <typename Request, typename Start>
@@ -80,10 +98,10 @@
   state->client = shared_from_this();
   start(*state->lease.stub->async(), state->lease.context.get(), &state->request, &state->response,
         [state, callback = std::move(callback)](const grpc::Status& status) {
-          state->client->End(state->lease.call_id);
           PeerReply reply{.outcome = OutcomeOf(status), .channel = state->lease.channel};
           if (status.ok()) reply.answer = rpc::FromProto(std::move(state->response));
           callback(std::move(reply));
+          state->client->End(state->lease.call_id);
         });
   return [context = std::weak_ptr(state->lease.context)] {
     if (const auto alive = context.lock()) alive->TryCancel();
@@ -129,11 +147,11 @@
   state->lease.stub->async()->PeerHeartbeat(
       state->lease.context.get(), &state->request, &state->response,
       [state, callback = std::move(callback)](const grpc::Status& result) {
-        state->client->End(state->lease.call_id);
         if (result.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
           state->client->ReplaceChannel(state->lease.channel);
         }
         callback(result, std::move(state->response));
+        state->client->End(state->lease.call_id);
       });
 }
 
--- a/src/zinniamuxd/peer_client.h
+++ b/src/zinniamuxd/peer_client.h
@@ -4,6 +4,7 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -60,6 +61,10 @@
   std::uint64_t channel() const;
   // Called every few milliseconds.
   void OnTimer();
+  // No call is under way and no callback is running.
+  bool idle() const;
+  // Abandons all calls and waits for their callbacks. Calls that begin later end at once.
+  void Close();
 
   const std::string& address() const { return address_; }
 
@@ -89,7 +94,10 @@
   std::uint64_t channel_ = 1;
   core::TimePoint replaced_at_;
   std::uint64_t next_call_ = 1;
+  // Calls whose callback has not returned.
   std::map<std::uint64_t, ActiveCall> active_;
+  std::condition_variable ended_;
+  bool closed_ = false;
 };
 
 }  // namespace zinniamux::daemon
--- a/src/zinniamuxd/peer_exchange.cc
+++ b/src/zinniamuxd/peer_exchange.cc
@@ -39,6 +39,10 @@
     std::shared_ptr<PeerClient> client;
     std::uint64_t config_version;
   };
+  {
+    const std::lock_guard lock(mutex_);
+    if (closed_) return;
+  }
   const std::vector<std::string> addresses = Addresses();
   const core::TimePoint now = clock_.now();
   std::vector<Due> due;
@@ -46,7 +50,8 @@
   {
     const std::lock_guard lock(mutex_);
     std::erase_if(peers_, [&](const auto& peer) {
-      return !std::binary_search(addresses.begin(), addresses.end(), peer.first);
+      return !std::binary_search(addresses.begin(), addresses.end(), peer.first) &&
+             peer.second.client->idle();
     });
     for (const std::string& address : addresses) {
       Peer& peer = peers_[address];
@@ -120,6 +125,16 @@
   hooks_.on_status(status);
 }
 
+void PeerExchange::Close() {
+  std::vector<std::shared_ptr<PeerClient>> clients;
+  {
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+    for (const auto& [address, peer] : peers_) clients.push_back(peer.client);
+  }
+  for (const auto& client : clients) client->Close();
+}
+
 std::shared_ptr<PeerClient> PeerExchange::ClientOf(const std::string& address) {
   const std::lock_guard lock(mutex_);
   Peer& peer = peers_[address];
--- a/src/zinniamuxd/peer_exchange.h
+++ b/src/zinniamuxd/peer_exchange.h
@@ -47,6 +47,9 @@
   // A peer's heartbeat; the result answers it.
   v1::PeerStatus OnHeartbeat(const v1::PeerStatus& status);
 
+  // Ends all calls; no hook runs after this call, unless OnHeartbeat is called.
+  void Close();
+
   std::shared_ptr<PeerClient> ClientOf(const std::string& address);
   // A live entry that is not stopping, heard from within the silence limit.
   std::optional<core::EntryAddress> HandoverTarget() const;
@@ -82,6 +85,7 @@
   std::map<std::string, Peer> peers_;
   // By entry id.
   std::map<std::string, Sender> senders_;
+  bool closed_ = false;
 };
 
 }  // namespace zinniamux::daemon
--- a/src/zinniamuxd/shard_host.cc
+++ b/src/zinniamuxd/shard_host.cc
@@ -128,7 +128,12 @@
 
 void ShardHost::Close() {
   runner_.Close();
-  StopOwning();
+  std::shared_ptr<OwnedShard> shard;
+  {
+    const std::lock_guard lock(mutex_);
+    shard = std::move(owned_);
+  }
+  if (shard != nullptr) shard->Close();
 }
 
 }  // namespace zinniamux::daemon
