agent: a test for the destruction of the last channel

Removing the hand-over to the main thread aborts the new test (gRPC: 'assertion failed: prior > 0'). The earlier test of silence did not catch it, because a gRPC server in the process kept the callback threads alive.

--- a/src/zinniamuxd/agent_daemon.cc
+++ b/src/zinniamuxd/agent_daemon.cc
@@ -234,6 +234,7 @@
   add("unacknowledged_outcomes", core_.unacknowledged());
   add("ledger_records", core_.ledger().size());
   add("ledger_bytes", core_.ledger().bytes());
+  add("connections_total", connections_total_);
   add("attached_entries", attached_entries());
   add("roster_entries", core_.roster().size());
   add("epoch", core_.epoch());
@@ -269,6 +270,7 @@
               [this](std::shared_ptr<EntryConnection> from) { OnEntryClosed(std::move(from)); }},
       clock_);
   ++open_connections_;
+  ++connections_total_;
   v1::AgentMessage hello;
   *hello.mutable_hello() = rpc::ToProto(core_.Hello());
   hello.set_now_mono_ms(hello.hello().now_mono_ms());
--- a/src/zinniamuxd/agent_daemon.h
+++ b/src/zinniamuxd/agent_daemon.h
@@ -106,6 +106,7 @@
   std::vector<std::shared_ptr<EntryConnection>> ended_connections_;
   // Connections whose last hook has not been called yet.
   std::size_t open_connections_ = 0;
+  std::uint64_t connections_total_ = 0;
   bool row_read_running_ = false;
   bool stopping_ = false;
   std::minstd_rand random_;
--- a/tests/unit/agent_daemon_test.cc
+++ b/tests/unit/agent_daemon_test.cc
@@ -127,12 +127,12 @@
 // An agent with an announced executor that answers every task at once.
 class Agent {
  public:
-  explicit Agent(const Entry& entry)
+  explicit Agent(const std::string& entry_address)
       : log_({.file = "/dev/null"}),
         daemon_({.id = "agent-1",
                  .availability_zone = "oslo",
                  .local = {.host = "127.0.0.1", .port = port_},
-                 .entries = {entry.address()}},
+                 .entries = {entry_address}},
                 clock_, log_) {
     const std::uint16_t executor_port = ports_.Next();
     executor_ = *adapters::HttpServer::Start(
@@ -161,6 +161,12 @@
         .SendAndWait({.method = "POST", .url = Url("/v1/announce"), .body = announcement_})
         .status;
   }
+  long Metric(const std::string& name) {
+    const std::string page = client_.SendAndWait({.url = Url("/metrics")}).body;
+    const std::string prefix = "zinniamux_agent_" + name + " ";
+    const std::size_t found = page.find(prefix);
+    return found == std::string::npos ? -1 : std::stol(page.substr(found + prefix.size()));
+  }
   bool MetricIs(const std::string& line) {
     const std::string page = client_.SendAndWait({.url = Url("/metrics")}).body;
     return page.find("zinniamux_agent_" + line + "\n") != std::string::npos;
@@ -191,7 +197,7 @@
 // which delays every stop and repeats them on every new stream.
 Test(agent_daemon, sends_results_again_on_a_new_stream_until_acknowledged) {
   Entry entry("entry-1");
-  Agent agent(entry);
+  Agent agent(entry.address());
   cr_assert(WaitFor([&] { return entry.Hellos() == 1; }));
   entry.Welcome();
   cr_assert_eq(agent.Announce(), 200);
@@ -209,11 +215,18 @@
   cr_assert(WaitFor([&] { return agent.MetricIs("unacknowledged_outcomes 0"); }));
 }
 
-// Guards against an agent that keeps to a stream that has gone silent, and against the end of the
-// process when its last channel is destroyed.
+// Guards against the abort of a process whose last channel is destroyed by one of gRPC's threads.
+// The test has no gRPC server, whose own use of these threads would hide it.
+Test(agent_daemon, outlives_its_only_channel) {
+  testing::PortBlock ports;
+  Agent agent("127.0.0.1:" + std::to_string(ports.Next()));
+  cr_assert(WaitFor([&] { return agent.Metric("connections_total") > 2; }));
+}
+
+// Guards against an agent that keeps to a stream that has gone silent.
 Test(agent_daemon, attaches_again_after_silence) {
   Entry entry("entry-1");
-  Agent agent(entry);
+  Agent agent(entry.address());
   cr_assert(WaitFor([&] { return entry.Hellos() == 1; }));
   entry.Welcome();
   cr_assert(WaitFor([&] { return entry.Hellos() == 2; }));
@@ -224,7 +237,7 @@
 Test(agent_daemon, follows_the_roster) {
   Entry first("entry-1");
   Entry second("entry-2");
-  Agent agent(first);
+  Agent agent(first.address());
   cr_assert(WaitFor([&] { return first.Hellos() == 1; }));
   first.Welcome({&first, &second});
   cr_assert(WaitFor([&] { return second.Hellos() == 1; }));
@@ -238,7 +251,7 @@
 // Guards against an operator's drain that the agent ignores or does not tell.
 Test(agent_daemon, refuses_and_reports_after_drain) {
   Entry entry("entry-1");
-  Agent agent(entry);
+  Agent agent(entry.address());
   cr_assert(WaitFor([&] { return entry.Hellos() == 1; }));
   entry.Welcome();
   cr_assert_eq(agent.Announce(), 200);
