--- a/src/zinniamuxd/agent_daemon.cc
+++ b/src/zinniamuxd/agent_daemon.cc
@@ -234,6 +234,7 @@
   add("unacknowledged_outcomes", core_.unacknowledged());
   add("ledger_records", core_.ledger().size());
   add("ledger_bytes", core_.ledger().bytes());
+  add("entry_addresses", links_.size());
   add("connections_total", connections_total_);
   add("attached_entries", attached_entries());
   add("roster_entries", core_.roster().size());
--- a/tests/unit/agent_daemon_test.cc
+++ b/tests/unit/agent_daemon_test.cc
@@ -246,6 +246,7 @@
   first.Welcome({&first});
   cr_assert(WaitFor([&] { return second.closed() == 1; }));
   cr_assert(WaitFor([&] { return agent.MetricIs("roster_entries 1"); }));
+  cr_assert(agent.MetricIs("entry_addresses 1"));
 }
 
 // Guards against an operator's drain that the agent ignores or does not tell.
