--- a/src/core/executor_health.cc
+++ b/src/core/executor_health.cc
@@ -35,6 +35,10 @@
   std::erase_if(kinds_, [](const auto& entry) { return entry.second.cells.empty(); });
 }
 
+void ExecutorHealth::Retain(const DispatchConfig& config) {
+  std::erase_if(kinds_, [&](const auto& entry) { return !config.jobs.contains(entry.first); });
+}
+
 ExecutorHealth::Standing ExecutorHealth::standing(std::string_view executor_id) const {
   const auto found = executors_.find(executor_id);
   return found == executors_.end() ? Standing::kHealthy : found->second.standing;
--- a/src/core/executor_health.h
+++ b/src/core/executor_health.h
@@ -7,10 +7,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "core/clock.h"
+#include "core/dispatch_config.h"
 
 namespace zinniamux::core {
 
@@ -53,6 +53,8 @@
   // Only known executors count for the limit on ejections.
   void Add(std::string_view executor_id);
   void Remove(std::string_view executor_id);
+  // Forgets the job kinds that `config` does not list.
+  void Retain(const DispatchConfig& config);
   Standing standing(std::string_view executor_id) const;
   std::size_t ejected() const { return ejected_; }
 
--- a/src/core/shard_dispatcher.cc
+++ b/src/core/shard_dispatcher.cc
@@ -99,6 +99,7 @@
       recovered_(options.recovery_window),
       pool_(options.availability_zone,
             MakePlacementPolicy(PlacementPolicyKind::kLateBinding, options.seed)),
+      admission_(options.admission),
       ownership_confirmed_at_(clock.now()) {
   for (const std::string& name : options.expected_agents) instances_.emplace(name, clock.now());
 }
@@ -317,6 +318,7 @@
   config_ = std::move(config);
   queue_.Configure(config_);
   estimator_.Retain(config_);
+  health_.Retain(config_);
   if (config_.policy.placement != placement) {
     pool_.SetPolicy(MakePlacementPolicy(config_.policy.placement, options_.seed));
   }
@@ -726,7 +728,8 @@
 
 std::map<std::string, std::uint32_t> ShardDispatcher::UsedSlots() const {
   std::map<std::string, std::uint32_t> used;
-  for (const auto& [id, agent] : agents_) used[id] = static_cast<std::uint32_t>(agent.open_tasks.size());
+  for (const auto& [id, agent] : agents_)
+    used[id] = static_cast<std::uint32_t>(agent.open_tasks.size());
   return used;
 }
 
--- a/src/core/shard_dispatcher.h
+++ b/src/core/shard_dispatcher.h
@@ -61,6 +61,7 @@
     std::uint32_t agent_queue_depth = 0;
     // The availability zone of this entry.
     std::string availability_zone;
+    AdmissionController::Options admission;
     // Emit a LogDecision for each placement, refusal and end of a job.
     bool log_decisions = true;
   };
