dispatcher: drop silent agents from the table; limit deadlines; more state tests

Cause: an agent instance left the dispatcher's memory after the recovery window, but the row agents/<shard> kept it until the next change, so that a new owner would have waited for it in vain. A deadline longer than the one in the recovery window would let a new owner forget the records of a job whose id may still be resubmitted.

Change: PersistAgents follows when an instance expires. Options::max_deadline (off unless set) refuses later deadlines.

--- a/src/core/shard_dispatcher.cc
+++ b/src/core/shard_dispatcher.cc
@@ -119,6 +119,13 @@
   if (std::optional<Error> error = ValidationError(submission)) {
     return FailedAnswer(submission.id, *std::move(error));
   }
+  if (options_.max_deadline.count() > 0 &&
+      submission.deadline - clock_.now() > options_.max_deadline) {
+    return Refuse(submission, {ErrorKind::kInvalidRequest,
+                               "the deadline is more than " +
+                                   std::to_string(options_.max_deadline.count()) + " ms ahead",
+                               {}});
+  }
   if (const RecoveredJob* recovered = recovered_.Find(submission.id)) {
     if (recovered->facts && recovered->facts->content_hash != submission.content_hash) {
       return FailedAnswer(submission.id, ConflictError());
@@ -724,7 +731,9 @@
 
 std::map<std::string, std::uint32_t> ShardDispatcher::UsedSlots() const {
   std::map<std::string, std::uint32_t> used;
-  for (const auto& [id, agent] : agents_) used[id] = static_cast<std::uint32_t>(agent.open_tasks.size());
+  for (const auto& [id, agent] : agents_) {
+    used[id] = static_cast<std::uint32_t>(agent.open_tasks.size());
+  }
   return used;
 }
 
@@ -902,7 +911,11 @@
 void ShardDispatcher::NoteInstance(const Agent& agent) {
   const bool added =
       instances_.insert_or_assign(InstanceName(agent.instance()), clock_.now()).second;
-  if (!options_.require_persisted_agents || (!added && agent.persisted)) return;
+  if (added || !agent.persisted) PersistInstances();
+}
+
+void ShardDispatcher::PersistInstances() {
+  if (!options_.require_persisted_agents) return;
   PersistAgents persist;
   for (const auto& [name, last_seen] : instances_) persist.instances.insert(name);
   actions_.emplace_back(std::move(persist));
@@ -923,8 +936,9 @@
   for (auto& [id, agent] : agents_) {
     if (agent.attached) instances_[InstanceName(agent.instance())] = now;
   }
-  std::erase_if(instances_,
-                [&](const auto& entry) { return now - entry.second > options_.recovery_window; });
+  const std::size_t expired = std::erase_if(
+      instances_, [&](const auto& entry) { return now - entry.second > options_.recovery_window; });
+  if (expired > 0) PersistInstances();
 }
 
 }  // namespace zinniamux::core
--- a/src/core/shard_dispatcher.h
+++ b/src/core/shard_dispatcher.h
@@ -49,6 +49,9 @@
     std::set<std::string> expected_agents;
     // isolation_limit + max_deadline + retention, see docs/design.md, section 3.4.
     std::chrono::milliseconds recovery_window{130'000};
+    // The max_deadline in that sum: a submission with a later deadline is refused, because its
+    // records would be forgotten by a new owner while its id can be resubmitted. Zero: no limit.
+    std::chrono::milliseconds max_deadline{0};
     // An agent instance gets no dispatch before the row `agents/<shard>` names it. Without this,
     // the next owner may not wait for the ledger of an agent that attached shortly before the
     // takeover.
@@ -217,6 +220,7 @@
   void FailWithheld();
   void ReleaseWithheld();
   void NoteInstance(const Agent& agent);
+  void PersistInstances();
   void ExpireInstances(TimePoint now);
 
   const Options options_;
--- a/tests/unit/shard_dispatcher_test.cc
+++ b/tests/unit/shard_dispatcher_test.cc
@@ -390,3 +390,48 @@
   shard.dispatcher.OnAgentsPersisted({"a@1"});
   cr_assert(shard.Take<SendDispatch>().size() == 1);
 }
+
+// Guards against agents in the table that a new owner would wait for in vain.
+Test(shard_dispatcher, silent_agent_leaves_the_table_after_the_recovery_window) {
+  Shard shard({.recovery_window = seconds(100), .require_persisted_agents = true});
+  shard.dispatcher.OnAgentAttached(MakeHello("a", 1));
+  shard.dispatcher.OnAgentAttached(MakeHello("a", 2));
+  cr_assert(shard.Take<PersistAgents>().back().instances == std::set<std::string>({"a@1", "a@2"}));
+  shard.clock.Advance(seconds(100));
+  shard.dispatcher.OnTimer();
+  cr_assert(shard.Take<PersistAgents>().empty());
+  shard.clock.Advance(milliseconds(1));
+  shard.dispatcher.OnTimer();
+  cr_assert(shard.Take<PersistAgents>().back().instances == std::set<std::string>({"a@2"}));
+}
+
+// Guards against jobs whose records a new owner forgets before their ids may be reused.
+Test(shard_dispatcher, deadline_beyond_the_recovery_window_is_refused) {
+  Shard shard({.max_deadline = seconds(19)});
+  const JobAnswer answer = shard.dispatcher.Submit(MakeSubmission("x", 1));
+  cr_assert(answer.error.kind == ErrorKind::kInvalidRequest);
+  cr_assert(answer.not_run);
+}
+
+// Guards against results of an earlier use of the id in the answer to another content.
+Test(shard_dispatcher, record_of_other_content_is_not_used) {
+  Shard shard;
+  shard.dispatcher.OnAgentAttached(MakeHello("a", 1));
+  shard.dispatcher.Submit(MakeSubmission("x", 1));
+  TaskOutcome other = MakeOutcome("x", 0, TaskState::kFinished);
+  other.job.content_hash = 78;
+  shard.dispatcher.OnOutcomes("a", {other});
+  cr_assert(shard.Answer("x").error.kind == ErrorKind::kSubmissionConflict);
+}
+
+// Guards against overfilling an agent that still runs tasks of an earlier owner.
+Test(shard_dispatcher, running_tasks_in_a_ledger_take_slots) {
+  Shard shard;
+  shard.dispatcher.OnAgentAttached(MakeHello("a", 1, 1));
+  shard.dispatcher.OnLedger("a", kEpoch, {MakeOutcome("x", 0, TaskState::kRunning)}, true);
+  shard.dispatcher.Submit(MakeSubmission("y", 1));
+  cr_assert(shard.Take<SendDispatch>().empty());
+  shard.Outcome("a", "x", 0, TaskState::kFinished);
+  cr_assert(shard.Take<SendDispatch>().size() == 1);
+  cr_assert(shard.Answer("x").results == std::vector<std::string>({"result-0"}));
+}
