entry: record metrics, use the log settings, and name fields as documented

Cause: an entry's /metrics page was empty, log.level and log.queue_lines had no effect, and GET /v1/executors and /v1/config/history named used_slots and time_ms otherwise. Change: EntryMetrics counts answers, decisions and response times and sets gauges; the entry's store setting is required, as the daemon refuses to start without it; a setting that nothing read is gone.

--- a/src/adapters/decision_log.cc
+++ b/src/adapters/decision_log.cc
@@ -13,24 +13,6 @@
 // Containers' own memory per decision; an estimate.
 constexpr std::size_t kEntryOverhead = 128;
 
-std::string_view DecisionName(DecisionRecord::Decision decision) {
-  switch (decision) {
-    case DecisionRecord::Decision::kPlaced:
-      return "placed";
-    case DecisionRecord::Decision::kRefused:
-      return "refused";
-    case DecisionRecord::Decision::kRequeued:
-      return "requeued";
-    case DecisionRecord::Decision::kEjected:
-      return "ejected";
-    case DecisionRecord::Decision::kReinstated:
-      return "reinstated";
-    case DecisionRecord::Decision::kJobEnded:
-      return "job_ended";
-  }
-  return "unknown";
-}
-
 json CandidatesJson(const std::vector<DecisionRecord::Candidate>& candidates) {
   json list = json::array();
   for (const DecisionRecord::Candidate& candidate : candidates) {
@@ -63,6 +45,24 @@
 
 }  // namespace
 
+std::string_view DecisionName(DecisionRecord::Decision decision) {
+  switch (decision) {
+    case DecisionRecord::Decision::kPlaced:
+      return "placed";
+    case DecisionRecord::Decision::kRefused:
+      return "refused";
+    case DecisionRecord::Decision::kRequeued:
+      return "requeued";
+    case DecisionRecord::Decision::kEjected:
+      return "ejected";
+    case DecisionRecord::Decision::kReinstated:
+      return "reinstated";
+    case DecisionRecord::Decision::kJobEnded:
+      return "job_ended";
+  }
+  return "unknown";
+}
+
 DecisionLog::DecisionLog(JsonLog& log) : DecisionLog(log, Options{}) {}
 
 DecisionLog::DecisionLog(JsonLog& log, const Options& options) : log_(log), options_(options) {}
--- a/src/adapters/decision_log.h
+++ b/src/adapters/decision_log.h
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "adapters/json_log.h"
@@ -17,6 +18,9 @@
 
 namespace zinniamux::adapters {
 
+// The name of a decision in the log, the metrics and explanations, for example "placed".
+std::string_view DecisionName(core::DecisionRecord::Decision decision);
+
 // Logs decisions and keeps the most recent ones in memory for `explain`. Memory is bounded: the
 // submission that was decided on least recently is forgotten first. Thread-safe and cheap enough to
 // be called under a shard's lock.
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -24,7 +24,6 @@
 // Below 3 s, a lost heartbeat would already stop an agent; see kSilenceLimit of the connections.
 constexpr std::int64_t kMinIsolationLimitMs = 3'000;
 constexpr std::int64_t kMaxIsolationLimitMs = 60'000;
-constexpr std::int64_t kMaxQueuedTasks = 100'000;
 constexpr std::int64_t kMaxExplainBytes = 256LL << 20U;
 constexpr std::int64_t kMaxBodyBytes = 1LL << 20U;
 constexpr std::int64_t kMinBodyBytes = 1024;
@@ -60,14 +59,15 @@
   return addresses;
 }
 
-// An explicitly empty text runs the process without a store.
-std::string ReadStore(CheckedObject& object) {
+// With `optional`, an explicitly empty text runs the process without a store.
+std::string ReadStore(CheckedObject& object, bool optional) {
   constexpr std::string_view kScheme = "http://";
   std::string url = object.Text("store", kMaxUrlBytes);
-  if (url.empty()) return url;
+  if (optional && url.empty()) return url;
   while (url.ends_with('/')) url.pop_back();
   if (!url.starts_with(kScheme) || !ParseAddress(std::string_view(url).substr(kScheme.size()))) {
-    object.Reject("store", "http://IP:PORT, or \"\" to run without a store");
+    object.Reject("store",
+                  optional ? "http://IP:PORT, or \"\" to run without a store" : "http://IP:PORT");
   }
   return url;
 }
@@ -76,8 +76,6 @@
   EntryLimits limits;
   limits.max_body_bytes = static_cast<std::size_t>(
       object.Integer("max_body_bytes", kMinBodyBytes, kMaxBodyBytes, kMaxBodyBytes));
-  limits.max_queued_tasks = static_cast<std::uint32_t>(
-      object.Integer("max_queued_tasks", 1, kMaxQueuedTasks, limits.max_queued_tasks));
   limits.max_explain_bytes =
       static_cast<std::size_t>(object.Integer("max_explain_bytes", 0, kMaxExplainBytes,
                                               static_cast<std::int64_t>(limits.max_explain_bytes)));
@@ -96,7 +94,7 @@
     entry.rpc_advertised = AddressText(ReadAddress(object, "rpc_advertised"));
   }
   entry.peers = ReadAddresses(object, "peers", context);
-  entry.store_url = ReadStore(object);
+  entry.store_url = ReadStore(object, /*optional=*/false);
   entry.shards = static_cast<std::uint32_t>(object.Integer("shards", 1, kMaxShards, 1));
   entry.drain_notice = milliseconds(
       object.Integer("drain_notice_ms", 0, kMaxDrainNoticeMs, entry.drain_notice.count()));
@@ -118,7 +116,7 @@
   agent.local = ReadAddress(object, "local");
   agent.entries = ReadAddresses(object, "entries", context);
   if (agent.entries.empty()) object.Reject("entries", "a list of at least one address");
-  agent.store_url = ReadStore(object);
+  agent.store_url = ReadStore(object, /*optional=*/true);
   agent.isolation_limit =
       milliseconds(object.Integer("isolation_limit_ms", kMinIsolationLimitMs, kMaxIsolationLimitMs,
                                   agent.isolation_limit.count()));
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -19,8 +19,6 @@
 struct EntryLimits {
   // Body of a submission or a configuration.
   std::size_t max_body_bytes = 1U << 20U;
-  // Tasks that wait in one shard.
-  std::uint32_t max_queued_tasks = 100'000;
   // Decisions kept for `explain`.
   std::size_t max_explain_bytes = 16U << 20U;
 };
@@ -36,7 +34,7 @@
   std::string rpc_advertised;
   // rpc addresses (host:port) of the other entries known at start.
   std::vector<std::string> peers;
-  // Base URL of the platform's service; empty only in tests.
+  // Base URL of the platform's service.
   std::string store_url;
   std::uint32_t shards = 1;
   std::chrono::milliseconds drain_notice{2000};
--- a/src/zinniamuxd/admin_api.cc
+++ b/src/zinniamuxd/admin_api.cc
@@ -46,7 +46,7 @@
   return {{"version", record.version},
           {"token", record.token},
           {"author", record.author},
-          {"published_ms", record.published_at.time_since_epoch().count()},
+          {"time_ms", record.published_at.time_since_epoch().count()},
           {"object", record.object_key}};
 }
 
@@ -170,7 +170,7 @@
                          {"rack", agent.rack},
                          {"slots", agent.executor.slots},
                          // Only the shard's owner knows which slots are in use.
-                         {"used", found == used.end() ? json(nullptr) : json(found->second)},
+                         {"used_slots", found == used.end() ? json(nullptr) : json(found->second)},
                          {"state", StateOf(agent.executor)}});
   }
   return json{{"executors", executors}}.dump() + "\n";
--- a/src/zinniamuxd/entry_daemon.cc
+++ b/src/zinniamuxd/entry_daemon.cc
@@ -55,6 +55,7 @@
       log_(log),
       self_(SelfOf(settings_)),
       metrics_(clock),
+      entry_metrics_(metrics_, clock, log),
       decisions_(log, {.max_bytes = settings_.limits.max_explain_bytes}),
       store_({.url = settings_.store_url}, store_client_, clock),
       last_owned_at_(clock.now()),
@@ -94,10 +95,14 @@
       CallerApi::Hooks{
           .refusal = [this] { return Refusal(); },
           .explain = [this](const std::string& id) { return decisions_.Explain(id); }});
-  admin_api_ =
-      std::make_unique<AdminApi>(*agents_, *config_service_, shards_,
-                                 AdminApi::Hooks{.ready = [this] { return Ready(); },
-                                                 .metrics = [this] { return metrics_.Text(); }});
+  admin_api_ = std::make_unique<AdminApi>(*agents_, *config_service_, shards_,
+                                          AdminApi::Hooks{.ready = [this] { return Ready(); },
+                                                          .metrics =
+                                                              [this] {
+                                                                return entry_metrics_.Page(
+                                                                    shards_, agents_->All().size(),
+                                                                    config_version_);
+                                                              }});
   rpc_service_ = std::make_unique<RpcService>(
       RpcService::Hooks{
           .accept_agent =
@@ -187,6 +192,7 @@
           .on_action =
               [this](core::DispatcherAction action) {
                 if (auto* log = std::get_if<core::LogDecision>(&action)) {
+                  entry_metrics_.OnDecision(log->record);
                   decisions_.Record(std::move(log->record));
                 }
               },
@@ -223,14 +229,14 @@
     return tl::unexpected(
         core::Error{core::ErrorKind::kInternal, "cannot listen on " + address, {}});
   }
-  auto caller =
-      adapters::HttpServer::Start({.address = settings_.caller.host,
-                                   .port = settings_.caller.port,
-                                   .threads = settings_.threads,
-                                   .max_body_bytes = settings_.limits.max_body_bytes},
-                                  [this](const HttpRequest& request, const HttpResponder& respond) {
-                                    caller_api_->Serve(request, respond);
-                                  });
+  auto caller = adapters::HttpServer::Start(
+      {.address = settings_.caller.host,
+       .port = settings_.caller.port,
+       .threads = settings_.threads,
+       .max_body_bytes = settings_.limits.max_body_bytes},
+      [this](const HttpRequest& request, const HttpResponder& respond) {
+        caller_api_->Serve(request, entry_metrics_.Recorded(request, respond));
+      });
   if (!caller) return tl::unexpected(caller.error());
   caller_server_ = *std::move(caller);
   auto admin =
--- a/src/zinniamuxd/entry_daemon.h
+++ b/src/zinniamuxd/entry_daemon.h
@@ -25,6 +25,7 @@
 #include "zinniamuxd/agent_registry.h"
 #include "zinniamuxd/caller_api.h"
 #include "zinniamuxd/config_service.h"
+#include "zinniamuxd/entry_metrics.h"
 #include "zinniamuxd/job_router.h"
 #include "zinniamuxd/peer_exchange.h"
 #include "zinniamuxd/roster_service.h"
@@ -77,6 +78,7 @@
   adapters::JsonLog& log_;
   const core::EntryAddress self_;
   adapters::Metrics metrics_;
+  EntryMetrics entry_metrics_;
   adapters::DecisionLog decisions_;
   adapters::HttpClient store_client_;
   adapters::HttpTableStore store_;
--- /dev/null
+++ b/src/zinniamuxd/entry_metrics.cc
@@ -0,0 +1,63 @@
+// Recording of an entry's metrics.
+#include "zinniamuxd/entry_metrics.h"
+
+#include <chrono>
+#include <utility>
+
+#include "adapters/decision_log.h"
+#include "zinniamuxd/owned_shard.h"
+#include "zinniamuxd/shard_host.h"
+
+namespace zinniamux::daemon {
+namespace {
+
+using MillisecondsAsDouble = std::chrono::duration<double, std::milli>;
+
+}  // namespace
+
+EntryMetrics::EntryMetrics(adapters::Metrics& metrics, const core::Clock& clock,
+                           const adapters::JsonLog& log)
+    : metrics_(metrics), clock_(clock), log_(log) {}
+
+adapters::HttpResponder EntryMetrics::Recorded(const adapters::HttpRequest& request,
+                                               adapters::HttpResponder respond) {
+  const core::TimePoint arrival = clock_.now();
+  return [this, arrival, method = request.method,
+          respond = std::move(respond)](adapters::HttpResponse response) {
+    metrics_.Add("caller_answers_total", 1,
+                 {{"method", method}, {"status", std::to_string(response.status)}});
+    if (method == "POST") {
+      metrics_.Observe("submission_answer_ms",
+                       MillisecondsAsDouble(clock_.now() - arrival).count());
+    }
+    respond(std::move(response));
+  };
+}
+
+void EntryMetrics::OnDecision(const core::DecisionRecord& record) {
+  metrics_.Add("decisions_total", 1, {{"decision", adapters::DecisionName(record.decision)}});
+}
+
+std::string EntryMetrics::Page(const std::vector<std::shared_ptr<ShardHost>>& shards,
+                               std::size_t agents, std::uint64_t config_version) {
+  double owned = 0;
+  double queued_tasks = 0;
+  double running_tasks = 0;
+  for (const auto& host : shards) {
+    const auto shard = host->owned();
+    const auto figures = shard == nullptr ? std::nullopt : shard->figures();
+    if (!figures) continue;
+    ++owned;
+    queued_tasks += static_cast<double>(figures->queued_tasks);
+    running_tasks += static_cast<double>(figures->running_tasks);
+  }
+  metrics_.Set("owned_shards", owned);
+  metrics_.Set("queued_tasks", queued_tasks);
+  metrics_.Set("running_tasks", running_tasks);
+  metrics_.Set("attached_agents", static_cast<double>(agents));
+  metrics_.Set("config_version", static_cast<double>(config_version));
+  metrics_.Set("log_lines_dropped", static_cast<double>(log_.dropped()));
+  return metrics_.Text();
+}
+
+}  // namespace zinniamux::daemon
--- a/src/zinniamuxd/main.cc
+++ b/src/zinniamuxd/main.cc
@@ -46,8 +46,7 @@
 
 int RunRole(const zinniamux::adapters::Settings& settings) {
   const zinniamux::adapters::SteadyClock clock;
-  const std::string id = settings.entry ? settings.entry->id : settings.agent->id;
-  JsonLog log({.file = settings.log.file, .process = id});
+  JsonLog log(zinniamux::adapters::LogOptions(settings));
   if (settings.entry) {
     zinniamux::daemon::EntryDaemon daemon(*settings.entry, clock, log);
     return Run(daemon, log);
