--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -69,12 +69,23 @@
 }
 trap clean_up EXIT
 
+# Ends the demo if a process has ended, for example because its port is in use.
+check_processes() {
+  local name
+  for name in "${!pid_of[@]}"; do
+    kill -0 "${pid_of[$name]}" 2>/dev/null && continue
+    echo "demo: $name has ended: $(tail -n 1 "$run/$name.out")"
+    exit 1
+  done
+}
+
 # Waits up to 20 s until a command succeeds.
 wait_for() {
   local what=$1
   shift
   for _ in $(seq 200); do
     if "$@" >/dev/null 2>&1; then return 0; fi
+    check_processes
     sleep 0.1
   done
   echo "demo: gave up waiting for $what"
--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -20,8 +20,9 @@
 namespace acc = boost::accumulators;
 
 constexpr std::array<double, 3> kProbabilities{0.5, 0.9, 0.99};
-// The P-square algorithm needs five samples before its markers mean anything.
-constexpr std::size_t kExactSamples = 5;
+// The P-square algorithm starts from the median of five samples and needs many more before its
+// estimate of 0.99 is near the largest ones, so the quantiles of a few samples are exact.
+constexpr std::size_t kExactSamples = 128;
 
 using Quantile = acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
 
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -16,7 +16,7 @@
 
 // A registry of metrics. A metric exists from its first use. The registry is divided into shards by
 // the metric's name, each with a lock, so that threads that count different things rarely meet.
-// Memory is bounded: at most `kMaxSeries` series exist, and one quantile series takes under 1 KB.
+// Memory is bounded: at most `kMaxSeries` series exist, and one quantile series takes under 4 KB.
 class Metrics {
  public:
   // Pairs of label and value, for example {{"kind", "overloaded"}}.
--- a/src/zinniamuxctl/output.cc
+++ b/src/zinniamuxctl/output.cc
@@ -46,9 +46,7 @@
 int PrintJob(const ApiAnswer& answer, bool as_json) {
   if (!answer.ok()) {
     const int exit_code = ReportFailure(answer, as_json);
-    std::cerr << "zinniamuxctl: "
-              << (answer.not_run() ? "no task was or will be started\n"
-                                   : "tasks may have been started\n");
+    if (answer.not_run()) std::cerr << "zinniamuxctl: no task was or will be started\n";
     return exit_code;
   }
   if (as_json) {
--- a/src/zinniamuxctl/publish_command.cc
+++ b/src/zinniamuxctl/publish_command.cc
@@ -76,11 +76,15 @@
 // Sends the same request until it is decided or the time is over.
 ApiAnswer SendUntilDecided(ApiClient& client, const std::string& request, milliseconds time_limit) {
   const steady_clock::time_point end = steady_clock::now() + time_limit;
+  std::string reported;
   while (true) {
     ApiAnswer answer = client.Post("/v1/config", request, kSendTimeLimit);
     const milliseconds delay = std::max(kRetryDelay, answer.retry_after());
     if (!answer.retryable() || steady_clock::now() + delay > end) return answer;
-    std::cerr << "zinniamuxctl: " << answer.message() << "; sending it again with its token\n";
+    if (reported != answer.message()) {
+      reported = answer.message();
+      std::cerr << "zinniamuxctl: " << reported << "; sending it again with its token\n";
+    }
     Progress progress("waiting before the next attempt");
     Sleep(delay, progress);
   }
--- a/tests/unit/metrics_test.cc
+++ b/tests/unit/metrics_test.cc
@@ -45,6 +45,12 @@
   metrics.Observe("wait_ms", 20);
   cr_assert_eq(ValueOf(metrics.Text(), "zinniamux_wait_ms{quantile=\"0.5\"}"), 20);
   cr_assert_eq(ValueOf(metrics.Text(), "zinniamux_wait_ms{quantile=\"0.99\"}"), 30);
+  for (int i = 1; i <= 20; ++i) metrics.Observe("few_ms", i);
+  cr_assert_eq(ValueOf(metrics.Text(), "zinniamux_few_ms{quantile=\"0.9\"}"), 18);
+  cr_assert_eq(ValueOf(metrics.Text(), "zinniamux_few_ms{quantile=\"0.99\"}"), 20);
+  // The exact samples end in the middle of the next series.
+  for (int i = 1; i <= 200; ++i) metrics.Observe("more_ms", i);
+  cr_assert_gt(ValueOf(metrics.Text(), "zinniamux_more_ms{quantile=\"0.99\"}"), 190);
   // 7919 is prime to 10000, so the samples are the numbers 0 to 9999 in a mixed order.
   for (int i = 0; i < 10'000; ++i) metrics.Observe("run_ms", (i * 7919) % 10'000);
   const std::string page = metrics.Text();
