--- a/src/adapters/caller_codec.cc
+++ b/src/adapters/caller_codec.cc
@@ -70,8 +70,7 @@
     submission_.job = root_.Id("job");
     submission_.idempotent = root_.Bool("idempotent", true);
     ReadRequestKey();
-    submission_.attempt =
-        static_cast<std::uint32_t>(root_.Integer("attempt", 0, kMaxAttempt, 0));
+    submission_.attempt = static_cast<std::uint32_t>(root_.Integer("attempt", 0, kMaxAttempt, 0));
     const std::int64_t deadline_ms = root_.Integer(
         "deadline_ms", 1, milliseconds(kMaxSubmissionDeadline).count(), kDefaultDeadline.count());
     submission_.deadline = now + milliseconds(deadline_ms);
