--- a/src/zinniamuxd/agent_daemon.h
+++ b/src/zinniamuxd/agent_daemon.h
@@ -88,6 +88,9 @@
   void OnShardRow(core::TimePoint requested_at,
                   const core::Result<std::optional<core::TableRow>>& row);
   bool ResultsDelivered(core::TimePoint limit);
+  // Writes the ledger to the object store, so that a new owner of the shard can read it after this
+  // process has ended. Waits for the store a bounded time.
+  void PublishLedger();
   void CloseConnections();
 
   const adapters::AgentSettings settings_;
@@ -106,6 +109,7 @@
   std::vector<std::shared_ptr<EntryConnection>> ended_connections_;
   // Connections whose last hook has not been called yet.
   std::size_t open_connections_ = 0;
+  std::uint64_t connections_total_ = 0;
   bool row_read_running_ = false;
   bool stopping_ = false;
   std::minstd_rand random_;
