dispatcher: refuse first sendings until the predecessor has lost its agents

Cause: a job with attempt 1 was admitted by a recovering owner. Its caller sent it again to the predecessor, which had not noticed its replacement and still reached an agent that was not fenced; the task started there and once more under the new epoch (P1).

Change: until isolation_limit (10 s) after the takeover, a recovering shard refuses attempt 1 with kRecovering too. Later, agents that the new owner does not reach have lost their authority (docs/design.md, section 3.3), so a second sending to the predecessor starts nothing. DispatchWorld models that authority.

--- a/src/core/shard_dispatcher.cc
+++ b/src/core/shard_dispatcher.cc
@@ -97,6 +97,7 @@
       recovered_(options.recovery_window),
       pool_(options.availability_zone,
             MakePlacementPolicy(PlacementPolicyKind::kLateBinding, options.seed)),
+      predecessor_ends_at_(clock.now() + options.isolation_limit),
       ownership_confirmed_at_(clock.now()) {
   for (const std::string& name : options.expected_agents) instances_.emplace(name, clock.now());
 }
@@ -134,7 +135,7 @@
     RecoveredJob records = recovered_.Take(submission.id);
     return Resume(std::move(submission), std::move(records));
   }
-  if (recovering() && submission.attempt != 1) {
+  if (MayBeStartedElsewhere(submission)) {
     return Refuse(submission,
                   {ErrorKind::kRecovering,
                    "not every agent has reported what it started; send the request again later",
@@ -203,6 +204,11 @@
   return answer;
 }
 
+bool ShardDispatcher::MayBeStartedElsewhere(const Submission& submission) const {
+  if (!recovering()) return false;
+  return submission.attempt != 1 || clock_.now() <= predecessor_ends_at_;
+}
+
 bool ShardDispatcher::MayClaimNotRun() const {
   if (superseded_ || frozen_) return false;
   const std::chrono::milliseconds validity = options_.ownership_validity;
--- a/src/core/shard_dispatcher.h
+++ b/src/core/shard_dispatcher.h
@@ -49,6 +49,10 @@
     std::set<std::string> expected_agents;
     // isolation_limit + max_deadline + retention, see docs/design.md, section 3.4.
     std::chrono::milliseconds recovery_window{130'000};
+    // How long after the takeover an agent that this owner has not fenced may still start tasks for
+    // its predecessor (docs/design.md, section 3.3). Until then a recovering shard refuses first
+    // sendings as well: sent again, they could reach the predecessor and start there, too.
+    std::chrono::milliseconds isolation_limit{10'000};
     // The max_deadline in that sum: a submission with a later deadline is refused, because its
     // records would be forgotten by a new owner while its id can be resubmitted. Zero: no limit.
     std::chrono::milliseconds max_deadline{0};
@@ -172,6 +176,8 @@
   JobAnswer Resume(Submission submission, RecoveredJob&& recovered);
   JobAnswer Enter(JobEntry& entry);
   bool MayPlace() const { return !superseded_ && !frozen_ && config_.version > 0; }
+  // The id may have a start record that is not known yet, or may get one from the predecessor.
+  bool MayBeStartedElsewhere(const Submission& submission) const;
   bool MayClaimNotRun() const;
   JobAnswer CurrentAnswer(const Job& job) const;
 
@@ -253,6 +259,8 @@
   std::vector<DispatcherAction> actions_;
   std::size_t queued_tasks_ = 0;
   std::size_t running_tasks_ = 0;
+  // No unfenced agent starts anything after this.
+  const TimePoint predecessor_ends_at_;
   TimePoint ownership_confirmed_at_;
   bool superseded_ = false;
   bool frozen_ = false;
--- a/tests/property/dispatch_world.cc
+++ b/tests/property/dispatch_world.cc
@@ -20,8 +20,8 @@
 constexpr seconds kDeadline{8};
 constexpr milliseconds kSilenceLimit{3'000};
 constexpr std::array<const char*, 6> kIds{"x1", "x2", "x3", "x4", "hold1", "hold2"};
-// A third entry keeps the agents authorised, so that only epochs stop a stale owner.
-constexpr const char* kPeer = "peer";
+// Stands for the roster: an agent hears it when it hears the current owner.
+constexpr const char* kRoster = "roster";
 
 core::Submission MakeSubmission(const std::string& id, core::TimePoint deadline) {
   core::Submission submission;
@@ -54,9 +54,11 @@
 }  // namespace
 
 std::ostream& operator<<(std::ostream& out, const Step& step) {
-  constexpr std::array kNames{
-      "DeliverToAgent", "DeliverToEntry", "EndTask",   "Submit",   "Cancel",   "Fetch", "Advance",
-      "Disconnect",     "Connect",        "KillAgent", "TakeOver", "HandOver", "Store"};
+  constexpr std::array kNames{"DeliverToAgent", "DeliverToEntry", "EndTask",  "Submit",
+                              "Cancel",         "Fetch",          "Advance",  "Disconnect",
+                              "Connect",        "KillAgent",      "TakeOver", "HandOver",
+                              "Store",          "Status",         "Settle"};
+  static_assert(kNames.size() == static_cast<std::size_t>(Event::kCount));
   return out << kNames.at(static_cast<std::size_t>(step.event)) << "(" << step.subject << ", "
              << step.variant << ")";
 }
@@ -94,8 +96,8 @@
   agent.running.clear();
   agent.core = std::make_unique<core::AgentCore>(
       core::AgentCore::Options{.agent_id = agent.id, .incarnation = agent.incarnation}, clock_);
-  agent.core->OnRoster(kPeer, 1, {});
-  agent.core->OnEntryHeard(kPeer);
+  agent.core->OnRoster(kRoster, 1, {});
+  agent.core->OnEntryHeard(kRoster);
   agent.core->OnExecutorStatus({.executor_id = agent.id + "-executor",
                                 .available = true,
                                 .slots = kSlots,
@@ -129,6 +131,7 @@
   if (queue.empty()) return;
   core::DispatcherAction action = std::move(queue.front());
   queue.pop_front();
+  if (!late && entry + 1 == entries_.size()) agent.core->OnEntryHeard(kRoster);
   const std::string& from = entries_[entry].id;
   const std::uint64_t epoch = entries_[entry].epoch;
   if (auto* dispatch = std::get_if<core::SendDispatch>(&action)) {
@@ -275,7 +278,9 @@
     if (entry.dispatcher) entry.dispatcher->OnTimer();
   }
   for (Agent& agent : agents_) {
-    agent.core->OnEntryHeard(kPeer);
+    const Stream& stream = agent.streams[entries_.size() - 1];
+    // A heartbeat follows all messages of the stream.
+    if (stream.open && stream.to_agent.empty()) agent.core->OnEntryHeard(kRoster);
     agent.core->OnTimer();
   }
 }
--- a/tests/unit/shard_dispatcher_test.cc
+++ b/tests/unit/shard_dispatcher_test.cc
@@ -304,6 +304,9 @@
   cr_assert(!unknown.not_run);
   Submission first = MakeSubmission("z", 1);
   first.attempt = 1;
+  // Sent again, it could reach the predecessor, which agents obey for 10 s more.
+  cr_assert(shard.dispatcher.Submit(first).error.kind == ErrorKind::kRecovering);
+  shard.clock.Advance(milliseconds(10'001));
   shard.dispatcher.Submit(first);
   shard.dispatcher.Submit(MakeSubmission("x", 2));
   auto dispatches = shard.Take<SendDispatch>();
