--- a/src/core/shard_dispatcher.cc
+++ b/src/core/shard_dispatcher.cc
@@ -18,6 +18,8 @@
 // A task that every free agent has revoked is tried again after this time.
 constexpr std::chrono::milliseconds kRevokedRetryDelay{50};
 
+// Instances are kept for minutes, so there is no need to look at all of them on every timer.
+constexpr std::chrono::milliseconds kInstanceExpiryPeriod{1000};
 // Jobs of which one pass tries a task that fits no free executor, before it gives up.
 constexpr std::size_t kMaxDeferredJobs = 16;
 
@@ -97,6 +99,7 @@
       recovered_(options.recovery_window),
       pool_(options.availability_zone,
             MakePlacementPolicy(PlacementPolicyKind::kLateBinding, options.seed)),
+      admission_(options.admission),
       predecessor_ends_at_(clock.now() + options.isolation_limit),
       ownership_confirmed_at_(clock.now()) {
   for (const std::string& name : options.expected_agents) instances_.emplace(name, clock.now());
@@ -328,6 +331,7 @@
   config_ = std::move(config);
   queue_.Configure(config_);
   estimator_.Retain(config_);
+  health_.Retain(config_);
   if (config_.policy.placement != placement) {
     pool_.SetPolicy(MakePlacementPolicy(config_.policy.placement, options_.seed));
   }
@@ -428,10 +432,25 @@
   OnOutcomes(agent_id, std::move(records));
   if (!last_part) return;
   agent.ledger_merged = true;
+  OnLedgerMerged(agent.instance());
+  PlaceQueued();
+}
+
+void ShardDispatcher::OnDepartedLedger(const AgentInstance& instance,
+                                       std::vector<TaskOutcome> records) {
+  for (TaskOutcome& record : records) MergeRecord(instance, std::move(record));
+  OnLedgerMerged(instance);
+  PlaceQueued();
+}
+
+void ShardDispatcher::OnLedgerMerged(const AgentInstance& instance) {
   const bool was_complete = recovery_.complete();
-  recovery_.OnLedgerMerged(agent.instance());
+  recovery_.OnLedgerMerged(instance);
   if (!was_complete && recovery_.complete()) ReleaseWithheld();
-  PlaceQueued();
+}
+
+std::set<std::string> ShardDispatcher::UnheardInstances() const {
+  return recovering() ? recovery_.unheard() : std::set<std::string>();
 }
 
 void ShardDispatcher::OnRefusal(std::string_view agent_id, std::span<const TaskKey> tasks,
@@ -519,24 +538,28 @@
 
 void ShardDispatcher::ApplyOutcome(Agent& agent, TaskOutcome outcome) {
   const TaskKey key = outcome.key;
-  JobEntry* entry = FindTask(key);
   if (outcome.state == TaskState::kRunning) {
     OpenTask(agent, key);
   } else {
     CloseTask(agent, key);
   }
+  MergeRecord(agent.instance(), std::move(outcome));
+}
+
+void ShardDispatcher::MergeRecord(const AgentInstance& instance, TaskOutcome outcome) {
+  JobEntry* entry = FindTask(outcome.key);
   if (entry == nullptr) {
-    recovered_.Merge(agent.instance(), std::move(outcome), clock_.now());
+    recovered_.Merge(instance, std::move(outcome), clock_.now());
     return;
   }
-  ApplyToJob(*entry, agent, std::move(outcome));
+  ApplyToJob(*entry, instance, std::move(outcome));
   Settle(*entry);
 }
 
-void ShardDispatcher::ApplyToJob(JobEntry& entry, const Agent& agent, TaskOutcome outcome) {
+void ShardDispatcher::ApplyToJob(JobEntry& entry, const AgentInstance& instance,
+                                 TaskOutcome outcome) {
   Job& job = entry.job;
   const std::uint32_t index = outcome.key.task_index;
-  const AgentInstance instance = agent.instance();
   const bool held = job.IsHeldBy(index, instance);
   const bool unplaced =
       job.phase(index) == Job::Phase::kPending || job.phase(index) == Job::Phase::kWithheld;
@@ -939,6 +962,8 @@
 // Records of an instance matter as long as a submission that it may have started can be
 // resubmitted.
 void ShardDispatcher::ExpireInstances(TimePoint now) {
+  if (now < expire_instances_at_) return;
+  expire_instances_at_ = now + kInstanceExpiryPeriod;
   for (auto& [id, agent] : agents_) {
     if (agent.attached) instances_[InstanceName(agent.instance())] = now;
   }
