dispatcher: remove expired agent instances on time

Cause: after instances were scanned once a second only, one left the row agents/<shard> up to a second late and the unit test of it failed. Change: the next scan is due when the first window ends. The recovery window follows the configuration in force, the entry's zone reaches placement, and the publish tests take free ports rather than fixed ones.

--- a/src/core/shard_dispatcher.cc
+++ b/src/core/shard_dispatcher.cc
@@ -969,6 +969,11 @@
   }
   const std::size_t expired = std::erase_if(
       instances_, [&](const auto& entry) { return now - entry.second > options_.recovery_window; });
+  // An instance that ends its window before the next scan is removed on time.
+  for (const auto& [name, last_seen] : instances_) {
+    const TimePoint end = last_seen + options_.recovery_window + Duration(1);
+    expire_instances_at_ = std::min(expire_instances_at_, end);
+  }
   if (expired > 0) PersistInstances();
 }
 
--- a/src/zinniamuxd/entry_daemon.cc
+++ b/src/zinniamuxd/entry_daemon.cc
@@ -195,7 +195,8 @@
       OwnedShard::Options{.shard = shard,
                           .epoch = start.epoch,
                           .row_version = start.row_version,
-                          .incarnation = self_.incarnation},
+                          .incarnation = self_.incarnation,
+                          .availability_zone = settings_.availability_zone},
       OwnedShard::Hooks{
           .on_action =
               [this](core::DispatcherAction action) {
--- a/src/zinniamuxd/owned_shard.cc
+++ b/src/zinniamuxd/owned_shard.cc
@@ -1,6 +1,7 @@
 // Wiring of a shard's dispatcher to agents, claims and the table.
 #include "zinniamuxd/owned_shard.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -13,12 +14,23 @@
 constexpr std::chrono::milliseconds kStoreRetryPeriod{250};
 // Acknowledgements of this time go into one message per agent.
 constexpr std::chrono::milliseconds kAcknowledgePeriod{100};
+// The longest isolation limit that an agent's settings allow.
+constexpr std::chrono::milliseconds kIsolationLimit{60'000};
 // A ledger that is missing is looked for again after this time.
 constexpr std::chrono::milliseconds kLedgerRereadPeriod{1000};
 // How long after the last proof of ownership "not run" is still claimed; the row is read each
 // second.
 constexpr std::chrono::milliseconds kOwnershipValidity{3000};
 
+// Until then an id that an unheard agent may have started can be resubmitted. Never shorter than
+// the default, as an earlier configuration may have allowed that much.
+std::chrono::milliseconds RecoveryWindow(const std::optional<core::DispatchConfig>& config) {
+  const std::chrono::milliseconds shortest = core::ShardDispatcher::Options().recovery_window;
+  if (!config) return shortest;
+  return std::max(shortest,
+                  kIsolationLimit + config->policy.max_deadline + config->policy.retention);
+}
+
 }  // namespace
 
 OwnedShard::OwnedShard(const Options& options, Hooks hooks, core::TableStore& store,
@@ -129,8 +141,10 @@
                                      .epoch = options_.epoch,
                                      .seed = options_.incarnation ^ options_.epoch,
                                      .expected_agents = std::move(expected_agents),
+                                     .recovery_window = RecoveryWindow(hooks_.config()),
                                      .require_persisted_agents = true,
-                                     .ownership_validity = kOwnershipValidity},
+                                     .ownership_validity = kOwnershipValidity,
+                                     .availability_zone = options_.availability_zone},
       ShardRuntime::Hooks{.on_action =
                               [weak = weak_from_this()](core::DispatcherAction action) {
                                 const auto self = weak.lock();
--- a/src/zinniamuxd/owned_shard.h
+++ b/src/zinniamuxd/owned_shard.h
@@ -34,6 +34,8 @@
     std::uint64_t row_version = 0;
     // The entry's incarnation.
     std::uint64_t incarnation = 0;
+    // The entry's own zone; placement prefers it among equals.
+    std::string availability_zone;
   };
 
   // Hooks must not block. `on_action` runs under the shard's lock.
--- a/tests/unit/publish_command_test.cc
+++ b/tests/unit/publish_command_test.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "adapters/http_server.h"
+#include "support/port_block.h"
 #include "unit/temporary_folder.h"
 #include "zinniamuxctl/command.h"
 
@@ -20,12 +21,9 @@
 using zinniamux::adapters::HttpResponse;
 using zinniamux::adapters::HttpServer;
 using zinniamux::ctl::PublishCommand;
+using zinniamux::testing::PortBlock;
 using zinniamux::tests::TemporaryFolder;
 
-// Tests run at the same time, each with a port of its own.
-constexpr std::uint16_t kRepeatPort = 34871;
-constexpr std::uint16_t kConflictPort = 34872;
-
 // Has version 4 in force and gives the n-th answer to the n-th publish.
 class AdminStandIn {
  public:
@@ -79,10 +77,12 @@
 // Guards against a publish that takes effect twice: an undecided publish is repeated with the same
 // token and base version, whatever is in force by then.
 Test(publish_command, repeats_an_undecided_publish_with_its_token) {
-  const AdminStandIn admin(kRepeatPort, {{.body = {}, .cut_off = true},
-                                         {.status = 503, .body = Error("store_unavailable", true)},
-                                         {.body = R"({"version":5})"}});
-  cr_assert_eq(Publish(kRepeatPort), zinniamux::ctl::kExitOk);
+  PortBlock ports;
+  const std::uint16_t port = ports.Next();
+  const AdminStandIn admin(port, {{.body = {}, .cut_off = true},
+                                  {.status = 503, .body = Error("store_unavailable", true)},
+                                  {.body = R"({"version":5})"}});
+  cr_assert_eq(Publish(port), zinniamux::ctl::kExitOk);
   const std::vector<json> requests = admin.requests();
   cr_assert_eq(requests.size(), 3U);
   cr_assert(requests[0]["base_version"] == 4);
@@ -93,8 +93,9 @@
 
 // Guards against a lost publish that is reported as done, and a conflict that is tried again.
 Test(publish_command, reports_a_conflict_at_once) {
-  const AdminStandIn admin(kConflictPort,
-                           {{.status = 409, .body = Error("version_conflict", false)}});
-  cr_assert_eq(Publish(kConflictPort), 5);
+  PortBlock ports;
+  const std::uint16_t port = ports.Next();
+  const AdminStandIn admin(port, {{.status = 409, .body = Error("version_conflict", false)}});
+  cr_assert_eq(Publish(port), 5);
   cr_assert_eq(admin.requests().size(), 1U);
 }
