entry: count messages by kind; acknowledge results by heartbeat only

Cause: wasted messages could not be measured, and each batch of results was acknowledged twice, by ResultAck and by the heartbeat's time stamp. Change: counters by kind on the metrics page; ResultAck goes only to agents that are leaving and wait for it.

--- a/bench/load/load_run.cc
+++ b/bench/load/load_run.cc
@@ -84,6 +84,8 @@
       counts[line.substr(prefix.size(), end - prefix.size())] += std::stod(line.substr(space + 1));
     }
   }
+  // A request and an answer each.
+  counts["store"] = 2.0 * static_cast<double>(deployment.PlatformRequests());
   return counts;
 }
 
@@ -162,6 +164,14 @@
   return figures;
 }
 
+double OfferedMs(const std::vector<TraceJob>& trace) {
+  double offered = 0;
+  for (const TraceJob& job : trace) {
+    for (const TraceTask& task : job.tasks) offered += static_cast<double>(task.length.count());
+  }
+  return offered;
+}
+
 // One request and one answer per job and agent that it used.
 std::size_t MessageFloor(const testing::StartRecords& records) { return 2 * records.job_agents(); }
 
@@ -197,10 +207,10 @@
   const testing::StartRecords records(deployment.directory());
   const auto started = static_cast<double>(std::max<std::size_t>(records.total(), 1));
   const double floor = static_cast<double>(MessageFloor(records));
-  // All work that the slots can do from the first arrival to the last answer.
-  const double offered_ms = Milliseconds(options.duration).count();
-  const double capacity_ms =
-      offered_ms * static_cast<double>(kExecutors * kSlots) * std::min(1.0, options.load);
+  // The work that was offered, but no more than the slots can do until the last deadline.
+  const double slot_ms =
+      Milliseconds(options.duration + kDeadline).count() * static_cast<double>(kExecutors * kSlots);
+  const double capacity_ms = std::min(OfferedMs(trace), slot_ms);
   return ordered_json{
       {"deployment", options.deployment},
       {"policy", options.policy},
--- a/src/zinniamuxd/agent_registry.cc
+++ b/src/zinniamuxd/agent_registry.cc
@@ -15,17 +15,21 @@
 
 }  // namespace
 
-AgentRegistry::AgentRegistry(const core::Clock& clock, Hooks hooks)
-    : clock_(clock), hooks_(std::move(hooks)) {}
+AgentRegistry::AgentRegistry(const core::Clock& clock, MessageCounts& counts, Hooks hooks)
+    : clock_(clock), counts_(counts), hooks_(std::move(hooks)) {}
 
 grpc::ServerBidiReactor<v1::AgentMessage, v1::EntryMessage>* AgentRegistry::Accept(
     grpc::CallbackServerContext* context) {
   auto stream = std::make_shared<AgentStream>(
       context,
       AgentStream::Hooks{
-          .on_message = [this](const std::shared_ptr<AgentStream>& from,
-                               v1::AgentMessage message) { OnMessage(from, std::move(message)); },
-          .on_closed = [this](const std::shared_ptr<AgentStream>& from) { OnClosed(from); }},
+          .on_message =
+              [this](const std::shared_ptr<AgentStream>& from, v1::AgentMessage message) {
+                counts_.CountReceived(message);
+                OnMessage(from, std::move(message));
+              },
+          .on_closed = [this](const std::shared_ptr<AgentStream>& from) { OnClosed(from); },
+          .on_send = [this](const v1::EntryMessage& message) { counts_.CountSent(message); }},
       clock_);
   stream->Start();
   return stream.get();
--- a/src/zinniamuxd/agent_registry.h
+++ b/src/zinniamuxd/agent_registry.h
@@ -15,6 +15,7 @@
 #include "core/executor_info.h"
 #include "zinniamux.pb.h"
 #include "zinniamuxd/agent_stream.h"
+#include "zinniamuxd/message_counts.h"
 
 namespace zinniamux::daemon {
 
@@ -32,7 +33,8 @@
     std::function<void(const std::string& agent_id, std::uint32_t shard)> on_detached;
   };
 
-  AgentRegistry(const core::Clock& clock, Hooks hooks);
+  // `counts` outlives this object.
+  AgentRegistry(const core::Clock& clock, MessageCounts& counts, Hooks hooks);
 
   // A new stream; the agent is known once its hello has arrived.
   grpc::ServerBidiReactor<v1::AgentMessage, v1::EntryMessage>* Accept(
@@ -66,6 +68,7 @@
   void OnClosed(const std::shared_ptr<AgentStream>& stream);
 
   const core::Clock& clock_;
+  MessageCounts& counts_;
   const Hooks hooks_;
   mutable std::mutex mutex_;
   // Guarded by mutex_.
--- a/src/zinniamuxd/agent_stream.h
+++ b/src/zinniamuxd/agent_stream.h
@@ -23,6 +23,7 @@
   struct Hooks {
     std::function<void(const std::shared_ptr<AgentStream>&, v1::AgentMessage)> on_message;
     std::function<void(const std::shared_ptr<AgentStream>&)> on_closed;
+    std::function<void(const v1::EntryMessage&)> on_send;
   };
 
   AgentStream(grpc::CallbackServerContext* context, Hooks hooks, const core::Clock& clock);
--- a/src/zinniamuxd/entry_daemon.cc
+++ b/src/zinniamuxd/entry_daemon.cc
@@ -61,7 +61,7 @@
       store_({.url = settings_.store_url}, *store_client_, clock),
       last_owned_at_(clock.now()),
       agents_(std::make_unique<AgentRegistry>(
-          clock,
+          clock, entry_metrics_.messages(),
           AgentRegistry::Hooks{
               .welcome = [this] { return WelcomeMessage(); },
               .on_attached = [this](const core::AgentHello& hello) { OnAgentAttached(hello); },
@@ -115,7 +115,7 @@
               },
           .owned = [this] { return Owned(); },
           .refuses_new = [this] { return refuses_new_.load(); }},
-      clock_);
+      entry_metrics_.messages(), clock_);
 }
 
 EntryDaemon::~EntryDaemon() {
--- a/src/zinniamuxd/entry_metrics.cc
+++ b/src/zinniamuxd/entry_metrics.cc
@@ -57,7 +57,17 @@
   metrics_.Set("attached_agents", static_cast<double>(agents));
   metrics_.Set("config_version", static_cast<double>(config_version));
   metrics_.Set("log_lines_dropped", static_cast<double>(log_.dropped()));
+  ExportMessages();
   return metrics_.Text();
 }
 
+void EntryMetrics::ExportMessages() {
+  const std::lock_guard lock(mutex_);
+  for (const auto& [kind, count] : messages_.ByKind()) {
+    std::uint64_t& exported = exported_[kind];
+    metrics_.Add("messages_total", static_cast<double>(count - exported), {{"kind", kind}});
+    exported = count;
+  }
+}
+
 }  // namespace zinniamux::daemon
--- a/src/zinniamuxd/entry_metrics.h
+++ b/src/zinniamuxd/entry_metrics.h
@@ -3,7 +3,9 @@
 #define ZINNIAMUX_ZINNIAMUXD_ENTRY_METRICS_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -12,6 +14,7 @@
 #include "adapters/metrics.h"
 #include "core/clock.h"
 #include "core/dispatcher_action.h"
+#include "zinniamuxd/message_counts.h"
 
 namespace zinniamux::daemon {
 
@@ -28,14 +31,22 @@
   adapters::HttpResponder Recorded(const adapters::HttpRequest& request,
                                    adapters::HttpResponder respond);
   void OnDecision(const core::DecisionRecord& record);
+  // Filled by those who send and receive.
+  MessageCounts& messages() { return messages_; }
   // Sets the gauges and returns the text page.
   std::string Page(const std::vector<std::shared_ptr<ShardHost>>& shards, std::size_t agents,
                    std::uint64_t config_version);
 
  private:
+  void ExportMessages();
+
   adapters::Metrics& metrics_;
   const core::Clock& clock_;
   const adapters::JsonLog& log_;
+  MessageCounts messages_;
+  std::mutex mutex_;
+  // Guarded by mutex_. What messages_ held at the last page.
+  std::map<std::string, std::uint64_t> exported_;
 };
 
 }  // namespace zinniamux::daemon
--- a/src/zinniamuxd/owned_shard.cc
+++ b/src/zinniamuxd/owned_shard.cc
@@ -62,7 +62,7 @@
                      agents = adapters::ParseAgentsRow((*row)->value);
                    }
                    if (agents) {
-                     self->ReadDepartedLedgers(*std::move(agents));
+                     self->ReadDepartedLedgers(*agents);
                      return;
                    }
                    self->hooks_.on_problem("agents row: " + agents.error().message);
@@ -83,7 +83,7 @@
       });
 }
 
-void OwnedShard::ReadDepartedLedgers(std::set<std::string> expected_agents) {
+void OwnedShard::ReadDepartedLedgers(const std::set<std::string>& expected_agents) {
   struct Gathering {
     std::mutex mutex;
     std::size_t open = 1;
@@ -405,6 +405,10 @@
     acknowledgements.swap(acknowledgements_);
   }
   for (const auto& [agent_id, tasks] : acknowledgements) {
+    // Heartbeats acknowledge results within a second by their time stamp. Only an agent that waits
+    // for the acknowledgement to exit gets it sooner.
+    const auto hello = agents_.Find(agent_id);
+    if (!hello || !hello->executor.leaving) continue;
     v1::EntryMessage message;
     for (const core::TaskKey& key : tasks) {
       *message.mutable_result_ack()->add_tasks() = rpc::ToProto(key);
--- a/src/zinniamuxd/owned_shard.h
+++ b/src/zinniamuxd/owned_shard.h
@@ -98,7 +98,7 @@
   std::shared_ptr<ShardRuntime> Runtime() const;
   void ReadAgents();
   // Reads the final ledgers of expected instances that are not attached, then runs the shard.
-  void ReadDepartedLedgers(std::set<std::string> expected_agents);
+  void ReadDepartedLedgers(const std::set<std::string>& expected_agents);
   void Run(std::set<std::string> expected_agents, std::vector<DepartedLedger> departed);
   // Looks again for ledgers of instances that left after the takeover began.
   void RereadDepartedLedgers();
--- a/src/zinniamuxd/rpc_service.cc
+++ b/src/zinniamuxd/rpc_service.cc
@@ -7,8 +7,11 @@
 
 namespace zinniamux::daemon {
 
-RpcService::RpcService(Hooks hooks, const core::Clock& clock)
-    : hooks_(std::move(hooks)), clock_(clock), in_flight_(std::make_shared<std::atomic<int>>(0)) {}
+RpcService::RpcService(Hooks hooks, MessageCounts& counts, const core::Clock& clock)
+    : hooks_(std::move(hooks)),
+      counts_(counts),
+      clock_(clock),
+      in_flight_(std::make_shared<std::atomic<int>>(0)) {}
 
 grpc::ServerBidiReactor<v1::AgentMessage, v1::EntryMessage>* RpcService::Attach(
     grpc::CallbackServerContext* context) {
@@ -31,6 +34,7 @@
 grpc::ServerUnaryReactor* RpcService::Forward(grpc::CallbackServerContext* context,
                                               const v1::ForwardRequest* request,
                                               v1::JobAnswer* response) {
+  counts_.CountPeerCall(MessageCounts::PeerCall::kForward);
   grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
   RouteCallback respond = Responder(reactor, response);
   const core::Duration wait = std::chrono::milliseconds(request->wait_ms());
@@ -61,6 +65,7 @@
 grpc::ServerUnaryReactor* RpcService::FetchJob(grpc::CallbackServerContext* context,
                                                const v1::JobReference* request,
                                                v1::JobAnswer* response) {
+  counts_.CountPeerCall(MessageCounts::PeerCall::kFetch);
   grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
   RouteCallback respond = Responder(reactor, response);
   const auto shard = ShardKnowing(request->submission_id());
@@ -76,6 +81,7 @@
 grpc::ServerUnaryReactor* RpcService::CancelJob(grpc::CallbackServerContext* context,
                                                 const v1::JobReference* request,
                                                 v1::JobAnswer* response) {
+  counts_.CountPeerCall(MessageCounts::PeerCall::kCancel);
   grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
   const RouteCallback respond = Responder(reactor, response);
   const auto shard = ShardKnowing(request->submission_id());
@@ -90,6 +96,7 @@
 grpc::ServerUnaryReactor* RpcService::PeerHeartbeat(grpc::CallbackServerContext* context,
                                                     const v1::PeerStatus* request,
                                                     v1::PeerStatus* response) {
+  counts_.CountPeerCall(MessageCounts::PeerCall::kHeartbeat);
   grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
   *response = hooks_.heartbeat(*request);
   reactor->Finish(grpc::Status::OK);
--- a/src/zinniamuxd/rpc_service.h
+++ b/src/zinniamuxd/rpc_service.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "core/submission.h"
 #include "zinniamux.grpc.pb.h"
+#include "zinniamuxd/message_counts.h"
 #include "zinniamuxd/owned_shard.h"
 
 namespace zinniamux::daemon {
@@ -33,7 +34,8 @@
     std::function<bool()> refuses_new;
   };
 
-  RpcService(Hooks hooks, const core::Clock& clock);
+  // `counts` outlives this object.
+  RpcService(Hooks hooks, MessageCounts& counts, const core::Clock& clock);
 
   grpc::ServerBidiReactor<v1::AgentMessage, v1::EntryMessage>* Attach(
       grpc::CallbackServerContext* context) override;
@@ -59,6 +61,7 @@
   std::shared_ptr<OwnedShard> ShardKnowing(const std::string& submission_id) const;
 
   const Hooks hooks_;
+  MessageCounts& counts_;
   const core::Clock& clock_;
   const std::shared_ptr<std::atomic<int>> in_flight_;
 };
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -177,6 +177,14 @@
                        .fresh_connection = true});
 }
 
+std::size_t Deployment::PlatformRequests() {
+  const adapters::HttpResult result =
+      client_.SendAndWait({.url = "http://" + Loopback(platform_port_) + "/stats"});
+  const json body = json::parse(result.body, nullptr, false);
+  if (!body.is_object()) return 0;
+  return body.value("reads", std::size_t{0}) + body.value("writes", std::size_t{0});
+}
+
 std::optional<std::size_t> Deployment::Owner() {
   for (std::size_t index = 0; index < entries_.size(); ++index) {
     const adapters::HttpResult result = Admin(index, "GET", "/v1/shards");
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -77,6 +77,8 @@
   // Sets the platform's fault mode; see tests/standins/platform_standin.
   void SetPlatformFault(const std::string& json_body);
 
+  // Requests that the platform has served.
+  std::size_t PlatformRequests();
   adapters::HttpResult Admin(std::size_t entry, const std::string& method, const std::string& path,
                              const std::string& body = "");
   bool Ready(std::size_t entry);
