--- a/bench/load/load_run.cc
+++ b/bench/load/load_run.cc
@@ -287,4 +287,28 @@
       .dump();
 }
 
+std::string RunIdle(std::size_t agents, std::chrono::seconds duration) {
+  testing::Deployment deployment({.entries = 1, .agents = agents});
+  const RoleUsage entry_before = UsageOfEntries(deployment);
+  const RoleUsage agents_before = UsageOfAgents(deployment);
+  const std::map<std::string, double> messages_before = MessageCounts(deployment);
+  std::this_thread::sleep_for(duration);
+  const RoleUsage entry = UsageOfEntries(deployment);
+  const RoleUsage all_agents = UsageOfAgents(deployment);
+  const double seconds = static_cast<double>(duration.count());
+  const auto count = static_cast<double>(agents);
+  const double agent_seconds = all_agents.processor_seconds - agents_before.processor_seconds;
+  return ordered_json{
+      {"run", "idle"},
+      {"agents", agents},
+      {"entry_rss_mb", Rounded(entry.largest_resident_mb, 0.1)},
+      {"entry_cpu_percent",
+       Rounded((entry.processor_seconds - entry_before.processor_seconds) * 100 / seconds, 0.01)},
+      {"agent_rss_mb", Rounded(all_agents.largest_resident_mb, 0.1)},
+      {"agent_cpu_percent", Rounded(agent_seconds * 100 / (seconds * count), 0.01)},
+      {"messages_per_s",
+       Rounded((Total(MessageCounts(deployment)) - Total(messages_before)) / seconds, 0.1)}}
+      .dump();
+}
+
 }  // namespace zinniamux::bench
--- a/bench/load/load_run.h
+++ b/bench/load/load_run.h
@@ -24,6 +24,9 @@
 std::string RunThroughput(std::uint64_t seed, std::size_t tasks_per_second,
                           std::chrono::seconds duration);
 
+// One entry and `agents` idle agents; returns their control cost as one line of JSON.
+std::string RunIdle(std::size_t agents, std::chrono::seconds duration);
+
 }  // namespace zinniamux::bench
 
 #endif  // ZINNIAMUX_BENCH_LOAD_LOAD_RUN_H_
--- a/bench/load/main.cc
+++ b/bench/load/main.cc
@@ -11,6 +11,7 @@
 
 namespace {
 
+using zinniamux::bench::RunIdle;
 using zinniamux::bench::RunLoad;
 using zinniamux::bench::RunOptions;
 using zinniamux::bench::RunThroughput;
@@ -38,6 +39,9 @@
     TCLAP::ValueArg<int> seconds("", "seconds", "length of each run", false, 20, "N", command);
     TCLAP::ValueArg<std::size_t> throughput("", "throughput", "run 1 ms tasks at this rate instead",
                                             false, 0, "TASKS_PER_S", command);
+    TCLAP::ValueArg<std::string> idle("", "idle-agents",
+                                      "measure idle agents instead, one run for each number", false,
+                                      "", "LIST", command);
     TCLAP::SwitchArg quick("", "quick", "5 s at load 0.8 only", command);
     command.parse(argc, argv);
 
@@ -46,6 +50,12 @@
       std::cout << RunThroughput(seed.getValue(), throughput.getValue(), duration) << std::endl;
       return EXIT_SUCCESS;
     }
+    if (idle.isSet()) {
+      for (const std::string& agents : SplitList(idle.getValue())) {
+        std::cout << RunIdle(std::stoul(agents), duration) << std::endl;
+      }
+      return EXIT_SUCCESS;
+    }
     const std::string load_list = quick.getValue() ? "0.8" : loads.getValue();
     for (const std::string& load : SplitList(load_list)) {
       for (const std::string& deployment : SplitList(deployments.getValue())) {
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -2,6 +2,7 @@
 # Load runs against real processes; prints one JSON line per run.
 # Usage: scripts/bench.sh [--deployment arkivhylse|tonewood] [--policy NAME,NAME]
 #   [--load 0.5,0.8,0.95,1.3] [--seed N] [--seconds N] [--quick] [--throughput TASKS_PER_S]
+#   [--idle-agents N,N]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
--- a/tests/support/port_block.cc
+++ b/tests/support/port_block.cc
@@ -12,7 +12,7 @@
 
 // Linux hands out ephemeral ports from 32768 on.
 constexpr std::uint16_t kFirstPort = 10000;
-constexpr std::uint16_t kBlocks = 200;
+constexpr std::uint16_t kBlocks = 70;
 
 }  // namespace
 
--- a/tests/support/port_block.h
+++ b/tests/support/port_block.h
@@ -12,7 +12,7 @@
 // tests in other processes choose other blocks.
 class PortBlock {
  public:
-  static constexpr std::uint16_t kPorts = 100;
+  static constexpr std::uint16_t kPorts = 300;
 
   PortBlock();
 
