settings: bound the isolation limit by what a new owner counts on

Cause: a new owner waits 10 s for the agents of a replaced one, while an agent's setting allowed up to 60 s. Conclusion: bound and mechanism agree.

--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -23,7 +23,8 @@
 constexpr std::int64_t kMaxDrainNoticeMs = 60'000;
 // Below 3 s, a lost heartbeat would already stop an agent; see kSilenceLimit of the connections.
 constexpr std::int64_t kMinIsolationLimitMs = 3'000;
-constexpr std::int64_t kMaxIsolationLimitMs = 60'000;
+// A new owner counts on agents that stop within 10 s; see ShardDispatcher::Options.
+constexpr std::int64_t kMaxIsolationLimitMs = 10'000;
 constexpr std::int64_t kMaxExplainBytes = 256LL << 20U;
 constexpr std::int64_t kMaxBodyBytes = 1LL << 20U;
 constexpr std::int64_t kMinBodyBytes = 1024;
--- a/src/zinniamuxd/owned_shard.cc
+++ b/src/zinniamuxd/owned_shard.cc
@@ -15,7 +15,7 @@
 // Acknowledgements of this time go into one message per agent.
 constexpr std::chrono::milliseconds kAcknowledgePeriod{100};
 // The longest isolation limit that an agent's settings allow.
-constexpr std::chrono::milliseconds kIsolationLimit{60'000};
+constexpr std::chrono::milliseconds kIsolationLimit{10'000};
 // A ledger that is missing is looked for again after this time.
 constexpr std::chrono::milliseconds kLedgerRereadPeriod{1000};
 // How long after the last proof of ownership "not run" is still claimed; the row is read each
