entry, tests: log forwarded submissions; stops of standby and executor

Cause: a submission that another entry owns left no routing line in the log, and planned stops of a standby entry and of an executor had no test. Change: one line per forwarded submission; two faults that run by name only, so that seeds keep their draws, with an integration test; one build step for the scripts; an unused proof of agreement among peers is removed.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -6,10 +6,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-build=${ZINNIAMUX_BUILD_DIR:-build}
-if [ ! -x "$build/bench/load_tool" ]; then
-  bash scripts/setup.sh
-  cmake -S . -B "$build" -G Ninja >/dev/null
-  cmake --build "$build" >/dev/null
-fi
-exec "$build/bench/load_tool" "$@"
+bash scripts/build.sh bench/load_tool
+exec "${ZINNIAMUX_BUILD_DIR:-build}/bench/load_tool" "$@"
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -4,10 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-build=${ZINNIAMUX_BUILD_DIR:-build}
-if [ ! -x "$build/tests/fault_rounds" ]; then
-  bash scripts/setup.sh
-  cmake -S . -B "$build" -G Ninja >/dev/null
-  cmake --build "$build" >/dev/null
-fi
-exec "$build/tests/fault_rounds" "$@"
+bash scripts/build.sh tests/fault_rounds
+exec "${ZINNIAMUX_BUILD_DIR:-build}/tests/fault_rounds" "$@"
--- a/src/zinniamuxd/entry_daemon.cc
+++ b/src/zinniamuxd/entry_daemon.cc
@@ -183,6 +183,15 @@
                     ownership.OnConnectionRefused(address);
                   });
                 }
+              },
+          .on_forward =
+              [this](const std::string& submission_id, const std::string& address,
+                     bool resubmission) {
+                log_.Write(LogLevel::kInfo, "forwarded",
+                           {{"job", submission_id},
+                            {"owner_address", address},
+                            {"resubmission", resubmission},
+                            {"reason", "another entry owns the shard"}});
               }});
 }
 
--- a/src/zinniamuxd/job_router.cc
+++ b/src/zinniamuxd/job_router.cc
@@ -206,6 +206,7 @@
   const core::Duration deadline = attempt.wait + kAnswerMargin;
   PeerClient::CancelCall cancel;
   if (attempt.kind == Kind::kSubmit) {
+    hooks_.on_forward(attempt.submission_id, address, attempt.resubmission);
     v1::ForwardRequest request = rpc::ToProto(
         *attempt.submission, ToMs(attempt.submission->deadline - clock_.now()), ToMs(attempt.wait));
     request.set_resubmission(attempt.resubmission);
--- a/src/zinniamuxd/job_router.h
+++ b/src/zinniamuxd/job_router.h
@@ -39,6 +39,10 @@
     std::function<std::shared_ptr<PeerClient>(const std::string& address)> client_of;
     // A call to this address was refused, lost, or answered by an entry that is not the owner.
     std::function<void(const std::string& address, bool refused)> on_peer_failure;
+    // A submission goes to the owner at this address.
+    std::function<void(const std::string& submission_id, const std::string& address,
+                       bool resubmission)>
+        on_forward;
   };
 
   JobRouter(const Options& options, std::vector<std::shared_ptr<ShardHost>> shards,
--- a/src/zinniamuxd/peer_exchange.cc
+++ b/src/zinniamuxd/peer_exchange.cc
@@ -82,29 +82,25 @@
 void PeerExchange::SendHeartbeat(const std::string& address,
                                  const std::shared_ptr<PeerClient>& client,
                                  std::uint64_t config_version) {
-  const core::TimePoint sent_at = clock_.now();
-  client->Heartbeat(hooks_.status(config_version), kHeartbeatDeadline,
-                    [weak = weak_from_this(), address, sent_at](const grpc::Status& result,
-                                                                const v1::PeerStatus& status) {
-                      const auto self = weak.lock();
-                      if (self == nullptr) return;
-                      const bool refused = IsConnectionRefused(result);
-                      {
-                        const std::lock_guard lock(self->mutex_);
-                        const auto found = self->peers_.find(address);
-                        if (found != self->peers_.end()) {
-                          Peer& peer = found->second;
-                          peer.waiting = false;
-                          if (refused) peer.next_heartbeat_at = self->clock_.now() + kRefusedPeriod;
-                          if (result.ok()) {
-                            peer.config_version = status.config_version();
-                            peer.answered_at = sent_at;
-                          }
-                        }
-                      }
-                      if (refused) self->hooks_.on_refused(address);
-                      if (result.ok()) self->NoteStatus(status);
-                    });
+  client->Heartbeat(
+      hooks_.status(config_version), kHeartbeatDeadline,
+      [weak = weak_from_this(), address](const grpc::Status& result, const v1::PeerStatus& status) {
+        const auto self = weak.lock();
+        if (self == nullptr) return;
+        const bool refused = IsConnectionRefused(result);
+        {
+          const std::lock_guard lock(self->mutex_);
+          const auto found = self->peers_.find(address);
+          if (found != self->peers_.end()) {
+            Peer& peer = found->second;
+            peer.waiting = false;
+            if (refused) peer.next_heartbeat_at = self->clock_.now() + kRefusedPeriod;
+            if (result.ok()) peer.config_version = status.config_version();
+          }
+        }
+        if (refused) self->hooks_.on_refused(address);
+        if (result.ok()) self->NoteStatus(status);
+      });
 }
 
 v1::PeerStatus PeerExchange::OnHeartbeat(const v1::PeerStatus& status) {
@@ -153,17 +149,4 @@
   return best->entry;
 }
 
-std::optional<core::TimePoint> PeerExchange::AgreedSince() const {
-  const std::vector<core::EntryAddress> members = hooks_.members();
-  const std::lock_guard lock(mutex_);
-  core::TimePoint oldest = clock_.now();
-  for (const core::EntryAddress& entry : members) {
-    if (entry.entry_id == options_.self.entry_id) continue;
-    const auto peer = peers_.find(entry.rpc_address);
-    if (peer == peers_.end() || !peer->second.answered_at) return std::nullopt;
-    oldest = std::min(oldest, *peer->second.answered_at);
-  }
-  return oldest;
-}
-
 }  // namespace zinniamux::daemon
--- a/src/zinniamuxd/peer_exchange.h
+++ b/src/zinniamuxd/peer_exchange.h
@@ -53,9 +53,6 @@
   std::shared_ptr<PeerClient> ClientOf(const std::string& address);
   // A live entry that is not stopping, heard from within the silence limit.
   std::optional<core::EntryAddress> HandoverTarget() const;
-  // Since when every member has agreed with what this entry last told it; the oldest of the last
-  // answered heartbeats' send times.
-  std::optional<core::TimePoint> AgreedSince() const;
 
  private:
   struct Peer {
@@ -63,8 +60,6 @@
     core::TimePoint next_heartbeat_at;
     bool waiting = false;
     std::uint64_t config_version = 0;
-    // The send time of the last answered heartbeat.
-    std::optional<core::TimePoint> answered_at;
   };
   struct Sender {
     core::EntryAddress entry;
--- a/tests/integration/whole_path_test.cc
+++ b/tests/integration/whole_path_test.cc
@@ -118,6 +118,16 @@
                round.ToJson().c_str());
 }
 
+// Guards against a planned stop of an entry without a shard, or of an executor, that loses
+// requests.
+Test(integration, stops_of_standby_and_executor_cut_off_nothing) {
+  const Fault* const faults[] = {FaultByName("stop_standby"), FaultByName("stop_executor")};
+  RoundReport round = RunFaultRound({.seed = 16}, faults);
+  AssertClean(round);
+  cr_assert_eq(round.complete + round.errors["duplicate_request"], round.submitted, "%s",
+               round.ToJson().c_str());
+}
+
 // Guards against a lost answer of the store that doubles a claim or loses a takeover.
 Test(integration, lost_store_answers_double_nothing) {
   const Fault* const faults[] = {FaultByName("store_loses_answers"), FaultByName("kill_owner")};
--- a/tests/support/fault.cc
+++ b/tests/support/fault.cc
@@ -151,6 +151,25 @@
        .inject = [](Deployment& deployment,
                     std::mt19937_64& random) { DrawAgent(deployment, random).Signal(SIGTERM); },
        .heal = RestartEnded});
+  faults.push_back({.name = "stop_standby",
+                    .planned = true,
+                    .drawn = false,
+                    .inject =
+                        [](Deployment& deployment, auto& /*random*/) {
+                          const std::size_t owner = deployment.Owner().value_or(0);
+                          const std::size_t standby = (owner + 1) % deployment.entry_count();
+                          deployment.entry(standby).process->Signal(SIGTERM);
+                        },
+                    .heal = RestartEnded});
+  faults.push_back({.name = "stop_executor",
+                    .planned = true,
+                    .drawn = false,
+                    .inject =
+                        [](Deployment& deployment, std::mt19937_64& random) {
+                          const std::size_t index = Draw(random, deployment.agent_count());
+                          deployment.agent(index).executor->Signal(SIGTERM);
+                        },
+                    .heal = RestartEnded});
   return faults;
 }
 
--- a/tests/support/fault.h
+++ b/tests/support/fault.h
@@ -16,6 +16,8 @@
   std::string_view name;
   // A graceful stop or another operation that an operator plans; it may cut off no request.
   bool planned = false;
+  // Drawn by DrawFaults; the others run by name only, so that seeds keep their faults.
+  bool drawn = true;
   std::function<void(Deployment&, std::mt19937_64&)> inject;
   std::function<void(Deployment&)> heal;
 };
--- a/tests/support/fault_round.cc
+++ b/tests/support/fault_round.cc
@@ -106,12 +106,16 @@
 
 std::vector<const Fault*> DrawFaults(std::uint64_t seed) {
   std::mt19937_64 random(seed);
-  const std::span<const Fault> all = AllFaults();
-  std::uniform_int_distribution<std::size_t> index(1, all.size() - 1);
+  std::vector<const Fault*> drawn;
+  for (const Fault& fault : AllFaults()) {
+    if (fault.drawn) drawn.push_back(&fault);
+  }
+  // The first one is "none".
+  std::uniform_int_distribution<std::size_t> index(1, drawn.size() - 1);
   const std::size_t first = index(random);
   std::size_t second = index(random);
   while (second == first) second = index(random);
-  return {&all[first], &all[second]};
+  return {drawn[first], drawn[second]};
 }
 
 RoundReport RunFaultRound(const RoundOptions& options, std::span<const Fault* const> faults) {
