settings, daemon: name rpc_advertised among the allowed keys; exit 2 on bad flags

Cause: the list of allowed keys left rpc_advertised out when it was absent, and a bad flag ended the daemon with the exit code of an internal error. Change: the key is always read; the daemon handles flag errors itself.

--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -91,8 +91,9 @@
   entry.caller = ReadAddress(object, "caller");
   entry.admin = ReadAddress(object, "admin");
   entry.rpc = ReadAddress(object, "rpc");
-  if (object.Has("rpc_advertised")) {
-    entry.rpc_advertised = AddressText(ReadAddress(object, "rpc_advertised"));
+  entry.rpc_advertised = object.Text("rpc_advertised", kMaxUrlBytes, "");
+  if (!entry.rpc_advertised.empty() && !ParseAddress(entry.rpc_advertised)) {
+    object.Reject("rpc_advertised", kAddressRule);
   }
   entry.peers = ReadAddresses(object, "peers", context);
   entry.store_url = ReadStore(object, /*optional=*/false);
--- a/src/zinniamuxd/main.cc
+++ b/src/zinniamuxd/main.cc
@@ -69,6 +69,8 @@
     TCLAP::CmdLine command("zinniamux daemon", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> file("s", "settings", "settings file (YAML)", true, "", "FILE",
                                       command);
+    // Otherwise TCLAP ends the process itself, with exit code 1.
+    command.setExceptionHandling(false);
     command.parse(argc, argv);
     const auto settings = zinniamux::adapters::LoadSettings(file.getValue());
     if (!settings) {
@@ -76,8 +78,11 @@
       return kExitUsage;
     }
     return RunRole(*settings);
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
   } catch (const TCLAP::ArgException& error) {
-    std::cerr << "zinniamuxd: " << error.error() << '\n';
+    std::cerr << "zinniamuxd: " << error.error() << ' ' << error.argId()
+              << "\nTry: zinniamuxd --help\n";
     return kExitUsage;
   } catch (const std::exception& error) {
     std::cerr << "zinniamuxd: " << error.what() << '\n';
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -98,3 +98,21 @@
   cr_assert(!missing.has_value());
   AssertReports(missing.error().message, "/nonexistent/settings.yaml: cannot be read");
 }
+
+// Guards against a key that is accepted but missing from the list of allowed keys.
+Test(settings, reads_the_advertised_address) {
+  const TemporaryFolder folder("settings");
+  const std::string path = folder.Write("settings.yaml",
+                                        "version: 1\n"
+                                        "entry:\n"
+                                        "  id: entry-1\n"
+                                        "  availability_zone: oslo\n"
+                                        "  caller: 127.0.0.1:4001\n"
+                                        "  admin: 127.0.0.1:4002\n"
+                                        "  rpc: 127.0.0.1:4003\n"
+                                        "  rpc_advertised: 10.0.0.7:4003\n"
+                                        "  store: http://127.0.0.1:4000\n");
+  const auto settings = LoadSettings(path);
+  cr_assert(settings.has_value());
+  cr_assert(settings->entry->rpc_advertised == "10.0.0.7:4003");
+}
