daemon: one place for heartbeat and silence times; count jobs without copies

Cause: both ends of a stream, and the peers, each had their own constants for the heartbeat period and the silence limit, which have to agree; a stopping entry copied every unfinished submission with its payloads, each 10 ms, only to count them. Change: stream_timing.h holds the two times; the dispatcher counts its unfinished jobs. The time of a stop was not measured. Conclusion: behaviour is unchanged.

--- a/src/core/shard_dispatcher.cc
+++ b/src/core/shard_dispatcher.cc
@@ -347,6 +347,11 @@
   PlaceQueued();
 }
 
+std::size_t ShardDispatcher::unfinished_jobs() const {
+  return static_cast<std::size_t>(std::count_if(
+      jobs_.begin(), jobs_.end(), [](const auto& known) { return !known.second.job.finished(); }));
+}
+
 std::vector<Submission> ShardDispatcher::UnfinishedSubmissions() const {
   std::vector<Submission> submissions;
   for (const auto& [id, entry] : jobs_) {
--- a/src/core/shard_dispatcher.h
+++ b/src/core/shard_dispatcher.h
@@ -114,6 +114,8 @@
   // The jobs without an answer, as resubmissions for the next owner.
   std::vector<Submission> UnfinishedSubmissions() const;
 
+  std::size_t unfinished_jobs() const;
+
   // The actions since the last call, in order.
   std::vector<DispatcherAction> TakeActions();
 
--- a/src/zinniamuxd/agent_daemon.cc
+++ b/src/zinniamuxd/agent_daemon.cc
@@ -15,6 +15,7 @@
 #include "core/agent_instance.h"
 #include "rpc/convert.h"
 #include "zinniamuxd/announcement.h"
+#include "zinniamuxd/stream_timing.h"
 
 namespace zinniamux::daemon {
 namespace {
@@ -25,8 +26,6 @@
 using adapters::LogLevel;
 using std::chrono::milliseconds;
 
-constexpr std::chrono::seconds kSilenceLimit{3};
-constexpr std::chrono::seconds kHeartbeatPeriod{1};
 // The owner acknowledges up to the last message that it processed, so a stopping agent sends more
 // messages while it waits.
 constexpr milliseconds kStoppingHeartbeatPeriod{100};
--- a/src/zinniamuxd/agent_registry.cc
+++ b/src/zinniamuxd/agent_registry.cc
@@ -5,16 +5,9 @@
 #include <utility>
 
 #include "rpc/convert.h"
+#include "zinniamuxd/stream_timing.h"
 
 namespace zinniamux::daemon {
-namespace {
-
-constexpr std::chrono::seconds kSilenceLimit{3};
-// The agent holds an entry to be dead after 3 s of silence.
-constexpr std::chrono::seconds kHeartbeatPeriod{1};
-
-}  // namespace
-
 AgentRegistry::AgentRegistry(const core::Clock& clock, MessageCounts& counts, Hooks hooks)
     : clock_(clock), counts_(counts), hooks_(std::move(hooks)) {}
 
--- a/src/zinniamuxd/owned_shard.cc
+++ b/src/zinniamuxd/owned_shard.cc
@@ -345,9 +345,8 @@
 std::size_t OwnedShard::unfinished() const {
   const auto runtime = Runtime();
   if (runtime == nullptr) return 0;
-  return runtime->Read([](const core::ShardDispatcher& dispatcher) {
-    return dispatcher.UnfinishedSubmissions().size();
-  });
+  return runtime->Read(
+      [](const core::ShardDispatcher& dispatcher) { return dispatcher.unfinished_jobs(); });
 }
 
 std::map<std::string, std::uint32_t> OwnedShard::UsedSlots() const {
--- a/src/zinniamuxd/peer_exchange.cc
+++ b/src/zinniamuxd/peer_exchange.cc
@@ -5,15 +5,14 @@
 #include <utility>
 
 #include "rpc/convert.h"
+#include "zinniamuxd/stream_timing.h"
 
 namespace zinniamux::daemon {
 namespace {
 
-constexpr std::chrono::milliseconds kHeartbeatPeriod{1000};
 // A peer that does not answer in time gets the next heartbeat on a new channel. With 1 s, two
 // channels are tried before the peer counts as silent (3 s).
 constexpr std::chrono::milliseconds kHeartbeatDeadline{1000};
-constexpr std::chrono::milliseconds kSilenceLimit{3000};
 // After a refused connection the peer is asked more often, to notice its restart.
 constexpr std::chrono::milliseconds kRefusedPeriod{250};
 
