--- a/src/adapters/http_message.h
+++ b/src/adapters/http_message.h
@@ -26,6 +26,8 @@
   std::string body;
   std::string content_type = "application/json";
   HttpHeaders headers;
+  // Asks the client to use another connection for its next request.
+  bool close_connection = false;
   // Closes the connection after the header, before the body: the client gets no answer. Stand-ins
   // use this to lose answers.
   bool cut_off = false;
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -5,6 +5,8 @@
 #include <restinio/all.hpp>
 #include <utility>
 
+#include "adapters/restinio_messages.h"
+
 namespace zinniamux::adapters {
 namespace {
 
@@ -13,36 +15,6 @@
 constexpr std::chrono::seconds kReadTimeout{60};
 constexpr std::uint64_t kMaxHeaderBytes = 8192;
 
-HttpRequest FromRestinio(const restinio::request_handle_t& request) {
-  HttpRequest result;
-  result.method = request->header().method().c_str();
-  result.path = std::string(request->header().path());
-  result.query = std::string(request->header().query());
-  request->header().for_each_field(
-      [&result](const auto& field) { result.headers.emplace_back(field.name(), field.value()); });
-  result.body = request->body();
-  return result;
-}
-
-void CutOff(const restinio::request_handle_t& request) {
-  // A response that ends before its announced length is an error to every client.
-  constexpr std::size_t kAnnouncedBytes = 1000;
-  request->create_response<restinio::user_controlled_output_t>()
-      .connection_close()
-      .set_content_length(kAnnouncedBytes)
-      .done();
-}
-
-void Respond(const restinio::request_handle_t& request, HttpResponse response) {
-  if (response.cut_off) return CutOff(request);
-  auto builder = request->create_response(restinio::http_status_line_t{
-      restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)}, ""});
-  builder.append_header(restinio::http_field::content_type, response.content_type);
-  for (auto& [name, value] : response.headers) builder.append_header(name, value);
-  builder.set_body(std::move(response.body));
-  builder.done();
-}
-
 }  // namespace
 
 class HttpServer::Implementation {
@@ -62,7 +34,7 @@
                                               .max_body_size(options.max_body_bytes))
                 .request_handler(
                     [handler = std::move(handler)](const restinio::request_handle_t& request) {
-                      handler(FromRestinio(request), [request](HttpResponse response) {
+                      handler(FromRestinio(*request), [request](HttpResponse response) {
                         Respond(request, std::move(response));
                       });
                       return restinio::request_accepted();
--- a/src/adapters/http_table_store.cc
+++ b/src/adapters/http_table_store.cc
@@ -1,8 +1,6 @@
 // Encoding of store calls as HTTP requests, and of their answers as results.
 #include "adapters/http_table_store.h"
 
-#include <atomic>
-#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -17,10 +15,6 @@
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 
-// libcurl reuses a connection that was idle for up to 118 s. After a failure every pooled
-// connection may be silent, so none of them is used until they have all exceeded that age.
-constexpr std::chrono::seconds kFreshAfterFailure{120};
-
 core::Error Unavailable(const HttpResult& result) {
   std::string reason = result.status == 0 ? result.failure : std::to_string(result.status);
   return {core::ErrorKind::kStoreUnavailable, "the store did not answer: " + reason, {}};
@@ -79,40 +73,6 @@
 
 }  // namespace
 
-class HttpTableStore::Link : public std::enable_shared_from_this<Link> {
- public:
-  Link(Options options, HttpClient& client, const core::Clock& clock)
-      : options_(std::move(options)), client_(client), clock_(clock) {}
-
-  HttpCall CallOf(std::string method, const std::string& path) const {
-    return {.method = std::move(method), .url = options_.url + path, .timeout = options_.deadline};
-  }
-
-  void Send(HttpCall call, HttpClient::Callback callback) {
-    const core::Duration since_failure =
-        clock_.now().time_since_epoch() - core::Duration(last_failure_.load());
-    if (since_failure < kFreshAfterFailure) call.fresh_connection = true;
-    const auto on_result = [self = shared_from_this(),
-                            callback = std::move(callback)](HttpResult result) {
-      self->NoteResult(result);
-      callback(std::move(result));
-    };
-    client_.Send(std::move(call), on_result);
-  }
-
- private:
-  void NoteResult(const HttpResult& result) {
-    if (result.status == 0) last_failure_ = clock_.now().time_since_epoch().count();
-  }
-
-  const Options options_;
-  HttpClient& client_;
-  const core::Clock& clock_;
-  // Time of the last request without an answer, in microseconds of the clock.
-  std::atomic<core::Duration::rep> last_failure_{std::numeric_limits<core::Duration::rep>::min() /
-                                                 2};
-};
-
 // A read of rows that is under way.
 struct HttpTableStore::RowsRead {
   std::string prefix;
@@ -121,7 +81,7 @@
 };
 
 HttpTableStore::HttpTableStore(Options options, HttpClient& client, const core::Clock& clock)
-    : link_(std::make_shared<Link>(std::move(options), client, clock)) {}
+    : link_(std::make_shared<ServiceLink>(std::move(options), client, clock)) {}
 
 void HttpTableStore::ReadRow(std::string key, RowCallback callback) {
   link_->Send(link_->CallOf("GET", "/table/row?key=" + PercentEncode(key)),
@@ -135,7 +95,7 @@
                       .prefix = std::move(prefix), .rows = {}, .callback = std::move(callback)}));
 }
 
-void HttpTableStore::ReadPage(const std::shared_ptr<Link>& link, std::shared_ptr<RowsRead> read) {
+void HttpTableStore::ReadPage(const std::shared_ptr<ServiceLink>& link, std::shared_ptr<RowsRead> read) {
   std::string path = "/table/rows?prefix=" + PercentEncode(read->prefix);
   if (!read->rows.empty()) path += "&after=" + PercentEncode(read->rows.back().key);
   link->Send(link->CallOf("GET", path), [link, read = std::move(read)](const HttpResult& result) {
--- a/src/adapters/http_table_store.h
+++ b/src/adapters/http_table_store.h
@@ -2,11 +2,11 @@
 #ifndef ZINNIAMUX_ADAPTERS_HTTP_TABLE_STORE_H_
 #define ZINNIAMUX_ADAPTERS_HTTP_TABLE_STORE_H_
 
-#include <chrono>
 #include <memory>
 #include <string>
 
 #include "adapters/http_client.h"
+#include "adapters/service_link.h"
 #include "core/clock.h"
 #include "core/table_store.h"
 
@@ -17,11 +17,7 @@
 // retried; the decision code does that. Keys and values are UTF-8.
 class HttpTableStore : public core::TableStore {
  public:
-  struct Options {
-    // "http://HOST:PORT", without a final slash.
-    std::string url;
-    std::chrono::milliseconds deadline{2000};
-  };
+  using Options = ServiceLink::Options;
 
   // `client` outlives this object, and `clock` outlives `client`.
   HttpTableStore(Options options, HttpClient& client, const core::Clock& clock);
@@ -33,13 +29,12 @@
   void WriteObject(std::string key, std::string body, DoneCallback callback) override;
 
  private:
-  // What requests need; shared with callbacks, which may run after this object has ended.
-  class Link;
   struct RowsRead;
 
-  static void ReadPage(const std::shared_ptr<Link>& link, std::shared_ptr<RowsRead> read);
+  static void ReadPage(const std::shared_ptr<ServiceLink>& link, std::shared_ptr<RowsRead> read);
 
-  const std::shared_ptr<Link> link_;
+  // Shared with callbacks, which may run after this object has ended.
+  const std::shared_ptr<ServiceLink> link_;
 };
 
 }  // namespace zinniamux::adapters
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -29,6 +29,7 @@
 constexpr std::int64_t kMaxBodyBytes = 1LL << 20U;
 constexpr std::int64_t kMinBodyBytes = 1024;
 constexpr std::int64_t kMaxLogQueueLines = 1'000'000;
+constexpr std::array<std::string_view, 4> kRoles{"entry", "agent", "dispatcher", "supervisor"};
 constexpr std::array<std::string_view, 4> kLogLevels{"debug", "info", "warning", "error"};
 
 ListenAddress ReadAddress(CheckedObject& object, std::string_view key) {
@@ -126,6 +127,56 @@
   return agent;
 }
 
+LeaseBounds ReadBounds(CheckedObject object) {
+  constexpr std::int64_t kMaxBoundMs = 600'000;
+  LeaseBounds bounds;
+  const auto read = [&object](std::string_view key, milliseconds& value) {
+    value = milliseconds(object.Integer(key, 1, kMaxBoundMs, value.count()));
+  };
+  read("lease_ms", bounds.lease);
+  read("stop_ms", bounds.stop_time);
+  read("retransmit_ms", bounds.retransmit);
+  read("config_apply_ms", bounds.config_apply);
+  constexpr double kMaxGraceSeconds = 600;
+  const double grace = object.Number(
+      "grace_s", 0, kMaxGraceSeconds, std::chrono::duration<double>(bounds.grace).count());
+  bounds.grace = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(grace));
+  object.Finish();
+  return bounds;
+}
+
+DispatcherSettings ReadDispatcher(CheckedObject object) {
+  DispatcherSettings dispatcher;
+  dispatcher.id = object.Id("id");
+  dispatcher.availability_zone = object.Id("availability_zone");
+  dispatcher.caller = ReadAddress(object, "caller");
+  dispatcher.readiness = ReadAddress(object, "readiness");
+  dispatcher.rpc = ReadAddress(object, "rpc");
+  dispatcher.metrics = ReadAddress(object, "metrics");
+  dispatcher.store_url = ReadStore(object, /*optional=*/false);
+  if (std::optional<CheckedObject> bounds = object.Object("bounds")) {
+    dispatcher.bounds = ReadBounds(*std::move(bounds));
+  }
+  object.Finish();
+  return dispatcher;
+}
+
+SupervisorSettings ReadSupervisor(CheckedObject object) {
+  SupervisorSettings supervisor;
+  supervisor.id = object.Id("id");
+  supervisor.availability_zone = object.Id("availability_zone");
+  supervisor.local = ReadAddress(object, "local");
+  supervisor.metrics = ReadAddress(object, "metrics");
+  supervisor.executor = AddressText(ReadAddress(object, "executor"));
+  supervisor.service = object.Id("service");
+  supervisor.store_url = ReadStore(object, /*optional=*/false);
+  if (std::optional<CheckedObject> bounds = object.Object("bounds")) {
+    supervisor.bounds = ReadBounds(*std::move(bounds));
+  }
+  object.Finish();
+  return supervisor;
+}
+
 LogSettings ReadLog(CheckedObject object) {
   LogSettings log;
   log.file = object.Text("file", kMaxPathBytes, "");
@@ -146,12 +197,20 @@
   if (std::optional<CheckedObject> agent = root.Object("agent")) {
     settings.agent = ReadAgent(*std::move(agent), context);
   }
+  if (std::optional<CheckedObject> dispatcher = root.Object("dispatcher")) {
+    settings.dispatcher = ReadDispatcher(*std::move(dispatcher));
+  }
+  if (std::optional<CheckedObject> supervisor = root.Object("supervisor")) {
+    settings.supervisor = ReadSupervisor(*std::move(supervisor));
+  }
   if (std::optional<CheckedObject> log = root.Object("log")) {
     settings.log = ReadLog(*std::move(log));
   }
-  if (root.Has("entry") == root.Has("agent")) {
-    context.problems.Add(context.Place(""), "entry, agent",
-                         root.Has("entry") ? "both roles" : "no role", "exactly one role");
+  const auto roles = std::count_if(kRoles.begin(), kRoles.end(),
+                                   [&root](std::string_view role) { return root.Has(role); });
+  if (roles != 1) {
+    context.problems.Add(context.Place(""), "entry, agent, dispatcher, supervisor",
+                         roles == 0 ? "no role" : "several roles", "exactly one role");
   }
   root.Finish();
   return settings;
@@ -171,10 +230,16 @@
   return tl::unexpected(problems.ToError(core::ErrorKind::kInvalidRequest, "\n"));
 }
 
+std::string ProcessId(const Settings& settings) {
+  if (settings.entry) return settings.entry->id;
+  if (settings.agent) return settings.agent->id;
+  return settings.dispatcher ? settings.dispatcher->id : settings.supervisor->id;
+}
+
 JsonLog::Options LogOptions(const Settings& settings) {
   return {.file = settings.log.file,
           .level = LogLevelFromName(settings.log.level).value_or(LogLevel::kInfo),
-          .process = settings.entry ? settings.entry->id : settings.agent->id,
+          .process = ProcessId(settings),
           .capacity = settings.log.queue_lines};
 }
 
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -64,10 +64,54 @@
   std::size_t queue_lines = 8192;
 };
 
+// Times that the deployment guarantees or asks for; both leased roles need them.
+struct LeaseBounds {
+  // Longest lease that executors grant.
+  std::chrono::milliseconds lease{1000};
+  // Executors end a stopped run within this time.
+  std::chrono::milliseconds stop_time{50};
+  // A caller without an answer repeats its job after this time.
+  std::chrono::milliseconds retransmit{1300};
+  // A process is killed this long after SIGTERM.
+  std::chrono::milliseconds grace{6000};
+  // A changed configuration must be in force this long after it was accepted.
+  std::chrono::milliseconds config_apply{2000};
+};
+
+// Settings of the dispatcher role: an entry of a deployment with leased execution.
+struct DispatcherSettings {
+  std::string id;
+  std::string availability_zone;
+  ListenAddress caller;
+  // Where the load balancer asks for readiness.
+  ListenAddress readiness;
+  // Where supervisors connect.
+  ListenAddress rpc;
+  ListenAddress metrics;
+  std::string store_url;
+  LeaseBounds bounds;
+};
+
+// Settings of the supervisor role: the agent beside an executor that runs tasks under leases.
+struct SupervisorSettings {
+  std::string id;
+  std::string availability_zone;
+  // Where the executor announces itself.
+  ListenAddress local;
+  ListenAddress metrics;
+  // host:port at which the executor takes calls, and the service that it must belong to.
+  std::string executor;
+  std::string service;
+  std::string store_url;
+  LeaseBounds bounds;
+};
+
 // Invariant: exactly one of `entry` and `agent` is set.
 struct Settings {
   std::optional<EntrySettings> entry;
   std::optional<AgentSettings> agent;
+  std::optional<DispatcherSettings> dispatcher;
+  std::optional<SupervisorSettings> supervisor;
   LogSettings log;
 };
 
@@ -75,6 +119,9 @@
 // line, key, value seen and what is allowed.
 core::Result<Settings> LoadSettings(const std::string& path);
 
+// The id in the settings of the role.
+std::string ProcessId(const Settings& settings);
+
 // The options of the process's log.
 JsonLog::Options LogOptions(const Settings& settings);
 
--- /dev/null
+++ b/src/core/configuration_source.h
@@ -0,0 +1,37 @@
+// Where a process reads the operator's configuration of queues.
+#ifndef ZINNIAMUX_CORE_CONFIGURATION_SOURCE_H_
+#define ZINNIAMUX_CORE_CONFIGURATION_SOURCE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "core/error_kind.h"
+
+namespace zinniamux::core {
+
+// Callbacks run on a thread of the implementation. Errors are of kind kStoreUnavailable, or
+// kNotFound where there is no configuration yet or its history is lost.
+class ConfigurationSource {
+ public:
+  struct Document {
+    std::string body;
+    // The state of the store that was read; changes are awaited from there.
+    std::uint64_t position = 0;
+  };
+  using ReadCallback = std::function<void(Result<Document>)>;
+  // The new position; a change may have come.
+  using ChangeCallback = std::function<void(Result<std::uint64_t>)>;
+
+  virtual ~ConfigurationSource() = default;
+  virtual void ReadConfiguration(ReadCallback callback) = 0;
+  // Answers when a row of the operator changes, at the latest after `wait` with `position` itself
+  // or a later one.
+  virtual void AwaitChange(std::uint64_t position, std::chrono::milliseconds wait,
+                           ChangeCallback callback) = 0;
+};
+
+}  // namespace zinniamux::core
+
+#endif  // ZINNIAMUX_CORE_CONFIGURATION_SOURCE_H_
--- /dev/null
+++ b/src/core/job_request.h
@@ -0,0 +1,90 @@
+// A job of tasks with sizes, as a caller hands it in, and the answers that it can get.
+#ifndef ZINNIAMUX_CORE_JOB_REQUEST_H_
+#define ZINNIAMUX_CORE_JOB_REQUEST_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/run.h"
+
+namespace zinniamux::core {
+
+// Tasks that are alike and may run at the same time.
+struct JobStep {
+  std::uint32_t count = 1;
+  // Of one task.
+  Resources need;
+  // The caller's rough guess of one task's run time.
+  std::chrono::milliseconds estimate{0};
+  // Indexes of earlier steps that must be complete first.
+  std::vector<std::uint32_t> after;
+  // A label that the executor must have; empty if any will do.
+  std::string required_label;
+  // A label of executors that run the tasks faster; empty if there is none.
+  std::string preferred_rack;
+  // Tasks of the step that may run on one executor at a time; 0 if there is no limit.
+  std::uint32_t max_per_executor = 0;
+};
+
+struct JobRequest {
+  std::string id;
+  // The queue that it was handed in to, and the service whose executors run it.
+  std::string queue;
+  std::string service;
+  // Handed to the executor with each task.
+  std::string spec;
+  std::vector<JobStep> steps;
+  // 0 comes first.
+  std::uint32_t priority = 0;
+  // Failed runs that a task may have.
+  std::uint32_t attempts = 1;
+  // The answer is in time within stretch * longest chain of run times + slack.
+  double stretch = 1;
+  std::chrono::milliseconds slack{0};
+  // The caller stops waiting.
+  TimePoint deadline;
+};
+
+enum class JobResult {
+  kComplete,
+  // A task has used up its attempts.
+  kFailed,
+  // Nothing of it has run or will run.
+  kRefused,
+  // Given up after something of it had started.
+  kAbandoned,
+};
+
+enum class JobReason {
+  kNone,
+  kAttemptsUsedUp,
+  // It could not start in time.
+  kOverloaded,
+  // No executor could run one of its tasks.
+  kNeverRunnable,
+  // No executor of its service is known.
+  kNoExecutors,
+  kShuttingDown,
+  kDeadline,
+  kCancelled,
+};
+
+struct JobReply {
+  std::string job_id;
+  JobResult result = JobResult::kComplete;
+  JobReason reason = JobReason::kNone;
+  // When the caller may come back, for refused jobs that could succeed then.
+  std::chrono::milliseconds retry_after{0};
+};
+
+// Names in logs and metrics.
+std::string_view NameOf(JobResult result);
+std::string_view NameOf(JobReason reason);
+
+}  // namespace zinniamux::core
+
+#endif  // ZINNIAMUX_CORE_JOB_REQUEST_H_
--- /dev/null
+++ b/src/core/job_scheduler.h
@@ -0,0 +1,234 @@
+// Entry side of leased execution: admits jobs, orders the starts of their tasks, and answers them.
+#ifndef ZINNIAMUX_CORE_JOB_SCHEDULER_H_
+#define ZINNIAMUX_CORE_JOB_SCHEDULER_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/executor_health.h"
+#include "core/executor_view.h"
+#include "core/job_request.h"
+#include "core/room_placement.h"
+#include "core/run.h"
+#include "core/run_time_estimator.h"
+#include "core/wait_policy.h"
+
+namespace zinniamux::core {
+
+// Starts of tasks of one step on one agent.
+struct StartTasks {
+  std::string agent_id;
+  std::uint64_t order = 0;
+  std::string job_id;
+  std::uint32_t step = 0;
+  std::string spec;
+  Resources need;
+  std::chrono::milliseconds estimate{0};
+  // The agent refuses the order after this time.
+  TimePoint expires;
+  struct Start {
+    std::uint32_t index = 0;
+    std::uint32_t run = 0;
+  };
+  std::vector<Start> starts;
+};
+
+struct StopTask {
+  std::string agent_id;
+  RunId id;
+};
+
+// The job is over; its caller gets this answer.
+struct AnswerJob {
+  JobReply answer;
+  std::string queue;
+  // From its arrival to the first order and to the answer.
+  Duration waited{0};
+  Duration took{0};
+  std::uint32_t failed_runs = 0;
+  std::uint32_t refused_starts = 0;
+};
+
+// The standing of an executor has changed.
+struct ExecutorJudged {
+  ExecutorHealth::Change change;
+};
+
+using SchedulerAction = std::variant<StartTasks, StopTask, AnswerJob, ExecutorJudged>;
+
+// The jobs that one entry has accepted, until each is answered. Jobs are not stored: if the entry
+// is lost, its agents stop their runs and the callers hand the jobs in again. Rules that it keeps:
+// - A task has one run at a time. It is ordered again only after its agent has reported the end of
+//   the run, or when the run is over for certain because its agent has been away for `lost_after`.
+// - A job is refused only if none of its tasks was ever ordered, or every order is known not to
+//   have started anything.
+// - Nothing is ordered after the job's deadline, and an order expires at the agent.
+// Not thread-safe.
+class JobScheduler {
+ public:
+  struct Options {
+    std::string availability_zone;
+    WaitPolicy::Options wait;
+    // An agent that went away has ended every run by then: its silence limit, one lease on a clock
+    // that is 2 % slow, and the time of a stop.
+    std::chrono::milliseconds lost_after{2100};
+    // Orders that an agent gets later are refused by it.
+    std::chrono::milliseconds order_expiry{400};
+    // Answers that are repeated to callers that send a job again.
+    std::chrono::milliseconds answer_memory{10'000};
+    std::size_t max_remembered = 20'000;
+    // Jobs that are accepted and not answered.
+    std::size_t max_jobs = 20'000;
+    // Orders of one task that agents refuse, before the job is given up.
+    std::uint32_t max_refused_starts = 30;
+  };
+
+  JobScheduler(const Options& options, const Clock& clock);
+
+  // False if a job of that id is being worked on; its answer is for the new caller, too.
+  bool OnJob(JobRequest request);
+  // The answer of a job that was answered lately.
+  std::optional<JobReply> Remembered(const std::string& job_id) const;
+  void OnCancel(const std::string& job_id);
+
+  void OnAgentAttached(const std::string& agent_id, const std::string& availability_zone,
+                       std::uint64_t incarnation, std::span<const RunId> held_runs);
+  void OnAgentDetached(const std::string& agent_id);
+  void OnReport(const std::string& agent_id, ExecutorReport report);
+  void OnRunUpdate(const std::string& agent_id, const RunId& id, RunOutcome outcome,
+                   Duration elapsed);
+  // Places what waits. Called once after a batch of events.
+  void Place();
+
+  void StopAccepting() { stopping_ = true; }
+  void OnTimer();
+
+  // Entries that share the executors with this one, and this one.
+  void set_entries(std::size_t entries) { entries_ = std::max<std::size_t>(entries, 1); }
+
+  std::vector<SchedulerAction> TakeActions();
+
+  bool Knows(const std::string& job_id) const { return jobs_.contains(job_id); }
+  std::size_t job_count() const { return jobs_.size(); }
+  // Jobs of the queue without an order.
+  std::size_t PendingOf(const std::string& queue) const;
+  std::size_t agents_accepting() const;
+  std::vector<const ExecutorView*> executors() const;
+
+ private:
+  enum class TaskState { kBlocked, kReady, kOrdered, kDone };
+
+  struct Task {
+    TaskState state = TaskState::kBlocked;
+    std::uint32_t run = 0;
+    std::uint32_t failed = 0;
+    std::uint32_t refused = 0;
+    std::string agent_id;
+    // The agent on which it failed last.
+    std::string avoid;
+  };
+
+  struct Step {
+    std::vector<Task> tasks;
+    std::uint32_t done = 0;
+    std::uint32_t ready = 0;
+    Duration estimate{0};
+  };
+
+  struct Job {
+    JobRequest request;
+    std::vector<Step> steps;
+    TimePoint received;
+    TimePoint start_by;
+    TimePoint first_ordered;
+    std::uint32_t ready = 0;
+    std::uint32_t ordered = 0;
+    std::uint32_t done = 0;
+    std::uint32_t failed_runs = 0;
+    std::uint32_t refused_starts = 0;
+    // An executor has worked on it.
+    bool worked_on = false;
+    // Milli-core seconds that wait, as counted in backlog_.
+    double backlog = 0;
+  };
+  // Jobs that have started come first, so that what they have used is not lost; then by the time by
+  // which they must start.
+  using QueueKey = std::pair<TimePoint, std::uint64_t>;
+
+  struct Agent {
+    ExecutorView view;
+    std::uint64_t incarnation = 0;
+    // Runs that this incarnation holds, or may hold.
+    std::set<RunId> runs;
+    // Runs of an earlier incarnation, until they are over for certain.
+    std::set<RunId> orphans;
+    // When the orphans, and the runs of an agent that is away, are over. Unset while it is attached
+    // and there are no orphans.
+    TimePoint lost_at;
+  };
+
+  void Accept(JobRequest request);
+  std::optional<JobReason> ReasonToRefuse(const JobRequest& request) const;
+  void Refuse(const JobRequest& request, JobReason reason, Duration expected_wait);
+  Duration ChainOf(const JobRequest& request) const;
+  Duration EstimateOf(const JobRequest& request, const JobStep& step) const;
+  void UnblockSteps(Job& job);
+  void MakeReady(Job& job, Step& step, Task& task);
+  void Enqueue(Job& job);
+  void Dequeue(Job& job);
+  void CountBacklog(Job& job);
+  // Returns false if the job was ended.
+  bool PlaceJob(Job& job);
+  void Order(Job& job, std::uint32_t step, std::uint32_t index, Agent& agent);
+  bool FitsSomewhere(const Resources& need) const;
+  void OnRunOver(const Agent& agent, const RunId& id, RunOutcome outcome, Duration elapsed);
+  void OnTaskOver(Job& job, const RunId& id, RunOutcome outcome);
+  static bool MayHaveRun(const Job& job) { return job.worked_on || job.ordered > 0; }
+  void End(Job& job, JobResult result, JobReason reason, Duration expected_wait = Duration(0));
+  void StopRuns(const Job& job);
+  void Remember(const JobReply& answer);
+  void ForgetOldAnswers();
+  void LoseRuns(const Agent& agent, const std::set<RunId>& lost);
+  double CapacityMilli(const std::string& service) const;
+  bool HasExecutors(const std::string& service) const;
+  bool CanEverRun(const JobRequest& request) const;
+
+  const Options options_;
+  const Clock& clock_;
+  const WaitPolicy wait_policy_;
+  const RoomPlacement placement_;
+  RunTimeEstimator estimator_;
+  ExecutorHealth health_;
+  std::unordered_map<std::string, Job> jobs_;
+  std::map<QueueKey, std::string> queue_;
+  std::unordered_map<std::string, QueueKey> queue_keys_;
+  std::map<std::string, Agent> agents_;
+  // Views of agents_, in its order.
+  std::vector<ExecutorView*> views_;
+  // Starts of the current placement by agent, gathered so that a step's tasks share one order.
+  std::map<std::string, StartTasks> gathering_;
+  std::uint64_t next_order_ = 1;
+  std::uint64_t next_job_number_ = 1;
+  // Sum of the jobs' waiting work, in milli-core seconds.
+  double backlog_ = 0;
+  std::size_t entries_ = 1;
+  bool stopping_ = false;
+  std::unordered_map<std::string, JobReply> remembered_;
+  std::deque<std::pair<TimePoint, std::string>> remembered_order_;
+  std::vector<SchedulerAction> actions_;
+};
+
+}  // namespace zinniamux::core
+
+#endif  // ZINNIAMUX_CORE_JOB_SCHEDULER_H_
--- /dev/null
+++ b/src/core/room_placement.cc
@@ -0,0 +1,56 @@
+// Filter and score of executors.
+#include "core/room_placement.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace zinniamux::core {
+
+double RoomPlacement::MedianPace(std::span<ExecutorView* const> executors) {
+  std::vector<double> paces;
+  for (const ExecutorView* executor : executors) {
+    if (executor->takes_work() && executor->report().pace > 0) {
+      paces.push_back(executor->report().pace);
+    }
+  }
+  if (paces.empty()) return 1;
+  // The lower median: with two known executors the faster one is the norm.
+  const auto middle = paces.begin() + static_cast<std::ptrdiff_t>((paces.size() - 1) / 2);
+  std::nth_element(paces.begin(), middle, paces.end());
+  return *middle;
+}
+
+double RoomPlacement::Score(const ExecutorView& executor, const Query& query) const {
+  const double capacity =
+      std::max<double>(1, static_cast<double>(executor.report().capacity.cpu_milli));
+  double score = static_cast<double>(executor.free().cpu_milli) / capacity;
+  if (executor.availability_zone() == options_.availability_zone) score += options_.zone_bonus;
+  // The data's rack saves a large part of the run time, more than an even load does.
+  if (!query.step->preferred_rack.empty() && executor.HasLabel(query.step->preferred_rack)) {
+    score += 1;
+  }
+  return score;
+}
+
+ExecutorView* RoomPlacement::Choose(std::span<ExecutorView* const> executors,
+                                    const Query& query) const {
+  const double slow_pace = MedianPace(executors) * options_.slow_ratio;
+  ExecutorView* best = nullptr;
+  double best_score = 0;
+  for (ExecutorView* executor : executors) {
+    if (!executor->takes_work() || executor->report().service != query.service) continue;
+    if (!query.step->need.Fits(executor->free())) continue;
+    if (executor->report().pace > slow_pace) continue;
+    const std::string& label = query.step->required_label;
+    if (!label.empty() && !executor->HasLabel(label)) continue;
+    if (query.allows && !query.allows(*executor)) continue;
+    const double score = Score(*executor, query);
+    if (best == nullptr || score > best_score) {
+      best = executor;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+}  // namespace zinniamux::core
--- /dev/null
+++ b/src/core/room_placement.h
@@ -0,0 +1,53 @@
+// Chooses the executor for a task among those that have room.
+#ifndef ZINNIAMUX_CORE_ROOM_PLACEMENT_H_
+#define ZINNIAMUX_CORE_ROOM_PLACEMENT_H_
+
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "core/executor_view.h"
+#include "core/job_request.h"
+
+namespace zinniamux::core {
+
+// Load pattern: several entries place on the same executors at the same time, each with a view that
+// is a few ms old, while some executors are slow. Executors of the entry's own availability zone
+// come first, which keeps entries apart while there is room; the one with the largest free share
+// comes first among equals, which leaves room everywhere for the next job's tasks.
+class RoomPlacement {
+ public:
+  struct Options {
+    std::string availability_zone;
+    // Free share that an executor in another zone must have in excess.
+    double zone_bonus = 0.15;
+    // An executor whose pace is worse than this times the median is slow. Run times of one kind
+    // differ by tens of percent.
+    double slow_ratio = 1.6;
+  };
+
+  struct Query {
+    std::string_view service;
+    const JobStep* step = nullptr;
+    // Executors for which this returns false are left out.
+    std::function<bool(const ExecutorView&)> allows;
+  };
+
+  explicit RoomPlacement(Options options) : options_(std::move(options)) {}
+
+  // The best executor with room, or null. Slow executors are not chosen.
+  ExecutorView* Choose(std::span<ExecutorView* const> executors, const Query& query) const;
+
+  // The median pace of executors that are known, 1 if none is.
+  static double MedianPace(std::span<ExecutorView* const> executors);
+
+ private:
+  double Score(const ExecutorView& executor, const Query& query) const;
+
+  const Options options_;
+};
+
+}  // namespace zinniamux::core
+
+#endif  // ZINNIAMUX_CORE_ROOM_PLACEMENT_H_
--- /dev/null
+++ b/src/core/run.cc
@@ -0,0 +1,34 @@
+// Names of run outcomes.
+#include "core/run.h"
+
+namespace zinniamux::core {
+
+std::string_view NameOf(RunOutcome outcome) {
+  switch (outcome) {
+    case RunOutcome::kDone:
+      return "done";
+    case RunOutcome::kFailed:
+      return "failed";
+    case RunOutcome::kStopped:
+      return "stopped";
+    case RunOutcome::kLapsed:
+      return "lapsed";
+    case RunOutcome::kBroken:
+      return "broken";
+    case RunOutcome::kAlone:
+      return "alone";
+    case RunOutcome::kNoRoom:
+      return "no_room";
+    case RunOutcome::kOutdated:
+      return "outdated";
+    case RunOutcome::kUnhealthy:
+      return "unhealthy";
+    case RunOutcome::kExpired:
+      return "expired";
+    case RunOutcome::kNotAccepting:
+      return "not_accepting";
+  }
+  return "unknown";
+}
+
+}  // namespace zinniamux::core
--- /dev/null
+++ b/src/core/run.h
@@ -0,0 +1,90 @@
+// Values of leased execution: tasks with sizes, their runs on executors, and how runs end.
+#ifndef ZINNIAMUX_CORE_RUN_H_
+#define ZINNIAMUX_CORE_RUN_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace zinniamux::core {
+
+// What a task needs, or what an executor has. Processor time is in thousandths of a core.
+struct Resources {
+  std::int64_t cpu_milli = 0;
+  std::int64_t memory_mb = 0;
+  std::int64_t gpus = 0;
+
+  bool Fits(const Resources& room) const {
+    return cpu_milli <= room.cpu_milli && memory_mb <= room.memory_mb && gpus <= room.gpus;
+  }
+  Resources& operator+=(const Resources& other) {
+    cpu_milli += other.cpu_milli;
+    memory_mb += other.memory_mb;
+    gpus += other.gpus;
+    return *this;
+  }
+  Resources& operator-=(const Resources& other) {
+    cpu_milli -= other.cpu_milli;
+    memory_mb -= other.memory_mb;
+    gpus -= other.gpus;
+    return *this;
+  }
+  Resources operator*(std::int64_t count) const {
+    return {cpu_milli * count, memory_mb * count, gpus * count};
+  }
+  bool operator==(const Resources&) const = default;
+};
+
+// One task of a job: the occurrence of a repeating job (0 otherwise), the step, and the task's
+// place within the step.
+struct TaskId {
+  std::string job_id;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+
+  auto operator<=>(const TaskId&) const = default;
+};
+
+// One start of a task. Numbers of a task's runs increase.
+struct RunId {
+  TaskId task;
+  std::uint32_t run = 1;
+
+  auto operator<=>(const RunId&) const = default;
+};
+
+// How a run ended, or why it never started.
+enum class RunOutcome {
+  kDone,
+  kFailed,
+  kStopped,
+  // The executor's lease ran out.
+  kLapsed,
+  // Another member of its gang ended.
+  kBroken,
+  // It waited too long for the other members of its gang.
+  kAlone,
+  // Not started: the executor has no room for it.
+  kNoRoom,
+  // Not started: the executor has ended or stopped a run of this task with this number or a higher
+  // one.
+  kOutdated,
+  // Not started: the executor failed or did not answer, and the start is revoked.
+  kUnhealthy,
+  // Not started: the order arrived after its expiry.
+  kExpired,
+  // Not started: there is no executor, or it is leaving.
+  kNotAccepting,
+};
+
+// The executor worked on the run; it counts as an attempt only if it is kFailed.
+constexpr bool HasStarted(RunOutcome outcome) { return outcome <= RunOutcome::kAlone; }
+
+// The name in logs and metrics, for example "no_room".
+std::string_view NameOf(RunOutcome outcome);
+
+}  // namespace zinniamux::core
+
+#endif  // ZINNIAMUX_CORE_RUN_H_
--- /dev/null
+++ b/src/core/run_supervisor.cc
@@ -0,0 +1,362 @@
+// Start, hold and stop decisions of an agent.
+#include "core/run_supervisor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace zinniamux::core {
+
+using std::chrono::milliseconds;
+
+RunSupervisor::RunSupervisor(const Options& options, const Clock& clock)
+    : options_(options), clock_(clock), fencing_token_(options.fencing_token) {}
+
+bool RunSupervisor::OnExecutorStatus(const LeasedExecutor& status) {
+  if (executor_) {
+    if (status.born_ms < executor_->born_ms) return false;
+    const bool same = status.born_ms == executor_->born_ms && status.id == executor_->id;
+    if (same && status.sequence <= executor_->sequence) return false;
+    if (!same) ForgetExecutor(RunOutcome::kBroken);
+  }
+  const bool is_new = !executor_;
+  const bool changed = is_new || executor_->draining != status.draining ||
+                       executor_->capacity != status.capacity ||
+                       executor_->labels != status.labels || executor_->service != status.service;
+  executor_ = status;
+  if (is_new) {
+    needs_first_look_ = true;
+    clock_offset_ = status.clock - std::chrono::duration_cast<milliseconds>(
+                                       clock_.now().time_since_epoch());
+  }
+  if (changed) actions_.emplace_back(ReportChanged{});
+  MaybeHold();
+  return true;
+}
+
+void RunSupervisor::OnExecutorLeft(const std::string& executor_id) {
+  if (!executor_ || executor_->id != executor_id) return;
+  ForgetExecutor(RunOutcome::kStopped);
+  executor_.reset();
+  actions_.emplace_back(ReportChanged{});
+}
+
+void RunSupervisor::ForgetExecutor(RunOutcome outcome) {
+  // What ran there ended with that lifetime.
+  for (auto run = runs_.begin(); run != runs_.end();) run = Finish(run, outcome);
+  unknown_stops_.clear();
+  hold_.reset();
+  last_seen_ = acknowledged_ = sending_seen_ = 0;
+  next_hold_at_ = {};
+  pace_ = PaceMeter();
+  executor_.reset();
+}
+
+void RunSupervisor::OnOwnerHeard(const std::string& owner) { owner_heard_[owner] = clock_.now(); }
+
+void RunSupervisor::OnOwnerLost(const std::string& owner) {
+  owner_heard_.erase(owner);
+  for (auto& [id, run] : runs_) {
+    if (run.owner == owner) BeginStop(id, run, RunOutcome::kStopped);
+  }
+  MaybeHold();
+}
+
+bool RunSupervisor::accepting() const {
+  return executor_ && !executor_->draining && !stopping_ && !needs_first_look_;
+}
+
+Resources RunSupervisor::free_room() const {
+  if (!executor_) return {};
+  Resources free = executor_->capacity;
+  free -= used_;
+  return free;
+}
+
+std::optional<RunOutcome> RunSupervisor::ReasonToRefuse(const RunOrder& order) const {
+  if (!accepting()) return RunOutcome::kNotAccepting;
+  if (clock_.now() > order.expires) return RunOutcome::kExpired;
+  if (!order.need.Fits(free_room())) return RunOutcome::kNoRoom;
+  // A higher run of the task is here already, or this one arrived twice.
+  const auto same_task = runs_.lower_bound({order.id.task, 0});
+  if (same_task != runs_.end() && same_task->first.task == order.id.task) {
+    return RunOutcome::kOutdated;
+  }
+  return std::nullopt;
+}
+
+void RunSupervisor::OnOrder(const std::string& owner, const RunOrder& order) {
+  OnOwnerHeard(owner);
+  if (const std::optional<RunOutcome> reason = ReasonToRefuse(order)) {
+    actions_.emplace_back(RunUpdate{.owner = owner, .id = order.id, .outcome = *reason});
+    return;
+  }
+  Run run{.owner = owner, .order = order, .ordered_at = clock_.now()};
+  used_ += order.need;
+  Run& added = runs_.emplace(order.id, std::move(run)).first->second;
+  SendStart(added);
+}
+
+void RunSupervisor::SendStart(Run& run) {
+  run.state = State::kStarting;
+  run.state_at = clock_.now();
+  actions_.emplace_back(CallStart{.id = run.order.id,
+                                  .spec = run.order.spec,
+                                  .executor_id = executor_->id,
+                                  .lease_until = ExecutorNow() + options_.lease,
+                                  .fencing_token = fencing_token_});
+}
+
+void RunSupervisor::OnStopOrder(const std::string& owner, const RunId& id) {
+  OnOwnerHeard(owner);
+  const auto run = runs_.find(id);
+  if (run == runs_.end() || run->second.owner != owner) return;
+  BeginStop(id, run->second, RunOutcome::kStopped);
+  MaybeHold();
+}
+
+void RunSupervisor::BeginStop(const RunId& id, Run& run, RunOutcome not_started) {
+  if (run.state == State::kStopping || run.state == State::kStopped) return;
+  run.state = State::kStopping;
+  run.not_started = not_started;
+  run.stopping_since = clock_.now();
+  SendStop(id, run);
+}
+
+void RunSupervisor::SendStop(const RunId& id, Run& run) {
+  run.state_at = clock_.now();
+  run.next_stop_at = clock_.now() + options_.stop_retry;
+  actions_.emplace_back(
+      CallStop{.id = id, .executor_id = executor_->id, .fencing_token = fencing_token_});
+}
+
+void RunSupervisor::OnStartAnswer(const RunId& id, StartAnswer answer,
+                                  std::optional<ExecutorTime> clock) {
+  if (clock) NoteClock(*clock);
+  const auto found = runs_.find(id);
+  if (found == runs_.end()) return;
+  Run& run = found->second;
+  if (answer == StartAnswer::kStarted) run.seen_running = true;
+  if (run.state != State::kStarting) return;
+  switch (answer) {
+    case StartAnswer::kStarted:
+      run.state = State::kRunning;
+      run.state_at = clock_.now();
+      break;
+    case StartAnswer::kFenced:
+      // An earlier agent of this executor had a faster clock. Nobody else calls this executor.
+      fencing_token_ += std::max<std::uint64_t>(1, fencing_token_ / 1024);
+      SendStart(run);
+      return;
+    case StartAnswer::kLeaseExpired:
+      if (clock_.now() <= run.order.expires) return SendStart(run);
+      Finish(found, RunOutcome::kExpired);
+      break;
+    case StartAnswer::kNoRoom:
+      Finish(found, RunOutcome::kNoRoom);
+      break;
+    case StartAnswer::kOutdated:
+      Finish(found, RunOutcome::kOutdated);
+      break;
+    case StartAnswer::kUnhealthy:
+    case StartAnswer::kRejected:
+      Finish(found, RunOutcome::kUnhealthy);
+      break;
+    case StartAnswer::kNone:
+      BeginStop(id, run, RunOutcome::kUnhealthy);
+      break;
+  }
+  MaybeHold();
+}
+
+void RunSupervisor::OnStopAnswer(const RunId& id, bool answered) {
+  if (!answered) return;
+  unknown_stops_.erase(id);
+  const auto found = runs_.find(id);
+  if (found == runs_.end() || found->second.state != State::kStopping) return;
+  found->second.state = State::kStopped;
+  found->second.state_at = clock_.now();
+  MaybeHold();
+}
+
+RunSupervisor::Runs::iterator RunSupervisor::Finish(Runs::iterator run, RunOutcome outcome) {
+  used_ -= run->second.order.need;
+  const Duration elapsed = clock_.now() - run->second.ordered_at;
+  const double estimate = std::chrono::duration<double>(run->second.order.estimate).count();
+  if (outcome == RunOutcome::kDone && estimate > 0) {
+    pace_.OnEnd(std::chrono::duration<double>(elapsed).count() / estimate, clock_.now());
+  }
+  actions_.emplace_back(RunUpdate{
+      .owner = run->second.owner, .id = run->first, .outcome = outcome, .elapsed = elapsed});
+  return runs_.erase(run);
+}
+
+void RunSupervisor::NoteEnd(const EndedRun& ended) {
+  if (ended.number <= last_seen_) return;
+  last_seen_ = ended.number;
+  unknown_stops_.erase(ended.id);
+  const auto run = runs_.find(ended.id);
+  if (run != runs_.end()) Finish(run, ended.outcome);
+}
+
+void RunSupervisor::NoteRunning(std::span<const RunningRun> running, TimePoint sent_at) {
+  const TimePoint now = clock_.now();
+  for (const RunningRun& listed : running) {
+    const auto found = runs_.find(listed.id);
+    if (found == runs_.end()) {
+      // Not ours: left behind by an earlier agent, or a start that the executor carried out late.
+      if (unknown_stops_.contains(listed.id)) continue;
+      unknown_stops_.emplace(listed.id, now + options_.stop_retry);
+      actions_.emplace_back(CallStop{
+          .id = listed.id, .executor_id = executor_->id, .fencing_token = fencing_token_});
+      continue;
+    }
+    Run& run = found->second;
+    run.seen_running = true;
+    run.percent = listed.percent;
+    const double estimate = std::chrono::duration<double>(run.order.estimate).count();
+    if (estimate > 0) {
+      const double elapsed = std::chrono::duration<double>(now - run.ordered_at).count();
+      pace_.OnProgress(elapsed / estimate, listed.percent, now);
+    }
+  }
+  std::set<RunId> seen;
+  for (const RunningRun& listed : running) seen.insert(listed.id);
+  SettleMissing(seen, sent_at);
+}
+
+void RunSupervisor::SettleMissing(const std::set<RunId>& seen, TimePoint sent_at) {
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    const bool is_missing = !seen.contains(run->first) && run->second.state_at < sent_at;
+    if (is_missing && run->second.state == State::kRunning) {
+      run = Finish(run, RunOutcome::kLapsed);
+    } else if (is_missing && run->second.state == State::kStopped) {
+      run = Finish(run, run->second.seen_running ? RunOutcome::kStopped : run->second.not_started);
+    } else {
+      ++run;
+    }
+  }
+}
+
+void RunSupervisor::OnHoldAnswer(std::uint64_t number, const std::optional<HoldAnswer>& answer) {
+  if (!hold_ || hold_->number != number || !executor_) return;
+  const TimePoint sent_at = hold_->sent_at;
+  hold_.reset();
+  if (!answer) {
+    // The next call follows at once if runs need it; OnTimer paces calls to a silent executor.
+    next_hold_at_ = clock_.now() + options_.stop_retry;
+    return MaybeHold();
+  }
+  if (answer->born_ms != 0 && answer->born_ms != executor_->born_ms) {
+    // The executor has restarted; its next report names the new lifetime.
+    if (answer->born_ms > executor_->born_ms) {
+      ForgetExecutor(RunOutcome::kBroken);
+      actions_.emplace_back(ReportChanged{});
+    }
+    return;
+  }
+  NoteClock(answer->clock);
+  acknowledged_ = std::max(acknowledged_, sending_seen_);
+  for (const EndedRun& ended : answer->ended) NoteEnd(ended);
+  NoteRunning(answer->running, sent_at);
+  if (needs_first_look_) {
+    needs_first_look_ = false;
+    actions_.emplace_back(ReportChanged{});
+  }
+  MaybeHold();
+}
+
+bool RunSupervisor::MayRenew() const {
+  const TimePoint limit = clock_.now() - options_.stop_limit;
+  return std::none_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
+    return entry.second.state == State::kStopping && entry.second.stopping_since < limit;
+  });
+}
+
+bool RunSupervisor::NeedsLook() const {
+  return !runs_.empty() || !unknown_stops_.empty() || needs_first_look_ ||
+         acknowledged_ < last_seen_;
+}
+
+void RunSupervisor::MaybeHold() {
+  if (!executor_ || hold_ || !NeedsLook() || clock_.now() < next_hold_at_) return;
+  const bool has_running = std::any_of(runs_.begin(), runs_.end(), [](const auto& entry) {
+    return entry.second.state == State::kRunning || entry.second.state == State::kStarting;
+  });
+  const bool settles = std::any_of(runs_.begin(), runs_.end(), [](const auto& entry) {
+    return entry.second.state == State::kStopped;
+  });
+  hold_ = Hold{.number = next_hold_++, .sent_at = clock_.now()};
+  sending_seen_ = last_seen_;
+  CallHold call{.number = hold_->number,
+                .executor_id = executor_->id,
+                .fencing_token = fencing_token_,
+                .last_seen = last_seen_};
+  if (has_running && MayRenew()) call.lease_until = ExecutorNow() + options_.lease;
+  if (has_running && !needs_first_look_) call.wait = options_.hold_wait;
+  // A stopped run ends soon; without an end to list, the look itself settles it.
+  if (settles) call.wait = options_.stop_time;
+  actions_.emplace_back(std::move(call));
+}
+
+void RunSupervisor::StopAccepting() {
+  stopping_ = true;
+  actions_.emplace_back(ReportChanged{});
+}
+
+void RunSupervisor::OnTimer() {
+  const TimePoint now = clock_.now();
+  std::vector<std::string> silent;
+  for (const auto& [owner, heard] : owner_heard_) {
+    if (now - heard > options_.owner_silence) silent.push_back(owner);
+  }
+  for (const std::string& owner : silent) OnOwnerLost(owner);
+  if (!executor_) return;
+  for (auto& [id, run] : runs_) {
+    if (run.state == State::kStopping && run.next_stop_at <= now) SendStop(id, run);
+  }
+  for (auto& [id, next] : unknown_stops_) {
+    if (next > now) continue;
+    next = now + options_.stop_retry;
+    actions_.emplace_back(
+        CallStop{.id = id, .executor_id = executor_->id, .fencing_token = fencing_token_});
+  }
+  MaybeHold();
+}
+
+TimePoint RunSupervisor::next_timer() const {
+  TimePoint next = TimePoint::max();
+  if (!runs_.empty()) {
+    for (const auto& [owner, heard] : owner_heard_) {
+      next = std::min(next, heard + options_.owner_silence + milliseconds(1));
+    }
+  }
+  for (const auto& [id, run] : runs_) {
+    if (run.state == State::kStopping) next = std::min(next, run.next_stop_at);
+  }
+  for (const auto& [id, at] : unknown_stops_) next = std::min(next, at);
+  if (executor_ && !hold_ && NeedsLook()) next = std::min(next, next_hold_at_);
+  return next;
+}
+
+std::vector<SupervisorAction> RunSupervisor::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+std::vector<RunId> RunSupervisor::RunsOf(const std::string& owner) const {
+  std::vector<RunId> ids;
+  for (const auto& [id, run] : runs_) {
+    if (run.owner == owner) ids.push_back(id);
+  }
+  return ids;
+}
+
+ExecutorTime RunSupervisor::ExecutorNow() const {
+  return std::chrono::duration_cast<milliseconds>(clock_.now().time_since_epoch()) + clock_offset_;
+}
+
+void RunSupervisor::NoteClock(ExecutorTime clock) {
+  clock_offset_ =
+      clock - std::chrono::duration_cast<milliseconds>(clock_.now().time_since_epoch());
+}
+
+}  // namespace zinniamux::core
--- /dev/null
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -0,0 +1,308 @@
+// Wiring of the dispatcher.
+#include "zinniamuxd/dispatcher_daemon.h"
+
+#include <asio/post.hpp>
+#include <chrono>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <variant>
+
+#include "platform/configuration_codec.h"
+#include "platform/names.h"
+
+namespace zinniamux::daemon {
+namespace {
+
+using adapters::HttpRequest;
+using adapters::HttpResponder;
+using adapters::HttpResponse;
+using adapters::LogLevel;
+using adapters::LoopHttpServer;
+using core::TimePoint;
+using std::chrono::milliseconds;
+
+// While jobs wait; bounds how late a refusal or an expiry is.
+constexpr milliseconds kBusyTick{20};
+// Without jobs. Heartbeats are due every 300 ms.
+constexpr milliseconds kIdleTick{100};
+// The row of this entry and the rows of the others change slowly.
+constexpr milliseconds kRosterTick{500};
+// The load balancer asks for readiness every second and acts on the second miss.
+constexpr milliseconds kDrainNotice{2500};
+// Left of the grace when the process ends whatever still waits.
+constexpr milliseconds kGraceReserve{500};
+constexpr long kStoreConnections = 8;
+
+// Distinguishes this process from earlier ones with the same id.
+std::uint64_t NewIncarnation() {
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                        std::chrono::system_clock::now().time_since_epoch())
+                                        .count());
+}
+
+core::JobScheduler::Options SchedulerOptions(const adapters::DispatcherSettings& settings) {
+  core::JobScheduler::Options options;
+  options.availability_zone = settings.availability_zone;
+  const milliseconds silence = SupervisorRegistry::Options().silence_limit;
+  // A lease on a clock that is 2 % slow, and the time of a stop order on its way.
+  options.lost_after = silence + settings.bounds.lease + settings.bounds.lease / 50 +
+                       settings.bounds.stop_time * 2;
+  return options;
+}
+
+}  // namespace
+
+DispatcherDaemon::DispatcherDaemon(const adapters::DispatcherSettings& settings,
+                                   std::string settings_file, const core::Clock& clock,
+                                   adapters::JsonLog& log)
+    : settings_(settings),
+      settings_file_(std::move(settings_file)),
+      clock_(clock),
+      log_(log),
+      incarnation_(NewIncarnation()),
+      metrics_(clock),
+      client_(kStoreConnections),
+      store_({.url = settings.store_url, .deadline = milliseconds(1000)}, client_, clock),
+      scheduler_(SchedulerOptions(settings), clock),
+      gateway_(scheduler_, clock, log, metrics_),
+      registry_(
+          loop_,
+          {.address = settings.rpc, .entry_id = settings.id, .incarnation = incarnation_}, clock,
+          {.on_attached =
+               [this](const std::string& agent, const std::string& zone, std::uint64_t incarnation,
+                      const std::vector<core::RunId>& held) {
+                 log_.Write(LogLevel::kInfo, "supervisor_attached",
+                            {{"agent", agent}, {"zone", zone}, {"held_runs", held.size()}});
+                 scheduler_.OnAgentAttached(agent, zone, incarnation, held);
+               },
+           .on_detached =
+               [this](const std::string& agent, const std::string& reason) {
+                 log_.Write(LogLevel::kWarning, "supervisor_detached",
+                            {{"agent", agent}, {"reason", reason}});
+                 scheduler_.OnAgentDetached(agent);
+               },
+           .on_report =
+               [this](const std::string& agent, core::ExecutorReport report) {
+                 scheduler_.OnReport(agent, std::move(report));
+               },
+           .on_update =
+               [this](const std::string& agent, const core::RunId& id, core::RunOutcome outcome,
+                      core::Duration elapsed) {
+                 metrics_.Add("runs_ended_total", 1, {{"outcome", NameOf(outcome)}});
+                 if (outcome != core::RunOutcome::kDone) {
+                   log_.Write(LogLevel::kInfo, "run_ended",
+                              {{"job", id.task.job_id},
+                               {"step", id.task.step},
+                               {"task", id.task.index},
+                               {"run", id.run},
+                               {"agent", agent},
+                               {"outcome", NameOf(outcome)}});
+                 }
+                 scheduler_.OnRunUpdate(agent, id, outcome, elapsed);
+               },
+           .on_configuration =
+               [this](std::uint64_t /*version*/, const std::string& body) {
+                 OnConfiguration(body, "supervisor");
+               },
+           .on_frame_done =
+               [this] {
+                 scheduler_.Place();
+                 CarryOut();
+               }}),
+      signals_(loop_, SIGTERM, SIGINT, SIGHUP),
+      timer_(loop_) {}
+
+DispatcherDaemon::~DispatcherDaemon() {
+  if (roster_) roster_->Close();
+}
+
+core::Result<void> DispatcherDaemon::Listen() {
+  auto callers = LoopHttpServer::Start(
+      loop_, {.address = settings_.caller,
+              .handler =
+                  [this](LoopHttpServer::ConnectionId connection, const HttpRequest& request,
+                         HttpResponder responder) {
+                    gateway_.OnRequest(connection, request, std::move(responder));
+                    scheduler_.Place();
+                    CarryOut();
+                  },
+              .on_closed =
+                  [this](LoopHttpServer::ConnectionId connection) {
+                    // Called in the middle of the server's own work.
+                    asio::post(loop_, [this, connection] {
+                      gateway_.OnClosed(connection);
+                      CarryOut();
+                    });
+                  }});
+  if (!callers) return tl::unexpected(callers.error());
+  caller_server_ = *std::move(callers);
+  auto readiness = LoopHttpServer::Start(
+      loop_, {.address = settings_.readiness,
+              .handler = [this](LoopHttpServer::ConnectionId, const HttpRequest& request,
+                                const HttpResponder& responder) {
+                constexpr int kOk = 200;
+                constexpr int kNotFound = 404;
+                constexpr int kServiceUnavailable = 503;
+                int status = IsReady() ? kOk : kServiceUnavailable;
+                if (request.path != platform::kReadyPath) status = kNotFound;
+                responder({.status = status, .body = "{}"});
+              }});
+  if (!readiness) return tl::unexpected(readiness.error());
+  readiness_server_ = *std::move(readiness);
+  auto metrics = LoopHttpServer::Start(
+      loop_, {.address = settings_.metrics,
+              .handler = [this](LoopHttpServer::ConnectionId, const HttpRequest& /*request*/,
+                                const HttpResponder& responder) {
+                UpdateGauges();
+                responder({.body = metrics_.Text(), .content_type = "text/plain; version=0.0.4"});
+              }});
+  if (!metrics) return tl::unexpected(metrics.error());
+  metrics_server_ = *std::move(metrics);
+  return registry_.Listen();
+}
+
+core::Result<void> DispatcherDaemon::Run() {
+  if (auto listening = Listen(); !listening) return listening;
+  roster_ = std::make_shared<RosterService>(
+      core::EntryRoster::Options{.self = {.entry_id = settings_.id,
+                                          .incarnation = incarnation_,
+                                          .rpc_address = AddressText(settings_.rpc)}},
+      store_, clock_, [this] {
+        asio::post(loop_, [this] { scheduler_.set_entries(roster_->members().size()); });
+      });
+  watch_ = std::make_shared<ConfigurationWatch>(
+      loop_, store_, ConfigurationWatch::Options(),
+      ConfigurationWatch::Handlers{
+          .on_read = [this](const std::string& body) { OnConfiguration(body, "store"); },
+          .on_answer = [this](bool answered, const std::string& reason) {
+            OnStoreAnswer(answered, reason);
+          }});
+  log_.Write(LogLevel::kInfo, "started",
+             {{"role", "dispatcher"},
+              {"zone", settings_.availability_zone},
+              {"incarnation", incarnation_}});
+  watch_->Start();
+  AwaitSignal();
+  StartTimer();
+  loop_.run();
+  log_.Write(LogLevel::kInfo, "stopped", {{"waiting_callers", gateway_.waiting_callers()}});
+  return {};
+}
+
+void DispatcherDaemon::StartTimer() {
+  timer_.expires_after(scheduler_.job_count() > 0 ? kBusyTick : kIdleTick);
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) OnTimer();
+  });
+}
+
+void DispatcherDaemon::OnTimer() {
+  const TimePoint now = clock_.now();
+  scheduler_.OnTimer();
+  CarryOut();
+  registry_.OnTimer();
+  if (now >= next_roster_at_) {
+    next_roster_at_ = now + kRosterTick;
+    roster_->OnTimer();
+  }
+  if (MayEnd()) {
+    watch_->Stop();
+    return loop_.stop();
+  }
+  StartTimer();
+}
+
+void DispatcherDaemon::AwaitSignal() {
+  signals_.async_wait([this](const asio::error_code& error, int signal) {
+    if (error) return;
+    OnSignal(signal);
+    AwaitSignal();
+  });
+}
+
+void DispatcherDaemon::OnSignal(int signal) {
+  if (signal != SIGHUP) return StartLeaving();
+  // Addresses and bounds are fixed for the life of a process.
+  const auto settings = adapters::LoadSettings(settings_file_);
+  log_.Write(settings ? LogLevel::kInfo : LogLevel::kError, "settings_checked",
+             {{"error", settings ? "" : settings.error().message}});
+}
+
+void DispatcherDaemon::StartLeaving() {
+  if (leaving_since_ != TimePoint()) return;
+  log_.Write(LogLevel::kInfo, "stopping", {{"jobs", scheduler_.job_count()}});
+  leaving_since_ = clock_.now();
+  gateway_.StartLeaving();
+}
+
+bool DispatcherDaemon::MayEnd() const {
+  if (leaving_since_ == TimePoint()) return false;
+  const core::Duration leaving = clock_.now() - leaving_since_;
+  if (leaving >= settings_.bounds.grace - kGraceReserve) return true;
+  return leaving >= kDrainNotice && gateway_.waiting_callers() == 0;
+}
+
+bool DispatcherDaemon::IsReady() const {
+  return leaving_since_ == TimePoint() && gateway_.config_version() > 0 &&
+         scheduler_.agents_accepting() > 0;
+}
+
+void DispatcherDaemon::OnConfiguration(const std::string& body, const char* source) {
+  core::Result<core::QueueConfiguration> configuration = platform::ParseConfiguration(body);
+  if (!configuration) {
+    log_.Write(LogLevel::kError, "configuration_refused",
+               {{"source", source}, {"error", configuration.error().message}});
+    return;
+  }
+  const std::uint64_t version = configuration->version;
+  const std::size_t queues = configuration->queues.size();
+  if (!gateway_.SetConfiguration(*std::move(configuration))) return;
+  registry_.ShareConfiguration(version, body);
+  log_.Write(LogLevel::kInfo, "configuration_taken",
+             {{"source", source}, {"config_version", version}, {"queues", queues}});
+}
+
+void DispatcherDaemon::OnStoreAnswer(bool answered, const std::string& reason) {
+  if (answered == store_answers_) return;
+  store_answers_ = answered;
+  log_.Write(answered ? LogLevel::kInfo : LogLevel::kWarning,
+             answered ? "store_regained" : "store_lost", {{"reason", reason}});
+}
+
+void DispatcherDaemon::CarryOut() {
+  for (core::SchedulerAction& action : scheduler_.TakeActions()) {
+    if (const auto* start = std::get_if<core::StartTasks>(&action)) {
+      metrics_.Add("runs_ordered_total", static_cast<double>(start->starts.size()));
+      log_.Write(LogLevel::kInfo, "placed",
+                 {{"job", start->job_id},
+                  {"step", start->step},
+                  {"agent", start->agent_id},
+                  {"tasks", start->starts.size()},
+                  {"first_run", start->starts.front().run},
+                  {"order", start->order}});
+      registry_.Add(*start);
+    } else if (const auto* stop = std::get_if<core::StopTask>(&action)) {
+      registry_.Add(*stop);
+    } else if (const auto* answer = std::get_if<core::AnswerJob>(&action)) {
+      gateway_.OnAnswer(*answer);
+    } else if (const auto* judged = std::get_if<core::ExecutorJudged>(&action)) {
+      log_.Write(LogLevel::kWarning, "executor_judged",
+                 {{"agent", judged->change.executor_id},
+                  {"standing", static_cast<int>(judged->change.standing)},
+                  {"excess_failures", judged->change.excess}});
+    }
+  }
+  registry_.Flush();
+}
+
+void DispatcherDaemon::UpdateGauges() {
+  metrics_.Set("jobs_open", static_cast<double>(scheduler_.job_count()));
+  metrics_.Set("supervisors_attached", static_cast<double>(registry_.connections()));
+  metrics_.Set("executors_accepting", static_cast<double>(scheduler_.agents_accepting()));
+  metrics_.Set("config_version", static_cast<double>(gateway_.config_version()));
+  metrics_.Set("store_answers", store_answers_ ? 1 : 0);
+  metrics_.Set("log_lines_dropped_total", static_cast<double>(log_.dropped()));
+}
+
+}  // namespace zinniamux::daemon
--- a/src/zinniamuxd/main.cc
+++ b/src/zinniamuxd/main.cc
@@ -7,13 +7,16 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "adapters/boot_clock.h"
 #include "adapters/http_client.h"
 #include "adapters/http_table_store.h"
 #include "adapters/json_log.h"
 #include "adapters/settings.h"
 #include "adapters/steady_clock.h"
 #include "zinniamuxd/agent_daemon.h"
+#include "zinniamuxd/dispatcher_daemon.h"
 #include "zinniamuxd/entry_daemon.h"
+#include "zinniamuxd/supervisor_daemon.h"
 
 namespace {
 
@@ -44,9 +47,28 @@
   return EXIT_SUCCESS;
 }
 
-int RunRole(const zinniamux::adapters::Settings& settings) {
+// Runs a role that handles signals itself.
+template <typename Daemon>
+int RunUntilStopped(Daemon&& daemon) {
+  if (const auto ended = daemon.Run(); !ended) {
+    std::cerr << "zinniamuxd: " << ended.error().message << '\n';
+    return EXIT_FAILURE;
+  }
+  return EXIT_SUCCESS;
+}
+
+int RunRole(const zinniamux::adapters::Settings& settings, const std::string& file) {
   const zinniamux::adapters::SteadyClock clock;
+  const zinniamux::adapters::BootClock boot_clock;
   JsonLog log(zinniamux::adapters::LogOptions(settings));
+  if (settings.dispatcher) {
+    return RunUntilStopped(
+        zinniamux::daemon::DispatcherDaemon(*settings.dispatcher, file, boot_clock, log));
+  }
+  if (settings.supervisor) {
+    return RunUntilStopped(
+        zinniamux::daemon::SupervisorDaemon(*settings.supervisor, file, boot_clock, log));
+  }
   if (settings.entry) {
     zinniamux::daemon::EntryDaemon daemon(*settings.entry, clock, log);
     return Run(daemon, log);
@@ -77,7 +99,7 @@
       std::cerr << "zinniamuxd: " << settings.error().message << '\n';
       return kExitUsage;
     }
-    return RunRole(*settings);
+    return RunRole(*settings, file.getValue());
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus();
   } catch (const TCLAP::ArgException& error) {
--- /dev/null
+++ b/src/zinniamuxd/run_codec.cc
@@ -0,0 +1,96 @@
+// Field by field copies.
+#include "zinniamuxd/run_codec.h"
+
+#include <algorithm>
+
+namespace zinniamux::daemon {
+namespace {
+
+constexpr double kPermille = 1000;
+
+}  // namespace
+
+void ToMessage(const core::Resources& resources, runs::Resources& message) {
+  message.set_cpu_milli(resources.cpu_milli);
+  message.set_memory_mb(resources.memory_mb);
+  message.set_gpus(resources.gpus);
+}
+
+core::Resources FromMessage(const runs::Resources& message) {
+  return {.cpu_milli = message.cpu_milli(),
+          .memory_mb = message.memory_mb(),
+          .gpus = message.gpus()};
+}
+
+void ToMessage(const core::RunId& id, runs::RunRef& message) {
+  message.set_job_id(id.task.job_id);
+  message.set_occurrence(id.task.occurrence);
+  message.set_step(id.task.step);
+  message.set_index(id.task.index);
+  message.set_run(id.run);
+}
+
+core::RunId FromMessage(const runs::RunRef& message) {
+  return {.task = {.job_id = message.job_id(),
+                   .occurrence = message.occurrence(),
+                   .step = message.step(),
+                   .index = message.index()},
+          .run = message.run()};
+}
+
+void ToMessage(const core::ExecutorReport& report, runs::ExecutorReport& message) {
+  message.set_executor_id(report.executor_id);
+  message.set_service(report.service);
+  message.set_accepting(report.accepting);
+  ToMessage(report.capacity, *message.mutable_capacity());
+  ToMessage(report.free, *message.mutable_free());
+  for (const std::string& label : report.labels) message.add_labels(label);
+  message.set_orders_seen(report.orders_seen);
+  message.set_pace_permille(static_cast<std::uint32_t>(report.pace * kPermille));
+}
+
+core::ExecutorReport FromMessage(const runs::ExecutorReport& message) {
+  return {.executor_id = message.executor_id(),
+          .service = message.service(),
+          .accepting = message.accepting(),
+          .capacity = FromMessage(message.capacity()),
+          .free = FromMessage(message.free()),
+          .labels = {message.labels().begin(), message.labels().end()},
+          .orders_seen = message.orders_seen(),
+          .pace = message.pace_permille() / kPermille};
+}
+
+void ToMessage(const core::StartTasks& start, core::Duration clock_offset,
+               runs::StartOrder& message) {
+  message.set_order(start.order);
+  message.set_job_id(start.job_id);
+  message.set_step(start.step);
+  message.set_spec(start.spec);
+  ToMessage(start.need, *message.mutable_need());
+  message.set_estimate_ms(static_cast<std::uint32_t>(start.estimate.count()));
+  message.set_expires_clock_ms(ClockMilliseconds(start.expires + clock_offset));
+  for (const core::StartTasks::Start& each : start.starts) {
+    message.add_indexes(each.index);
+    message.add_runs(each.run);
+  }
+}
+
+std::vector<core::RunOrder> FromMessage(const runs::StartOrder& message) {
+  std::vector<core::RunOrder> orders;
+  const core::TimePoint expires{std::chrono::milliseconds(message.expires_clock_ms())};
+  const int count = std::min(message.indexes_size(), message.runs_size());
+  for (int i = 0; i < count; ++i) {
+    orders.push_back({.id = {.task = {.job_id = message.job_id(),
+                                      .occurrence = message.occurrence(),
+                                      .step = message.step(),
+                                      .index = message.indexes(i)},
+                             .run = message.runs(i)},
+                      .spec = message.spec(),
+                      .need = FromMessage(message.need()),
+                      .estimate = std::chrono::milliseconds(message.estimate_ms()),
+                      .expires = expires});
+  }
+  return orders;
+}
+
+}  // namespace zinniamux::daemon
--- /dev/null
+++ b/src/zinniamuxd/run_codec.h
@@ -0,0 +1,35 @@
+// Translation between core values of leased execution and the messages of runs.proto.
+#ifndef ZINNIAMUX_ZINNIAMUXD_RUN_CODEC_H_
+#define ZINNIAMUX_ZINNIAMUXD_RUN_CODEC_H_
+
+#include "core/executor_view.h"
+#include "core/job_scheduler.h"
+#include "core/run.h"
+#include "core/run_supervisor.h"
+#include "runs.pb.h"
+
+namespace zinniamux::daemon {
+
+void ToMessage(const core::Resources& resources, runs::Resources& message);
+core::Resources FromMessage(const runs::Resources& message);
+
+void ToMessage(const core::RunId& id, runs::RunRef& message);
+core::RunId FromMessage(const runs::RunRef& message);
+
+void ToMessage(const core::ExecutorReport& report, runs::ExecutorReport& message);
+core::ExecutorReport FromMessage(const runs::ExecutorReport& message);
+
+// `clock_offset` is the agent's clock minus this process's.
+void ToMessage(const core::StartTasks& start, core::Duration clock_offset,
+               runs::StartOrder& message);
+// One order for each start. `expires` becomes a time of this process's clock.
+std::vector<core::RunOrder> FromMessage(const runs::StartOrder& message);
+
+// Milliseconds on the agent's clock, as frames carry them.
+inline std::int64_t ClockMilliseconds(core::TimePoint time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+}  // namespace zinniamux::daemon
+
+#endif  // ZINNIAMUX_ZINNIAMUXD_RUN_CODEC_H_
--- /dev/null
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -0,0 +1,453 @@
+// Wiring of the supervisor.
+#include "zinniamuxd/supervisor_daemon.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include "adapters/row_codec.h"
+#include "platform/executor_codec.h"
+#include "platform/names.h"
+#include "zinniamuxd/run_codec.h"
+
+namespace zinniamux::daemon {
+namespace {
+
+using adapters::HttpRequest;
+using adapters::HttpResponder;
+using adapters::HttpResponse;
+using adapters::HttpResult;
+using adapters::LogLevel;
+using adapters::LoopHttpServer;
+using core::TimePoint;
+using std::chrono::milliseconds;
+
+// Heartbeats to entries are due every 300 ms.
+constexpr milliseconds kTick{100};
+// How often the list of entries is read, and how often until the first one is known.
+constexpr milliseconds kReadPeriod{3000};
+constexpr milliseconds kFirstReadPeriod{300};
+// A link to an entry whose row is gone is given up after this time without a connection.
+constexpr std::chrono::seconds kForgetEntry{30};
+// Left of the grace when the process ends whatever still runs.
+constexpr milliseconds kGraceReserve{500};
+// Starts and stops share these connections with a hold call.
+constexpr long kExecutorConnections = 12;
+constexpr long kStoreConnections = 2;
+
+std::uint64_t UnixMilliseconds() {
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                        std::chrono::system_clock::now().time_since_epoch())
+                                        .count());
+}
+
+core::RunSupervisor::Options SupervisorOptions(const adapters::LeaseBounds& bounds,
+                                               std::uint64_t fencing_token) {
+  core::RunSupervisor::Options options;
+  options.lease = bounds.lease;
+  options.stop_time = bounds.stop_time;
+  options.fencing_token = fencing_token;
+  // A caller without an answer repeats its job after `retransmit`. Runs of its first sending have
+  // ended by then: the rest is for the stop order, one retry of it, and the executor's time to stop.
+  const milliseconds reserve = options.stop_retry * 3 + options.stop_time * 2;
+  options.owner_silence = std::max(bounds.retransmit - reserve, milliseconds(500));
+  return options;
+}
+
+}  // namespace
+
+SupervisorDaemon::SupervisorDaemon(const adapters::SupervisorSettings& settings,
+                                   std::string settings_file, const core::Clock& clock,
+                                   adapters::JsonLog& log)
+    : settings_(settings),
+      settings_file_(std::move(settings_file)),
+      clock_(clock),
+      log_(log),
+      incarnation_(UnixMilliseconds()),
+      metrics_(clock),
+      // Later processes of this VM get higher tokens.
+      supervisor_(SupervisorOptions(settings.bounds, incarnation_), clock),
+      store_client_(kStoreConnections),
+      store_({.url = settings.store_url, .deadline = milliseconds(1000)}, store_client_, clock),
+      executor_client_(kExecutorConnections),
+      signals_(loop_, SIGTERM, SIGINT, SIGHUP),
+      timer_(loop_),
+      supervisor_timer_(loop_) {}
+
+core::Result<void> SupervisorDaemon::Listen() {
+  auto local = LoopHttpServer::Start(
+      loop_, {.address = settings_.local,
+              .handler = [this](LoopHttpServer::ConnectionId, const HttpRequest& request,
+                                const HttpResponder& responder) {
+                responder(OnExecutorCall(request));
+                CarryOut();
+              }});
+  if (!local) return tl::unexpected(local.error());
+  local_server_ = *std::move(local);
+  auto metrics = LoopHttpServer::Start(
+      loop_, {.address = settings_.metrics,
+              .handler = [this](LoopHttpServer::ConnectionId, const HttpRequest& /*request*/,
+                                const HttpResponder& responder) {
+                UpdateGauges();
+                responder({.body = metrics_.Text(), .content_type = "text/plain; version=0.0.4"});
+              }});
+  if (!metrics) return tl::unexpected(metrics.error());
+  metrics_server_ = *std::move(metrics);
+  return {};
+}
+
+core::Result<void> SupervisorDaemon::Run() {
+  if (auto listening = Listen(); !listening) return listening;
+  log_.Write(LogLevel::kInfo, "started",
+             {{"role", "supervisor"},
+              {"zone", settings_.availability_zone},
+              {"incarnation", incarnation_}});
+  AwaitSignal();
+  StartTimer();
+  loop_.run();
+  for (auto& [id, link] : links_) link->Close();
+  log_.Write(LogLevel::kInfo, "stopped", {{"runs", supervisor_.run_count()}});
+  return {};
+}
+
+// --- The executor's reports
+
+HttpResponse SupervisorDaemon::OnExecutorCall(const HttpRequest& request) {
+  constexpr int kBadRequest = 400;
+  constexpr int kNotFound = 404;
+  if (!request.path.starts_with(platform::kInstancePathPrefix)) {
+    return {.status = kNotFound, .body = "{}"};
+  }
+  const std::string id = request.path.substr(platform::kInstancePathPrefix.size());
+  if (request.method == "PUT") return OnAnnouncement(id, request.body);
+  if (request.method != "DELETE") return {.status = kBadRequest, .body = "{}"};
+  log_.Write(LogLevel::kInfo, "executor_left", {{"executor", id}});
+  supervisor_.OnExecutorLeft(id);
+  return {.body = "{}"};
+}
+
+HttpResponse SupervisorDaemon::OnAnnouncement(const std::string& id, const std::string& body) {
+  constexpr int kBadRequest = 400;
+  const auto announcement = platform::ParseAnnouncement(id, body);
+  std::string problem;
+  if (!announcement) {
+    problem = announcement.error().message;
+  } else if (announcement->address != settings_.executor) {
+    problem = "address " + announcement->address + " is not that of this VM's executor";
+  } else if (announcement->status.service != settings_.service) {
+    problem = "service " + announcement->status.service + " is not this VM's";
+  }
+  if (!problem.empty()) {
+    log_.Write(LogLevel::kWarning, "announcement_ignored", {{"executor", id}, {"error", problem}});
+    return {.status = kBadRequest, .body = "{}"};
+  }
+  const auto& known = supervisor_.executor();
+  const bool is_new = !known || known->id != id || known->born_ms != announcement->status.born_ms;
+  const bool drains = announcement->status.draining && (is_new || !known->draining);
+  const bool taken = supervisor_.OnExecutorStatus(announcement->status);
+  if (taken && (is_new || drains)) {
+    log_.Write(LogLevel::kInfo, drains ? "executor_draining" : "executor_joined",
+               {{"executor", id},
+                {"born_ms", announcement->status.born_ms},
+                {"cpu_milli", announcement->status.capacity.cpu_milli}});
+  }
+  return {.body = "{}"};
+}
+
+// --- Entries
+
+void SupervisorDaemon::ReadEntries() {
+  reading_ = true;
+  store_.ReadRows(std::string(adapters::kEntryRowPrefix),
+                  [this](core::Result<std::vector<core::TableRow>> rows) {
+                    asio::post(loop_, [this, rows = std::move(rows)] { OnEntries(rows); });
+                  });
+}
+
+void SupervisorDaemon::OnEntries(const core::Result<std::vector<core::TableRow>>& rows) {
+  reading_ = false;
+  next_read_at_ = clock_.now() + (links_.empty() ? kFirstReadPeriod : kReadPeriod);
+  if (rows.has_value() != store_answers_) {
+    store_answers_ = rows.has_value();
+    log_.Write(rows ? LogLevel::kInfo : LogLevel::kWarning,
+               rows ? "store_regained" : "store_lost",
+               {{"reason", rows ? "" : rows.error().message}});
+  }
+  if (!rows) return;
+  std::set<std::string> present;
+  for (const core::TableRow& row : *rows) {
+    const auto entry = adapters::ParseEntryRow(row);
+    if (!entry) continue;
+    present.insert(entry->row.entry.entry_id);
+    const auto known = links_.find(entry->row.entry.entry_id);
+    if (known != links_.end() &&
+        known->second->address().rpc_address == entry->row.entry.rpc_address) {
+      continue;
+    }
+    if (known != links_.end()) known->second->Close();
+    AddLink(entry->row.entry);
+  }
+  std::erase_if(links_, [&](const auto& item) {
+    const EntryLink& link = *item.second;
+    if (present.contains(item.first) || link.connected()) return false;
+    if (clock_.now() - link.last_connected() < kForgetEntry) return false;
+    item.second->Close();
+    return true;
+  });
+}
+
+void SupervisorDaemon::AddLink(const core::EntryAddress& address) {
+  const std::string& id = address.entry_id;
+  auto link = std::make_shared<EntryLink>(
+      loop_, address, EntryLink::Options(), clock_,
+      EntryLink::Handlers{
+          .introduce = [this](const EntryLink& opened,
+                              runs::AgentFrame& frame) { Introduce(opened, frame); },
+          .on_frame =
+              [this, id](const std::string& /*owner*/, const runs::EntryFrame& frame) {
+                const auto found = links_.find(id);
+                if (found != links_.end()) OnEntryFrame(*found->second, frame);
+              },
+          .on_owner_gone =
+              [this](const std::string& owner) {
+                log_.Write(LogLevel::kWarning, "dispatcher_gone", {{"dispatcher", owner}});
+                supervisor_.OnOwnerLost(owner);
+                CarryOut();
+              },
+          .on_state =
+              [this](const std::string& entry, bool connected, const std::string& reason) {
+                log_.Write(connected ? LogLevel::kInfo : LogLevel::kWarning,
+                           connected ? "dispatcher_connected" : "dispatcher_disconnected",
+                           {{"dispatcher", entry}, {"reason", reason}});
+              }});
+  links_[id] = link;
+  link->Start();
+}
+
+void SupervisorDaemon::Introduce(const EntryLink& link, runs::AgentFrame& frame) const {
+  runs::AgentHello& hello = *frame.mutable_hello();
+  hello.set_agent_id(settings_.id);
+  hello.set_incarnation(incarnation_);
+  hello.set_availability_zone(settings_.availability_zone);
+  for (const core::RunId& id : supervisor_.RunsOf(link.owner())) {
+    ToMessage(id, *hello.add_held_runs());
+  }
+  // Updates that waited for the connection follow in the same frame; their runs count as held.
+  for (const runs::RunUpdate& update : frame.updates()) *hello.add_held_runs() = update.run();
+  frame.set_config_version(config_version_);
+  FillReport(link, *frame.mutable_report());
+}
+
+void SupervisorDaemon::OnEntryFrame(EntryLink& link, const runs::EntryFrame& frame) {
+  const std::string owner = link.owner();
+  if (owner.empty()) return;
+  supervisor_.OnOwnerHeard(owner);
+  if (!frame.config_body().empty() && frame.config_version() > config_version_) {
+    config_version_ = frame.config_version();
+    config_body_ = frame.config_body();
+  }
+  for (const runs::StartOrder& message : frame.starts()) {
+    for (const core::RunOrder& order : FromMessage(message)) supervisor_.OnOrder(owner, order);
+    std::uint64_t& seen = orders_seen_[owner];
+    seen = std::max(seen, message.order());
+  }
+  for (const runs::RunRef& stop : frame.stops()) supervisor_.OnStopOrder(owner, FromMessage(stop));
+  const bool changes = frame.starts_size() > 0 || frame.stops_size() > 0;
+  if (changes) Report();
+  CarryOut();
+}
+
+EntryLink* SupervisorDaemon::LinkOf(const std::string& owner) {
+  for (auto& [id, link] : links_) {
+    if (link->owner() == owner) return link.get();
+  }
+  return nullptr;
+}
+
+// --- Actions
+
+void SupervisorDaemon::CarryOut() {
+  bool report = false;
+  for (core::SupervisorAction& action : supervisor_.TakeActions()) {
+    if (const auto* start = std::get_if<core::CallStart>(&action)) {
+      Call(*start);
+    } else if (const auto* stop = std::get_if<core::CallStop>(&action)) {
+      Call(*stop);
+    } else if (const auto* hold = std::get_if<core::CallHold>(&action)) {
+      Call(*hold);
+    } else if (const auto* update = std::get_if<core::RunUpdate>(&action)) {
+      report = true;
+      metrics_.Add("runs_ended_total", 1, {{"outcome", NameOf(update->outcome)}});
+      EntryLink* link = LinkOf(update->owner);
+      if (link == nullptr) continue;
+      runs::RunUpdate& message = *link->outgoing().add_updates();
+      ToMessage(update->id, *message.mutable_run());
+      message.set_outcome(static_cast<std::uint32_t>(update->outcome));
+      message.set_elapsed_ms(static_cast<std::uint32_t>(
+          std::chrono::duration_cast<milliseconds>(update->elapsed).count()));
+    } else {
+      report = true;
+    }
+  }
+  if (report) Report();
+  for (auto& [id, link] : links_) link->Flush();
+  const TimePoint next = supervisor_.next_timer();
+  if (next == TimePoint::max()) return;
+  supervisor_timer_.expires_after(std::max(next - clock_.now(), core::Duration(1000)));
+  supervisor_timer_.async_wait([this](const asio::error_code& error) {
+    if (error) return;
+    supervisor_.OnTimer();
+    CarryOut();
+  });
+}
+
+void SupervisorDaemon::SendToExecutor(std::string_view path, const std::string& executor_id,
+                                      std::string body, milliseconds timeout,
+                                      std::function<void(const HttpResult&)> on_result) {
+  adapters::HttpCall call{.method = "POST",
+                          .url = "http://" + settings_.executor + std::string(path),
+                          .body = std::move(body),
+                          .timeout = timeout};
+  call.headers = {{"Content-Type", "application/json"},
+                  {std::string(platform::kExpectInstanceHeader), executor_id}};
+  executor_client_.Send(std::move(call),
+                        [this, on_result = std::move(on_result)](HttpResult result) {
+                          asio::post(loop_, [this, on_result, result = std::move(result)] {
+                            on_result(result);
+                            CarryOut();
+                          });
+                        });
+}
+
+void SupervisorDaemon::Call(const core::CallStart& call) {
+  const core::RunSupervisor::Options options;
+  SendToExecutor(platform::kRunStartPath, call.executor_id, platform::ComposeStart(call),
+                 options.start_limit, [this, id = call.id](const HttpResult& result) {
+                   const auto start = platform::ParseStartResult(result.status, result.body);
+                   if (start.answer != core::StartAnswer::kStarted) {
+                     log_.Write(LogLevel::kInfo, "start_not_confirmed",
+                                {{"job", id.task.job_id},
+                                 {"step", id.task.step},
+                                 {"task", id.task.index},
+                                 {"run", id.run},
+                                 {"status", result.status},
+                                 {"failure", result.failure},
+                                 {"answer", result.body}});
+                   }
+                   supervisor_.OnStartAnswer(id, start.answer, start.clock);
+                 });
+}
+
+void SupervisorDaemon::Call(const core::CallStop& call) {
+  const core::RunSupervisor::Options options;
+  constexpr int kOk = 200;
+  SendToExecutor(platform::kRunStopPath, call.executor_id, platform::ComposeStop(call),
+                 options.answer_limit, [this, id = call.id](const HttpResult& result) {
+                   supervisor_.OnStopAnswer(id, result.status == kOk);
+                 });
+}
+
+void SupervisorDaemon::Call(const core::CallHold& call) {
+  const core::RunSupervisor::Options options;
+  SendToExecutor(platform::kHoldPath, call.executor_id, platform::ComposeHold(call),
+                 call.wait + options.answer_limit,
+                 [this, number = call.number](const HttpResult& result) {
+                   const auto answer = platform::ParseHoldResult(result.status, result.body);
+                   if (!answer) {
+                     metrics_.Add("holds_unanswered_total");
+                     log_.Write(LogLevel::kInfo, "hold_not_answered",
+                                {{"status", result.status}, {"failure", result.failure}});
+                   }
+                   supervisor_.OnHoldAnswer(number, answer);
+                 });
+}
+
+void SupervisorDaemon::FillReport(const EntryLink& link, runs::ExecutorReport& message) const {
+  core::ExecutorReport report;
+  if (const auto& executor = supervisor_.executor()) {
+    report.executor_id = executor->id;
+    report.service = executor->service;
+    report.capacity = executor->capacity;
+    report.labels = executor->labels;
+  }
+  report.accepting = supervisor_.accepting();
+  report.free = supervisor_.free_room();
+  report.pace = supervisor_.pace();
+  const auto seen = orders_seen_.find(link.owner());
+  if (seen != orders_seen_.end()) report.orders_seen = seen->second;
+  ToMessage(report, message);
+}
+
+void SupervisorDaemon::Report() {
+  for (auto& [id, link] : links_) {
+    if (!link->connected()) continue;
+    FillReport(*link, *link->outgoing().mutable_report());
+  }
+}
+
+// --- Time and signals
+
+void SupervisorDaemon::StartTimer() {
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) OnTimer();
+  });
+}
+
+void SupervisorDaemon::OnTimer() {
+  supervisor_.OnTimer();
+  CarryOut();
+  for (auto& [id, link] : links_) link->OnTimer();
+  if (!reading_ && clock_.now() >= next_read_at_) ReadEntries();
+  if (MayEnd()) return loop_.stop();
+  StartTimer();
+}
+
+void SupervisorDaemon::AwaitSignal() {
+  signals_.async_wait([this](const asio::error_code& error, int signal) {
+    if (error) return;
+    OnSignal(signal);
+    AwaitSignal();
+  });
+}
+
+void SupervisorDaemon::OnSignal(int signal) {
+  if (signal == SIGHUP) {
+    // Addresses and bounds are fixed for the life of a process.
+    const auto settings = adapters::LoadSettings(settings_file_);
+    log_.Write(settings ? LogLevel::kInfo : LogLevel::kError, "settings_checked",
+               {{"error", settings ? "" : settings.error().message}});
+    return;
+  }
+  if (leaving_since_ != TimePoint()) return;
+  leaving_since_ = clock_.now();
+  log_.Write(LogLevel::kInfo, "stopping", {{"runs", supervisor_.run_count()}});
+  supervisor_.StopAccepting();
+  CarryOut();
+}
+
+bool SupervisorDaemon::MayEnd() const {
+  if (leaving_since_ == TimePoint()) return false;
+  if (clock_.now() - leaving_since_ >= settings_.bounds.grace - kGraceReserve) return true;
+  // The last updates are sent in the same turn in which their runs end.
+  return supervisor_.run_count() == 0 && clock_.now() - leaving_since_ >= kTick * 2;
+}
+
+void SupervisorDaemon::UpdateGauges() {
+  metrics_.Set("runs", static_cast<double>(supervisor_.run_count()));
+  metrics_.Set("free_cpu_milli", static_cast<double>(supervisor_.free_room().cpu_milli));
+  metrics_.Set("accepting", supervisor_.accepting() ? 1 : 0);
+  metrics_.Set("pace", supervisor_.pace());
+  metrics_.Set("dispatchers_connected",
+               static_cast<double>(std::count_if(
+                   links_.begin(), links_.end(),
+                   [](const auto& item) { return item.second->connected(); })));
+  metrics_.Set("store_answers", store_answers_ ? 1 : 0);
+  metrics_.Set("log_lines_dropped_total", static_cast<double>(log_.dropped()));
+}
+
+}  // namespace zinniamux::daemon
