scheduler, supervisor: urgent jobs first, room kept for them, runs moved off slow executors

Cause: stock-lookup was refused at arrival because work of lesser queues ahead counted as its wait; runs stayed on executors that were several times slower; runs of a silent executor never ended.

--- a/src/core/job_request.h
+++ b/src/core/job_request.h
@@ -38,8 +38,8 @@
   // Handed to the executor with each task.
   std::string spec;
   std::vector<JobStep> steps;
-  // 0 comes first.
-  std::uint32_t priority = 0;
+  // Jobs of this queue come before those of other queues of the service.
+  bool urgent = false;
   // Failed runs that a task may have.
   std::uint32_t attempts = 1;
   // The answer is in time within stretch * longest chain of run times + slack.
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -49,6 +49,15 @@
   return capacity;
 }
 
+double JobScheduler::FreeMilli(const std::string& service) const {
+  double free = 0;
+  for (const ExecutorView* view : views_) {
+    if (!view->takes_work() || view->report().service != service) continue;
+    free += static_cast<double>(std::max<std::int64_t>(0, view->free().cpu_milli));
+  }
+  return free;
+}
+
 bool JobScheduler::CanEverRun(const JobRequest& request) const {
   return std::all_of(request.steps.begin(), request.steps.end(), [&](const JobStep& step) {
     return std::any_of(views_.begin(), views_.end(), [&](const ExecutorView* view) {
@@ -74,9 +83,10 @@
     return true;
   }
   const TimePoint now = clock_.now();
-  const Duration wait = WaitPolicy::ExpectedWait(
-      backlog_, CapacityMilli(request.service) / static_cast<double>(entries_));
-  if (now + wait > wait_policy_.StartBy(request, ChainOf(request), now)) {
+  const TimePoint start_by = wait_policy_.StartBy(request, ChainOf(request), now);
+  const QueueKey key{request.urgent ? Rank::kUrgent : Rank::kNormal, start_by, next_job_number_};
+  const Duration wait = ExpectedWait(key, request.service);
+  if (now + wait > start_by) {
     Refuse(request, JobReason::kOverloaded, wait);
     return true;
   }
@@ -84,11 +94,22 @@
   return true;
 }
 
+Duration JobScheduler::ExpectedWait(const QueueKey& key, const std::string& service) const {
+  double backlog = 0;
+  for (auto ahead = queue_.begin(); ahead != queue_.end() && ahead->first < key; ++ahead) {
+    backlog += jobs_.at(ahead->second).backlog;
+  }
+  return WaitPolicy::ExpectedWait(backlog,
+                                  CapacityMilli(service) / static_cast<double>(entries_));
+}
+
 void JobScheduler::Accept(JobRequest request) {
   const std::string id = request.id;
   Job& job = jobs_[id];
   job.received = clock_.now();
-  job.start_by = wait_policy_.StartBy(request, ChainOf(request), job.received);
+  const Duration chain = ChainOf(request);
+  job.start_by = wait_policy_.StartBy(request, chain, job.received);
+  job.objective = job.received + wait_policy_.Objective(request, chain);
   for (const JobStep& step : request.steps) {
     Step state;
     state.tasks.resize(step.count);
@@ -96,9 +117,17 @@
     job.steps.push_back(std::move(state));
   }
   job.request = std::move(request);
+  if (job.request.urgent) NoteUrgentNeed(job.request);
   UnblockSteps(job);
 }
 
+void JobScheduler::NoteUrgentNeed(const JobRequest& request) {
+  constexpr double kWeight = 0.1;
+  const JobStep& first = request.steps.front();
+  const double need = static_cast<double>(first.need.cpu_milli) * first.count;
+  urgent_need_milli_ += (need - urgent_need_milli_) * kWeight;
+}
+
 void JobScheduler::Refuse(const JobRequest& request, JobReason reason, Duration expected_wait) {
   // The hash spreads the returns of callers that are refused at the same time.
   constexpr std::size_t kSpreadSteps = 1024;
@@ -138,8 +167,8 @@
   CountBacklog(job);
   const std::string& id = job.request.id;
   if (job.ready == 0 || queue_keys_.contains(id)) return;
-  const TimePoint due = job.first_ordered == TimePoint() ? job.start_by : job.received;
-  const QueueKey key{due, next_job_number_++};
+  const QueueKey key = KeyOf(job);
+  ++next_job_number_;
   queue_.emplace(key, id);
   queue_keys_.emplace(id, key);
 }
@@ -151,15 +180,34 @@
   queue_keys_.erase(key);
 }
 
+JobScheduler::QueueKey JobScheduler::KeyOf(const Job& job) const {
+  if (job.first_ordered != TimePoint()) return {Rank::kStarted, job.received, next_job_number_};
+  return {job.request.urgent ? Rank::kUrgent : Rank::kNormal, job.start_by, next_job_number_};
+}
+
 void JobScheduler::CountBacklog(Job& job) {
-  backlog_ -= job.backlog;
   job.backlog = 0;
   for (std::size_t i = 0; i < job.steps.size(); ++i) {
     const double seconds = std::chrono::duration<double>(job.steps[i].estimate).count();
     job.backlog += job.steps[i].ready * seconds *
                    static_cast<double>(job.request.steps[i].need.cpu_milli);
   }
-  backlog_ += job.backlog;
+}
+
+double JobScheduler::ReservedMilli(const std::string& service) const {
+  return std::min(urgent_need_milli_ * options_.reserved_jobs,
+                  CapacityMilli(service) * options_.max_reserved_share);
+}
+
+bool JobScheduler::LeavesReserve(const Job& job) const {
+  if (job.request.urgent || job.first_ordered != TimePoint() || urgent_need_milli_ == 0) {
+    return true;
+  }
+  double need = 0;
+  for (std::size_t i = 0; i < job.steps.size(); ++i) {
+    need += job.steps[i].ready * static_cast<double>(job.request.steps[i].need.cpu_milli);
+  }
+  return FreeMilli(job.request.service) >= need + ReservedMilli(job.request.service);
 }
 
 // --- Placement
@@ -179,6 +227,7 @@
 }
 
 bool JobScheduler::PlaceJob(Job& job) {
+  if (!LeavesReserve(job)) return true;
   for (std::uint32_t s = 0; s < job.steps.size(); ++s) {
     Step& step = job.steps[s];
     if (step.ready == 0) continue;
@@ -231,6 +280,7 @@
   }
   ++task.run;
   task.state = TaskState::kOrdered;
+  task.ordered_at = now;
   task.agent_id = agent.view.agent_id();
   --step.ready;
   --job.ready;
@@ -312,7 +362,6 @@
 void JobScheduler::End(Job& job, JobResult result, JobReason reason, Duration expected_wait) {
   StopRuns(job);
   Dequeue(job);
-  backlog_ -= job.backlog;
   const TimePoint now = clock_.now();
   AnswerJob action{.answer = {.job_id = job.request.id, .result = result, .reason = reason},
                    .queue = job.request.queue,
@@ -346,6 +395,43 @@
   if (found != jobs_.end()) End(found->second, JobResult::kAbandoned, JobReason::kCancelled);
 }
 
+// --- Slow executors
+
+void JobScheduler::MoveStragglers() {
+  const double median = RoomPlacement::MedianPace(views_);
+  for (auto& [agent_id, agent] : agents_) {
+    const double pace = agent.view.report().pace;
+    if (!agent.view.attached() || pace < median * options_.move_ratio) continue;
+    for (const RunId& id : agent.runs) {
+      const auto found = jobs_.find(id.task.job_id);
+      if (found == jobs_.end()) continue;
+      Job& job = found->second;
+      Step& step = job.steps[id.task.step];
+      Task& task = step.tasks[id.task.index];
+      if (task.run != id.run || !ShouldMove(job, step, task, pace, median)) continue;
+      // The task becomes ready again when the agent reports the end of this run.
+      task.moved = true;
+      actions_.emplace_back(StopTask{.agent_id = agent_id, .id = id});
+    }
+  }
+}
+
+bool JobScheduler::ShouldMove(const Job& job, const Step& step, const Task& task, double pace,
+                              double median_pace) const {
+  if (task.state != TaskState::kOrdered || task.moved) return false;
+  const TimePoint now = clock_.now();
+  const auto scaled = [&step](double ratio) {
+    return std::chrono::duration_cast<Duration>(step.estimate * ratio);
+  };
+  const TimePoint end_here = task.ordered_at + scaled(pace);
+  const TimePoint end_elsewhere = now + scaled(median_pace);
+  if (end_here <= job.objective || end_elsewhere >= end_here) return false;
+  const JobStep& wanted = job.request.steps[static_cast<std::size_t>(&step - job.steps.data())];
+  const auto need = static_cast<double>(wanted.need.cpu_milli);
+  if (FreeMilli(job.request.service) < need + ReservedMilli(job.request.service)) return false;
+  return placement_.Choose(views_, {.service = job.request.service, .step = &wanted}) != nullptr;
+}
+
 // --- Agents
 
 void JobScheduler::OnAgentAttached(const std::string& agent_id,
@@ -408,8 +494,7 @@
     if (MayHaveRun(job)) {
       End(job, JobResult::kAbandoned, JobReason::kDeadline);
     } else {
-      const Duration wait = WaitPolicy::ExpectedWait(
-          backlog_, CapacityMilli(job.request.service) / static_cast<double>(entries_));
+      const Duration wait = ExpectedWait(KeyOf(job), job.request.service);
       End(job, JobResult::kRefused, JobReason::kOverloaded, wait);
     }
   }
@@ -423,6 +508,7 @@
     if (!agent.view.attached()) LoseRuns(agent, std::exchange(agent.runs, {}));
   }
   ForgetOldAnswers();
+  MoveStragglers();
   Place();
 }
 
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -92,6 +92,12 @@
     std::size_t max_jobs = 20'000;
     // Orders of one task that agents refuse, before the job is given up.
     std::uint32_t max_refused_starts = 30;
+    // Room that jobs which are not urgent leave free: this many urgent jobs of mean size, at most
+    // this share of all room. Urgent jobs then start without waiting for an end.
+    double reserved_jobs = 1.0;
+    double max_reserved_share = 0.12;
+    // A run is moved off an executor whose pace is this many times the median.
+    double move_ratio = 3.0;
   };
 
   JobScheduler(const Options& options, const Clock& clock);
@@ -135,8 +141,11 @@
     std::uint32_t failed = 0;
     std::uint32_t refused = 0;
     std::string agent_id;
+    TimePoint ordered_at;
     // The agent on which it failed last.
     std::string avoid;
+    // It was stopped on a slow executor to run elsewhere.
+    bool moved = false;
   };
 
   struct Step {
@@ -151,6 +160,8 @@
     std::vector<Step> steps;
     TimePoint received;
     TimePoint start_by;
+    // The answer is in time until then.
+    TimePoint objective;
     TimePoint first_ordered;
     std::uint32_t ready = 0;
     std::uint32_t ordered = 0;
@@ -159,12 +170,19 @@
     std::uint32_t refused_starts = 0;
     // An executor has worked on it.
     bool worked_on = false;
-    // Milli-core seconds that wait, as counted in backlog_.
+    // Milli-core seconds of its tasks that wait.
     double backlog = 0;
   };
-  // Jobs that have started come first, so that what they have used is not lost; then by the time by
-  // which they must start.
-  using QueueKey = std::pair<TimePoint, std::uint64_t>;
+  // Jobs that have started come first, so that what they have used is not lost, then urgent ones,
+  // then the others. Within a rank, who must start first comes first. A lesser queue is never
+  // starved by another one: its jobs reach their time to start.
+  enum class Rank { kStarted, kUrgent, kNormal };
+  struct QueueKey {
+    Rank rank = Rank::kNormal;
+    TimePoint due;
+    std::uint64_t number = 0;
+    auto operator<=>(const QueueKey&) const = default;
+  };
 
   struct Agent {
     ExecutorView view;
@@ -179,6 +197,7 @@
   };
 
   void Accept(JobRequest request);
+  void NoteUrgentNeed(const JobRequest& request);
   std::optional<JobReason> ReasonToRefuse(const JobRequest& request) const;
   void Refuse(const JobRequest& request, JobReason reason, Duration expected_wait);
   Duration ChainOf(const JobRequest& request) const;
@@ -187,7 +206,16 @@
   void MakeReady(Job& job, Step& step, Task& task);
   void Enqueue(Job& job);
   void Dequeue(Job& job);
-  void CountBacklog(Job& job);
+  static void CountBacklog(Job& job);
+  QueueKey KeyOf(const Job& job) const;
+  // How long a job with this key waits for those ahead of it.
+  Duration ExpectedWait(const QueueKey& key, const std::string& service) const;
+  double ReservedMilli(const std::string& service) const;
+  // False if a job must leave the room that is left to urgent ones.
+  bool LeavesReserve(const Job& job) const;
+  void MoveStragglers();
+  bool ShouldMove(const Job& job, const Step& step, const Task& task, double pace,
+                  double median_pace) const;
   // Returns false if the job was ended.
   bool PlaceJob(Job& job);
   void Order(Job& job, std::uint32_t step, std::uint32_t index, Agent& agent);
@@ -201,6 +229,7 @@
   void ForgetOldAnswers();
   void LoseRuns(const Agent& agent, const std::set<RunId>& lost);
   double CapacityMilli(const std::string& service) const;
+  double FreeMilli(const std::string& service) const;
   bool HasExecutors(const std::string& service) const;
   bool CanEverRun(const JobRequest& request) const;
 
@@ -220,8 +249,8 @@
   std::map<std::string, StartTasks> gathering_;
   std::uint64_t next_order_ = 1;
   std::uint64_t next_job_number_ = 1;
-  // Sum of the jobs' waiting work, in milli-core seconds.
-  double backlog_ = 0;
+  // Mean processor need of an urgent job, all its tasks together; 0 without urgent jobs.
+  double urgent_need_milli_ = 0;
   std::size_t entries_ = 1;
   bool stopping_ = false;
   std::unordered_map<std::string, JobReply> remembered_;
--- a/src/core/pace_meter.h
+++ b/src/core/pace_meter.h
@@ -3,53 +3,48 @@
 #define ZINNIAMUX_CORE_PACE_METER_H_
 
 #include <algorithm>
+#include <cmath>
 
 #include "core/clock.h"
 
 namespace zinniamux::core {
 
-// Mean of run time / estimate. Load pattern: some executors turn several times slower, or stand
-// still, for seconds while their reports stay good. Ended runs alone would show that too late, so
-// the progress of running ones counts as well: a run at 10 % after its whole estimate has a ratio
-// of 10. Without samples the value returns to 1, so that the executor is tried again.
+// Geometric mean of run time / estimate. Load pattern: some executors turn several times slower, or
+// stand still, for seconds while their reports stay good. Ended runs alone would show that too
+// late, so the progress of running ones counts as well. Estimates are off by tens of percent, so a
+// few runs must agree. Without samples the value returns to 1, so that the executor is tried again.
 class PaceMeter {
  public:
-  void OnEnd(double ratio, TimePoint now) { Add(std::clamp(ratio, kLowest, kHighest), now); }
-
-  // A run that has not ended, `elapsed_ratio` of its estimate after its start. Only a run that lags
-  // says something: one that is in time may still do so.
-  void OnProgress(double elapsed_ratio, int percent, TimePoint now) {
-    constexpr double kLeastElapsed = 0.5;
-    if (elapsed_ratio < kLeastElapsed) return;
-    const double done = std::max(percent, 1) / 100.0;
-    const double ratio = std::min(elapsed_ratio / done, kHighest);
-    if (ratio > value(now)) Add(ratio, now);
+  // Ratio of one run: its time divided by the estimate. Of a run that has not ended, the time that
+  // it will take at its present speed.
+  void Add(double ratio, TimePoint now) {
+    const double sample = std::log(std::clamp(ratio, kLowest, kHighest));
+    mean_log_ = known_ ? Faded(now) * (1 - kWeight) + sample * kWeight : sample * kWeight;
+    known_ = true;
+    changed_at_ = now;
   }
 
   // 0 before the first sample.
-  double value(TimePoint now) const {
-    if (!known_) return 0;
-    const double age = std::chrono::duration<double>(now - changed_at_).count();
-    const double kept = std::max(0.0, 1.0 - age / kMemorySeconds);
-    return 1.0 + (mean_ - 1.0) * kept;
-  }
+  double value(TimePoint now) const { return known_ ? std::exp(Faded(now)) : 0; }
 
  private:
-  static constexpr double kLowest = 0.05;
-  static constexpr double kHighest = 50;
-  // Share of a new sample: four samples make up most of the mean.
-  static constexpr double kWeight = 0.25;
+  // A run that stands still counts as ten times slower: enough to be seen within a few runs, and
+  // forgotten as fast.
+  static constexpr double kLowest = 0.1;
+  static constexpr double kHighest = 10;
+  // Five samples of an executor that is five times slower more than double the mean, while the
+  // usual spread of 40 % leaves it within 15 %.
+  static constexpr double kWeight = 0.15;
   // An executor that shows nothing new counts as normal after this time; slow phases last for
   // seconds.
   static constexpr double kMemorySeconds = 3.0;
 
-  void Add(double ratio, TimePoint now) {
-    mean_ = known_ ? value(now) * (1 - kWeight) + ratio * kWeight : ratio;
-    known_ = true;
-    changed_at_ = now;
+  double Faded(TimePoint now) const {
+    const double age = std::chrono::duration<double>(now - changed_at_).count();
+    return mean_log_ * std::clamp(1.0 - age / kMemorySeconds, 0.0, 1.0);
   }
 
-  double mean_ = 1;
+  double mean_log_ = 0;
   bool known_ = false;
   TimePoint changed_at_;
 };
--- a/src/core/queue_configuration.h
+++ b/src/core/queue_configuration.h
@@ -18,6 +18,7 @@
   std::string host;
   std::string prefix;
   std::string service;
+  // 0 comes first.
   std::uint32_t priority = 0;
   std::uint32_t attempts = 1;
   double stretch = 1;
@@ -31,6 +32,8 @@
   std::uint64_t version = 0;
   std::vector<QueueRule> queues;
 
+  // True if the queue has the most urgent priority of its service, and others have a lesser one.
+  bool IsUrgent(const QueueRule& queue) const;
   // The queue of a request, or null. `host` may end in a port.
   const QueueRule* Find(std::string_view host, std::string_view path) const;
 };
--- a/src/core/room_placement.h
+++ b/src/core/room_placement.h
@@ -22,9 +22,9 @@
     std::string availability_zone;
     // Free share that an executor in another zone must have in excess.
     double zone_bonus = 0.15;
-    // An executor whose pace is worse than this times the median is slow. Run times of one kind
-    // differ by tens of percent.
-    double slow_ratio = 1.6;
+    // An executor whose pace is worse than this times the median is slow. The spread of estimates
+    // leaves the pace of a sound one within 15 %, kinds of VM differ by 30 %.
+    double slow_ratio = 2.2;
   };
 
   struct Query {
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -2,6 +2,7 @@
 #include "core/run_supervisor.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace zinniamux::core {
@@ -45,6 +46,7 @@
   for (auto run = runs_.begin(); run != runs_.end();) run = Finish(run, outcome);
   unknown_stops_.clear();
   hold_.reset();
+  unanswered_ = 0;
   last_seen_ = acknowledged_ = sending_seen_ = 0;
   next_hold_at_ = {};
   pace_ = PaceMeter();
@@ -62,7 +64,8 @@
 }
 
 bool RunSupervisor::accepting() const {
-  return executor_ && !executor_->draining && !stopping_ && !needs_first_look_;
+  return executor_ && !executor_->draining && !stopping_ && !needs_first_look_ &&
+         unanswered_ <= kMaxUnanswered;
 }
 
 Resources RunSupervisor::free_room() const {
@@ -102,7 +105,7 @@
   actions_.emplace_back(CallStart{.id = run.order.id,
                                   .spec = run.order.spec,
                                   .executor_id = executor_->id,
-                                  .lease_until = ExecutorNow() + options_.lease,
+                                  .lease_until = RenewLease(),
                                   .fencing_token = fencing_token_});
 }
 
@@ -132,6 +135,7 @@
 void RunSupervisor::OnStartAnswer(const RunId& id, StartAnswer answer,
                                   std::optional<ExecutorTime> clock) {
   if (clock) NoteClock(*clock);
+  NoteAnswered(answer != StartAnswer::kNone);
   const auto found = runs_.find(id);
   if (found == runs_.end()) return;
   Run& run = found->second;
@@ -169,6 +173,7 @@
 }
 
 void RunSupervisor::OnStopAnswer(const RunId& id, bool answered) {
+  NoteAnswered(answered);
   if (!answered) return;
   unknown_stops_.erase(id);
   const auto found = runs_.find(id);
@@ -183,7 +188,7 @@
   const Duration elapsed = clock_.now() - run->second.ordered_at;
   const double estimate = std::chrono::duration<double>(run->second.order.estimate).count();
   if (outcome == RunOutcome::kDone && estimate > 0) {
-    pace_.OnEnd(std::chrono::duration<double>(elapsed).count() / estimate, clock_.now());
+    pace_.Add(std::chrono::duration<double>(elapsed).count() / estimate, clock_.now());
   }
   actions_.emplace_back(RunUpdate{
       .owner = run->second.owner, .id = run->first, .outcome = outcome, .elapsed = elapsed});
@@ -198,6 +203,19 @@
   if (run != runs_.end()) Finish(run, ended.outcome);
 }
 
+void RunSupervisor::NoteProgress(Run& run) {
+  // One sample a run, when enough of it is over to tell its speed.
+  constexpr double kLeastPart = 0.5;
+  constexpr double kLeastSeconds = 0.03;
+  const TimePoint now = clock_.now();
+  const double estimate = std::chrono::duration<double>(run.order.estimate).count();
+  const double elapsed = std::chrono::duration<double>(now - run.ordered_at).count();
+  if (run.pace_noted || estimate <= 0) return;
+  if (elapsed < std::max(kLeastSeconds, kLeastPart * estimate)) return;
+  run.pace_noted = true;
+  pace_.Add(elapsed / estimate * 100 / std::max(run.percent, 1), now);
+}
+
 void RunSupervisor::NoteRunning(std::span<const RunningRun> running, TimePoint sent_at) {
   const TimePoint now = clock_.now();
   for (const RunningRun& listed : running) {
@@ -213,11 +231,7 @@
     Run& run = found->second;
     run.seen_running = true;
     run.percent = listed.percent;
-    const double estimate = std::chrono::duration<double>(run.order.estimate).count();
-    if (estimate > 0) {
-      const double elapsed = std::chrono::duration<double>(now - run.ordered_at).count();
-      pace_.OnProgress(elapsed / estimate, listed.percent, now);
-    }
+    NoteProgress(run);
   }
   std::set<RunId> seen;
   for (const RunningRun& listed : running) seen.insert(listed.id);
@@ -241,6 +255,7 @@
   if (!hold_ || hold_->number != number || !executor_) return;
   const TimePoint sent_at = hold_->sent_at;
   hold_.reset();
+  NoteAnswered(answer.has_value());
   if (!answer) {
     // The next call follows at once if runs need it; OnTimer paces calls to a silent executor.
     next_hold_at_ = clock_.now() + options_.stop_retry;
@@ -258,6 +273,7 @@
   acknowledged_ = std::max(acknowledged_, sending_seen_);
   for (const EndedRun& ended : answer->ended) NoteEnd(ended);
   NoteRunning(answer->running, sent_at);
+  NotePace();
   if (needs_first_look_) {
     needs_first_look_ = false;
     actions_.emplace_back(ReportChanged{});
@@ -272,26 +288,62 @@
   });
 }
 
+bool RunSupervisor::NeedsQuickLook() const {
+  return !hold_->quick && std::any_of(runs_.begin(), runs_.end(), [this](const auto& entry) {
+    return entry.second.state == State::kStopped && entry.second.state_at >= hold_->sent_at;
+  });
+}
+
 bool RunSupervisor::NeedsLook() const {
   return !runs_.empty() || !unknown_stops_.empty() || needs_first_look_ ||
          acknowledged_ < last_seen_;
 }
 
+ExecutorTime RunSupervisor::RenewLease() {
+  constexpr int kDriftDivisor = 50;
+  lease_over_at_ = clock_.now() + options_.lease + options_.lease / kDriftDivisor +
+                   options_.stop_time;
+  return ExecutorNow() + options_.lease;
+}
+
+void RunSupervisor::NoteAnswered(bool answered) {
+  const bool was_accepting = accepting();
+  unanswered_ = answered ? 0 : unanswered_ + 1;
+  if (was_accepting != accepting()) actions_.emplace_back(ReportChanged{});
+}
+
+void RunSupervisor::EndLapsedRuns() {
+  if (runs_.empty() || unanswered_ <= kMaxUnanswered || clock_.now() < lease_over_at_) return;
+  for (auto run = runs_.begin(); run != runs_.end();) run = Finish(run, RunOutcome::kLapsed);
+  // The executor may come back and carry out a start that it has not answered.
+  needs_first_look_ = true;
+}
+
+void RunSupervisor::NotePace() {
+  // Entries need to know of a change that matters for placement, not of every sample.
+  constexpr double kNotableChange = 0.25;
+  const double pace = pace_.value(clock_.now());
+  if (std::abs(pace - reported_pace_) <= kNotableChange * std::max(reported_pace_, 1.0)) return;
+  reported_pace_ = pace;
+  actions_.emplace_back(ReportChanged{});
+}
+
 void RunSupervisor::MaybeHold() {
-  if (!executor_ || hold_ || !NeedsLook() || clock_.now() < next_hold_at_) return;
+  if (!executor_ || !NeedsLook() || clock_.now() < next_hold_at_) return;
+  if (hold_ && !NeedsQuickLook()) return;
   const bool has_running = std::any_of(runs_.begin(), runs_.end(), [](const auto& entry) {
     return entry.second.state == State::kRunning || entry.second.state == State::kStarting;
   });
   const bool settles = std::any_of(runs_.begin(), runs_.end(), [](const auto& entry) {
     return entry.second.state == State::kStopped;
   });
-  hold_ = Hold{.number = next_hold_++, .sent_at = clock_.now()};
+  hold_ = Hold{.number = next_hold_++, .sent_at = clock_.now(), .quick = settles};
   sending_seen_ = last_seen_;
   CallHold call{.number = hold_->number,
                 .executor_id = executor_->id,
                 .fencing_token = fencing_token_,
                 .last_seen = last_seen_};
-  if (has_running && MayRenew()) call.lease_until = ExecutorNow() + options_.lease;
+  if (has_running && MayRenew()) call.lease_until = RenewLease();
   if (has_running && !needs_first_look_) call.wait = options_.hold_wait;
   // A stopped run ends soon; without an end to list, the look itself settles it.
   if (settles) call.wait = options_.stop_time;
@@ -311,6 +363,7 @@
   }
   for (const std::string& owner : silent) OnOwnerLost(owner);
   if (!executor_) return;
+  EndLapsedRuns();
   for (auto& [id, run] : runs_) {
     if (run.state == State::kStopping && run.next_stop_at <= now) SendStop(id, run);
   }
@@ -334,6 +387,7 @@
     if (run.state == State::kStopping) next = std::min(next, run.next_stop_at);
   }
   for (const auto& [id, at] : unknown_stops_) next = std::min(next, at);
+  if (!runs_.empty() && unanswered_ > kMaxUnanswered) next = std::min(next, lease_over_at_);
   if (executor_ && !hold_ && NeedsLook()) next = std::min(next, next_hold_at_);
   return next;
 }
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -205,12 +205,15 @@
     RunOutcome not_started = RunOutcome::kUnhealthy;
     bool seen_running = false;
     int percent = 0;
+    bool pace_noted = false;
   };
   using Runs = std::map<RunId, Run>;
 
   struct Hold {
     std::uint64_t number = 0;
     TimePoint sent_at;
+    // It settles stopped runs and is answered soon.
+    bool quick = false;
   };
 
   void ForgetExecutor(RunOutcome outcome);
@@ -220,14 +223,23 @@
   void SendStop(const RunId& id, Run& run);
   Runs::iterator Finish(Runs::iterator run, RunOutcome outcome);
   void NoteEnd(const EndedRun& ended);
+  void NoteProgress(Run& run);
   void NoteRunning(std::span<const RunningRun> running, TimePoint sent_at);
   // Settles the runs that a look at the executor, sent at `sent_at`, did not show.
   void SettleMissing(const std::set<RunId>& seen, TimePoint sent_at);
   void MaybeHold();
   bool NeedsLook() const;
+  // A stopped run waits for a look, and the one under way is a long one that was sent before.
+  bool NeedsQuickLook() const;
   bool MayRenew() const;
   ExecutorTime ExecutorNow() const;
   void NoteClock(ExecutorTime clock);
+  ExecutorTime RenewLease();
+  void NoteAnswered(bool answered);
+  // Ends all runs once their lease has run out without an answer of the executor.
+  void EndLapsedRuns();
+  void NotePace();
+  static constexpr int kMaxUnanswered = 2;
 
   const Options options_;
   const Clock& clock_;
@@ -247,6 +259,12 @@
   std::uint64_t acknowledged_ = 0;
   std::uint64_t sending_seen_ = 0;
   TimePoint next_hold_at_;
+  // The last lease that was asked for has run out by then, also on a clock that is 2 % slow.
+  TimePoint lease_over_at_;
+  // Calls without an answer since the last one that was answered.
+  int unanswered_ = 0;
+  // The pace in the last report.
+  double reported_pace_ = 0;
   // Set until a look has shown which runs an earlier agent left behind.
   bool needs_first_look_ = false;
   std::map<RunId, TimePoint> unknown_stops_;
--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -100,7 +100,7 @@
   submitted.id = id;
   submitted.queue = queue.name;
   submitted.service = queue.service;
-  submitted.priority = queue.priority;
+  submitted.urgent = configuration_->IsUrgent(queue);
   submitted.attempts = queue.attempts;
   submitted.stretch = queue.stretch;
   submitted.slack = queue.slack;
