--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -127,6 +127,8 @@
 
   bool Knows(const std::string& job_id) const { return jobs_.contains(job_id); }
   std::size_t job_count() const { return jobs_.size(); }
+  // Jobs with tasks that wait for room.
+  std::size_t queued_jobs() const { return queue_.size(); }
   // Jobs of the queue without an order.
   std::size_t PendingOf(const std::string& queue) const;
   std::size_t agents_accepting() const;
--- a/src/core/room_placement.cc
+++ b/src/core/room_placement.cc
@@ -32,15 +32,25 @@
   return score;
 }
 
+bool RoomPlacement::TrustsPace(const ExecutorView& executor, double median_pace) const {
+  const double ratio = executor.report().pace / median_pace;
+  if (ratio <= options_.sound_ratio) return true;
+  const double trusted_share =
+      (options_.slow_ratio - ratio) / (options_.slow_ratio - options_.sound_ratio);
+  const auto capacity = static_cast<double>(executor.report().capacity.cpu_milli);
+  const double used = capacity - static_cast<double>(executor.free().cpu_milli);
+  return used < capacity * trusted_share;
+}
+
 ExecutorView* RoomPlacement::Choose(std::span<ExecutorView* const> executors,
                                     const Query& query) const {
-  const double slow_pace = MedianPace(executors) * options_.slow_ratio;
+  const double median_pace = MedianPace(executors);
   ExecutorView* best = nullptr;
   double best_score = 0;
   for (ExecutorView* executor : executors) {
     if (!executor->takes_work() || executor->report().service != query.service) continue;
     if (!query.step->need.Fits(executor->free())) continue;
-    if (executor->report().pace > slow_pace) continue;
+    if (!TrustsPace(*executor, median_pace)) continue;
     const std::string& label = query.step->required_label;
     if (!label.empty() && !executor->HasLabel(label)) continue;
     if (query.allows && !query.allows(*executor)) continue;
--- a/src/core/room_placement.h
+++ b/src/core/room_placement.h
@@ -25,6 +25,9 @@
     // An executor whose pace is worse than this times the median is slow. The spread of estimates
     // leaves the pace of a sound one within 15 %, kinds of VM differ by 30 %.
     double slow_ratio = 2.2;
+    // Below this it is sound. In between it may be filled in part, so that one which was slow is
+    // tried with a few tasks before it gets many.
+    double sound_ratio = 1.5;
   };
 
   struct Query {
@@ -43,6 +46,8 @@
   static double MedianPace(std::span<ExecutorView* const> executors);
 
  private:
+  // True unless the executor is slow, or slower than others and filled as far as it may be.
+  bool TrustsPace(const ExecutorView& executor, double median_pace) const;
   double Score(const ExecutorView& executor, const Query& query) const;
 
   const Options options_;
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -363,6 +363,7 @@
   }
   for (const std::string& owner : silent) OnOwnerLost(owner);
   if (!executor_) return;
+  NotePace();
   EndLapsedRuns();
   for (auto& [id, run] : runs_) {
     if (run.state == State::kStopping && run.next_stop_at <= now) SendStop(id, run);
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -28,6 +28,8 @@
 constexpr milliseconds kIdleTick{100};
 // The row of this entry and the rows of the others change slowly.
 constexpr milliseconds kRosterTick{500};
+// How often the view of the executors is logged.
+constexpr milliseconds kStatusPeriod{2000};
 // The load balancer asks for readiness every second and acts on the second miss.
 constexpr milliseconds kDrainNotice{2500};
 // Left of the grace when the process ends whatever still waits.
@@ -206,6 +208,10 @@
     next_roster_at_ = now + kRosterTick;
     roster_->OnTimer();
   }
+  if (now >= next_status_at_) {
+    next_status_at_ = now + kStatusPeriod;
+    LogStatus();
+  }
   if (MayEnd()) {
     watch_->Stop();
     return loop_.stop();
@@ -296,6 +302,21 @@
   registry_.Flush();
 }
 
+void DispatcherDaemon::LogStatus() {
+  nlohmann::json executors = nlohmann::json::array();
+  for (const core::ExecutorView* view : scheduler_.executors()) {
+    executors.push_back({{"agent", view->agent_id()},
+                         {"takes_work", view->takes_work()},
+                         {"cpu_milli", view->report().capacity.cpu_milli},
+                         {"free_milli", view->free().cpu_milli},
+                         {"pace", view->report().pace}});
+  }
+  log_.Write(LogLevel::kInfo, "status",
+             {{"jobs", scheduler_.job_count()},
+              {"queued_jobs", scheduler_.queued_jobs()},
+              {"executors", std::move(executors)}});
+}
+
 void DispatcherDaemon::UpdateGauges() {
   metrics_.Set("jobs_open", static_cast<double>(scheduler_.job_count()));
   metrics_.Set("supervisors_attached", static_cast<double>(registry_.connections()));
--- a/src/zinniamuxd/dispatcher_daemon.h
+++ b/src/zinniamuxd/dispatcher_daemon.h
@@ -48,6 +48,7 @@
   bool IsReady() const;
   // Carries out what the scheduler decided.
   void CarryOut();
+  void LogStatus();
   void UpdateGauges();
 
   const adapters::DispatcherSettings settings_;
@@ -73,6 +74,7 @@
   // Unset until a stop was asked for.
   core::TimePoint leaving_since_;
   core::TimePoint next_roster_at_;
+  core::TimePoint next_status_at_;
 };
 
 }  // namespace zinniamux::daemon
