--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -7,6 +7,13 @@
 
 build=$1
 shift
+
+# Names of the users' platform stand in platform/ only.
+platform_names='"[^"]*(/zinniamux/|X-Deadline-Ms|X-Expect-Instance|X-Lease-Holder|X-Fence-Token|rows-tx|rows-get|rows-feed|blob-put|blob-get|run-start|run-stop)|"(until_ms|last_seen|clock_ms|mem_mb|data_rack|required_label|max_per_server|best_effort|slo_ms|heartbeat_addr|upserts|has_more)"'
+if grep -rnE "$platform_names" src --include='*.cc' --include='*.h' --exclude-dir=generated; then
+  echo "lint: names of the platform outside of platform/"
+  exit 1
+fi
 cache=${XDG_CACHE_HOME:-$HOME/.cache}/zinniamux-lint
 mkdir -p "$cache"
 if [ $# -gt 0 ]; then
@@ -22,7 +29,7 @@
 check_file() {
   local file=$1 key
   # The key covers the file and every header of this repository that it includes.
-  key=$({ echo "$config_hash"; cat "$file"; git ls-files 'src/*.h' 'tests/*.h' 'bench/*.h' \
+  key=$({ echo "$config_hash"; cat "$file"; git ls-files 'src/*.h' 'platform/*.h' 'tests/*.h' 'bench/*.h' \
     | grep -v '/generated/' | xargs cat; } | sha256sum | cut -c1-32)
   [ -e "$cache/$key" ] && return 0
   if ! clang-tidy --quiet -p "$build" "$file" 2>/dev/null; then
--- a/src/adapters/http_table_store.cc
+++ b/src/adapters/http_table_store.cc
@@ -95,7 +95,8 @@
                       .prefix = std::move(prefix), .rows = {}, .callback = std::move(callback)}));
 }
 
-void HttpTableStore::ReadPage(const std::shared_ptr<ServiceLink>& link, std::shared_ptr<RowsRead> read) {
+void HttpTableStore::ReadPage(const std::shared_ptr<ServiceLink>& link,
+                              std::shared_ptr<RowsRead> read) {
   std::string path = "/table/rows?prefix=" + PercentEncode(read->prefix);
   if (!read->rows.empty()) path += "&after=" + PercentEncode(read->rows.back().key);
   link->Send(link->CallOf("GET", path), [link, read = std::move(read)](const HttpResult& result) {
--- a/src/adapters/loop_http_server.cc
+++ b/src/adapters/loop_http_server.cc
@@ -61,8 +61,9 @@
               .connection_state_listener(
                   std::make_shared<ClosedListener>(std::move(options.on_closed)))
               .request_handler([handler = std::move(options.handler)](auto request) {
-                handler(request->connection_id(), FromRestinio(*request),
-                        [request](HttpResponse response) { Respond(request, std::move(response)); });
+                handler(
+                    request->connection_id(), FromRestinio(*request),
+                    [request](HttpResponse response) { Respond(request, std::move(response)); });
                 return restinio::request_accepted();
               });
         }) {
--- a/src/adapters/service_link.cc
+++ b/src/adapters/service_link.cc
@@ -14,11 +14,11 @@
   const core::Duration since_failure =
       clock_.now().time_since_epoch() - core::Duration(last_failure_.load());
   if (since_failure < kFreshAfterFailure) call.fresh_connection = true;
-  client_.Send(std::move(call), [self = shared_from_this(),
-                                 callback = std::move(callback)](HttpResult result) {
-    self->NoteResult(result);
-    callback(std::move(result));
-  });
+  client_.Send(std::move(call),
+               [self = shared_from_this(), callback = std::move(callback)](HttpResult result) {
+                 self->NoteResult(result);
+                 callback(std::move(result));
+               });
 }
 
 void ServiceLink::NoteResult(const HttpResult& result) {
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -138,8 +138,8 @@
   read("retransmit_ms", bounds.retransmit);
   read("config_apply_ms", bounds.config_apply);
   constexpr double kMaxGraceSeconds = 600;
-  const double grace = object.Number(
-      "grace_s", 0, kMaxGraceSeconds, std::chrono::duration<double>(bounds.grace).count());
+  const double grace = object.Number("grace_s", 0, kMaxGraceSeconds,
+                                     std::chrono::duration<double>(bounds.grace).count());
   bounds.grace = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(grace));
   object.Finish();
   return bounds;
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -62,8 +62,8 @@
   return std::all_of(request.steps.begin(), request.steps.end(), [&](const JobStep& step) {
     return std::any_of(views_.begin(), views_.end(), [&](const ExecutorView* view) {
       const std::string& label = step.required_label;
-      return view->report().service == request.service &&
-             step.need.Fits(view->report().capacity) && (label.empty() || view->HasLabel(label));
+      return view->report().service == request.service && step.need.Fits(view->report().capacity) &&
+             (label.empty() || view->HasLabel(label));
     });
   });
 }
@@ -101,8 +101,7 @@
   for (auto ahead = queue_.begin(); ahead != queue_.end() && ahead->first < key; ++ahead) {
     backlog += jobs_.at(ahead->second).backlog;
   }
-  return WaitPolicy::ExpectedWait(backlog,
-                                  CapacityMilli(service) / static_cast<double>(entries_));
+  return WaitPolicy::ExpectedWait(backlog, CapacityMilli(service) / static_cast<double>(entries_));
 }
 
 void JobScheduler::Accept(JobRequest request) {
@@ -136,9 +135,9 @@
   const double spread =
       static_cast<double>(std::hash<std::string>()(request.id) % kSpreadSteps) / kSpreadSteps;
   const JobReply answer{.job_id = request.id,
-                         .result = JobResult::kRefused,
-                         .reason = reason,
-                         .retry_after = wait_policy_.RetryAfter(expected_wait, spread)};
+                        .result = JobResult::kRefused,
+                        .reason = reason,
+                        .retry_after = wait_policy_.RetryAfter(expected_wait, spread)};
   actions_.emplace_back(AnswerJob{.answer = answer, .queue = request.queue});
 }
 
@@ -191,8 +190,8 @@
   job.backlog = 0;
   for (std::size_t i = 0; i < job.steps.size(); ++i) {
     const double seconds = std::chrono::duration<double>(job.steps[i].estimate).count();
-    job.backlog += job.steps[i].ready * seconds *
-                   static_cast<double>(job.request.steps[i].need.cpu_milli);
+    job.backlog +=
+        job.steps[i].ready * seconds * static_cast<double>(job.request.steps[i].need.cpu_milli);
   }
 }
 
@@ -246,8 +245,7 @@
       const auto allows = [&](const ExecutorView& view) {
         if (view.agent_id() == task.avoid) return false;
         if (health_.standing(view.agent_id()) == ExecutorHealth::Standing::kEjected) return false;
-        return wanted.max_per_executor == 0 ||
-               on_agent[view.agent_id()] < wanted.max_per_executor;
+        return wanted.max_per_executor == 0 || on_agent[view.agent_id()] < wanted.max_per_executor;
       };
       ExecutorView* view = placement_.Choose(
           views_, {.service = job.request.service, .step = &wanted, .allows = allows});
@@ -290,8 +288,8 @@
   if (job.first_ordered == TimePoint()) job.first_ordered = now;
   start.starts.push_back({.index = index, .run = task.run});
   agent.view.OnOrder(start.order, wanted.need);
-  agent.runs.insert({.task = {.job_id = job.request.id, .step = step_index, .index = index},
-                     .run = task.run});
+  agent.runs.insert(
+      {.task = {.job_id = job.request.id, .step = step_index, .index = index}, .run = task.run});
 }
 
 // --- Runs
@@ -539,10 +537,9 @@
 }
 
 std::size_t JobScheduler::PendingOf(const std::string& queue) const {
-  return static_cast<std::size_t>(
-      std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
-        return entry.second.request.queue == queue && !MayHaveRun(entry.second);
-      }));
+  return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
+    return entry.second.request.queue == queue && !MayHaveRun(entry.second);
+  }));
 }
 
 std::size_t JobScheduler::agents_accepting() const {
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -31,8 +31,8 @@
   executor_ = status;
   if (is_new) {
     needs_first_look_ = true;
-    clock_offset_ = status.clock - std::chrono::duration_cast<milliseconds>(
-                                       clock_.now().time_since_epoch());
+    clock_offset_ =
+        status.clock - std::chrono::duration_cast<milliseconds>(clock_.now().time_since_epoch());
   }
   if (changed) actions_.emplace_back(ReportChanged{});
   MaybeHold();
@@ -243,8 +243,8 @@
       // Not ours: left behind by an earlier agent, or a start that the executor carried out late.
       if (unknown_stops_.contains(listed.id)) continue;
       unknown_stops_.emplace(listed.id, now + options_.stop_retry);
-      actions_.emplace_back(CallStop{
-          .id = listed.id, .executor_id = executor_->id, .fencing_token = fencing_token_});
+      actions_.emplace_back(
+          CallStop{.id = listed.id, .executor_id = executor_->id, .fencing_token = fencing_token_});
       continue;
     }
     Run& run = found->second;
@@ -295,6 +295,8 @@
 }
 
 bool RunSupervisor::MayRenew() const {
+  // A renewal that is carried out without an answer would keep runs alive that nobody sees.
+  if (unanswered_ > kMaxUnanswered) return false;
   const TimePoint limit = clock_.now() - options_.stop_limit;
   return std::none_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
     return entry.second.state == State::kStopping && entry.second.stopping_since < limit;
@@ -314,8 +316,8 @@
 
 ExecutorTime RunSupervisor::RenewLease() {
   constexpr int kDriftDivisor = 50;
-  lease_over_at_ = clock_.now() + options_.lease + options_.lease / kDriftDivisor +
-                   options_.stop_time;
+  lease_over_at_ =
+      clock_.now() + options_.lease + options_.lease / kDriftDivisor + options_.stop_time;
   return ExecutorNow() + options_.lease;
 }
 
@@ -406,9 +408,7 @@
   return next;
 }
 
-std::vector<SupervisorAction> RunSupervisor::TakeActions() {
-  return std::exchange(actions_, {});
-}
+std::vector<SupervisorAction> RunSupervisor::TakeActions() { return std::exchange(actions_, {}); }
 
 std::vector<RunId> RunSupervisor::RunsOf(const std::string& owner) const {
   std::vector<RunId> ids;
@@ -423,8 +423,7 @@
 }
 
 void RunSupervisor::NoteClock(ExecutorTime clock) {
-  clock_offset_ =
-      clock - std::chrono::duration_cast<milliseconds>(clock_.now().time_since_epoch());
+  clock_offset_ = clock - std::chrono::duration_cast<milliseconds>(clock_.now().time_since_epoch());
 }
 
 }  // namespace zinniamux::core
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -139,8 +139,8 @@
     std::chrono::milliseconds stop_limit{300};
     // Executors end what they are told to stop within this time.
     std::chrono::milliseconds stop_time{50};
-    // Runs of an owner end when it was silent for this long: less than the time after which a caller
-    // repeats a job at another entry, by the time that stopping takes.
+    // Runs of an owner end when it was silent for this long: less than the time after which a
+    // caller repeats a job at another entry, by the time that stopping takes.
     std::chrono::milliseconds owner_silence{900};
     std::uint64_t fencing_token = 1;
   };
--- a/src/core/wait_policy.cc
+++ b/src/core/wait_policy.cc
@@ -22,8 +22,8 @@
 }
 
 milliseconds WaitPolicy::RetryAfter(Duration expected_wait, double spread) const {
-  const auto base = std::max(options_.least_retry_after,
-                             std::chrono::duration_cast<milliseconds>(expected_wait));
+  const auto base =
+      std::max(options_.least_retry_after, std::chrono::duration_cast<milliseconds>(expected_wait));
   const auto spread_out = std::chrono::duration_cast<milliseconds>(base * (1 + 2 * spread));
   return std::min(spread_out, options_.most_retry_after);
 }
--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -58,8 +58,8 @@
   const std::string host = adapters::HeaderValue(request.headers, "Host");
   const core::QueueRule* queue = configuration_->Find(host, request.path);
   if (queue == nullptr) {
-    return ReplyAndLog(responder, platform::ComposeUnknownQueue(), "request_invalid",
-                       request.path, "unknown queue");
+    return ReplyAndLog(responder, platform::ComposeUnknownQueue(), "request_invalid", request.path,
+                       "unknown queue");
   }
   const std::optional<std::string> id = platform::JobIdOf(request.path, *queue);
   if (!id || (id->empty() && request.method != "GET")) {
@@ -83,8 +83,8 @@
                            HttpResponder responder) {
   core::Result<platform::SubmittedJob> job = platform::ParseJob(request.body);
   if (!job) {
-    return ReplyAndLog(responder, platform::ComposeInvalid(job.error().message),
-                       "request_invalid", id, job.error().message);
+    return ReplyAndLog(responder, platform::ComposeInvalid(job.error().message), "request_invalid",
+                       id, job.error().message);
   }
   if (job->demands.durable || job->demands.special) {
     return ReplyAndLog(responder, platform::ComposeRefusal("not_supported", kShortRetry),
@@ -93,8 +93,7 @@
   if (const auto remembered = scheduler_.Remembered(id)) {
     return Reply(responder, platform::ComposeAnswer(*remembered));
   }
-  const milliseconds timeout =
-      queue.timeout > milliseconds(0) ? queue.timeout : kDefaultPatience;
+  const milliseconds timeout = queue.timeout > milliseconds(0) ? queue.timeout : kDefaultPatience;
   const milliseconds patience = platform::CallerPatience(request).value_or(timeout);
   core::JobRequest submitted = std::move(job->request);
   submitted.id = id;
@@ -122,7 +121,8 @@
 }
 
 HttpResponse CallerGateway::Fetch(const std::string& id) const {
-  if (const auto remembered = scheduler_.Remembered(id)) return platform::ComposeAnswer(*remembered);
+  if (const auto remembered = scheduler_.Remembered(id))
+    return platform::ComposeAnswer(*remembered);
   if (!scheduler_.Knows(id)) return platform::ComposeUnknownJob();
   return platform::ComposeState(true);
 }
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -39,9 +39,9 @@
 
 // Distinguishes this process from earlier ones with the same id.
 std::uint64_t NewIncarnation() {
-  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
-                                        std::chrono::system_clock::now().time_since_epoch())
-                                        .count());
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+          .count());
 }
 
 core::JobScheduler::Options SchedulerOptions(const adapters::DispatcherSettings& settings) {
@@ -49,8 +49,8 @@
   options.availability_zone = settings.availability_zone;
   const milliseconds silence = SupervisorRegistry::Options().silence_limit;
   // A lease on a clock that is 2 % slow, and the time of a stop order on its way.
-  options.lost_after = silence + settings.bounds.lease + settings.bounds.lease / 50 +
-                       settings.bounds.stop_time * 2;
+  options.lost_after =
+      silence + settings.bounds.lease + settings.bounds.lease / 50 + settings.bounds.stop_time * 2;
   return options;
 }
 
@@ -69,50 +69,50 @@
       store_({.url = settings.store_url, .deadline = milliseconds(1000)}, client_, clock),
       scheduler_(SchedulerOptions(settings), clock),
       gateway_(scheduler_, clock, log, metrics_),
-      registry_(
-          loop_,
-          {.address = settings.rpc, .entry_id = settings.id, .incarnation = incarnation_}, clock,
-          {.on_attached =
-               [this](const std::string& agent, const std::string& zone, std::uint64_t incarnation,
-                      const std::vector<core::RunId>& held) {
-                 log_.Write(LogLevel::kInfo, "supervisor_attached",
-                            {{"agent", agent}, {"zone", zone}, {"held_runs", held.size()}});
-                 scheduler_.OnAgentAttached(agent, zone, incarnation, held);
-               },
-           .on_detached =
-               [this](const std::string& agent, const std::string& reason) {
-                 log_.Write(LogLevel::kWarning, "supervisor_detached",
-                            {{"agent", agent}, {"reason", reason}});
-                 scheduler_.OnAgentDetached(agent);
-               },
-           .on_report =
-               [this](const std::string& agent, core::ExecutorReport report) {
-                 scheduler_.OnReport(agent, std::move(report));
-               },
-           .on_update =
-               [this](const std::string& agent, const core::RunId& id, core::RunOutcome outcome,
-                      core::Duration elapsed) {
-                 metrics_.Add("runs_ended_total", 1, {{"outcome", NameOf(outcome)}});
-                 if (outcome != core::RunOutcome::kDone) {
-                   log_.Write(LogLevel::kInfo, "run_ended",
-                              {{"job", id.task.job_id},
-                               {"step", id.task.step},
-                               {"task", id.task.index},
-                               {"run", id.run},
-                               {"agent", agent},
-                               {"outcome", NameOf(outcome)}});
-                 }
-                 scheduler_.OnRunUpdate(agent, id, outcome, elapsed);
-               },
-           .on_configuration =
-               [this](std::uint64_t /*version*/, const std::string& body) {
-                 OnConfiguration(body, "supervisor");
-               },
-           .on_frame_done =
-               [this] {
-                 scheduler_.Place();
-                 CarryOut();
-               }}),
+      registry_(loop_,
+                {.address = settings.rpc, .entry_id = settings.id, .incarnation = incarnation_},
+                clock,
+                {.on_attached =
+                     [this](const std::string& agent, const std::string& zone,
+                            std::uint64_t incarnation, const std::vector<core::RunId>& held) {
+                       log_.Write(LogLevel::kInfo, "supervisor_attached",
+                                  {{"agent", agent}, {"zone", zone}, {"held_runs", held.size()}});
+                       scheduler_.OnAgentAttached(agent, zone, incarnation, held);
+                     },
+                 .on_detached =
+                     [this](const std::string& agent, const std::string& reason) {
+                       log_.Write(LogLevel::kWarning, "supervisor_detached",
+                                  {{"agent", agent}, {"reason", reason}});
+                       scheduler_.OnAgentDetached(agent);
+                     },
+                 .on_report =
+                     [this](const std::string& agent, core::ExecutorReport report) {
+                       scheduler_.OnReport(agent, std::move(report));
+                     },
+                 .on_update =
+                     [this](const std::string& agent, const core::RunId& id,
+                            core::RunOutcome outcome, core::Duration elapsed) {
+                       metrics_.Add("runs_ended_total", 1, {{"outcome", NameOf(outcome)}});
+                       if (outcome != core::RunOutcome::kDone) {
+                         log_.Write(LogLevel::kInfo, "run_ended",
+                                    {{"job", id.task.job_id},
+                                     {"step", id.task.step},
+                                     {"task", id.task.index},
+                                     {"run", id.run},
+                                     {"agent", agent},
+                                     {"outcome", NameOf(outcome)}});
+                       }
+                       scheduler_.OnRunUpdate(agent, id, outcome, elapsed);
+                     },
+                 .on_configuration =
+                     [this](std::uint64_t /*version*/, const std::string& body) {
+                       OnConfiguration(body, "supervisor");
+                     },
+                 .on_frame_done =
+                     [this] {
+                       scheduler_.Place();
+                       CarryOut();
+                     }}),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       timer_(loop_) {}
 
@@ -171,16 +171,14 @@
       core::EntryRoster::Options{.self = {.entry_id = settings_.id,
                                           .incarnation = incarnation_,
                                           .rpc_address = AddressText(settings_.rpc)}},
-      store_, clock_, [this] {
-        asio::post(loop_, [this] { scheduler_.set_entries(roster_->members().size()); });
-      });
+      store_, clock_,
+      [this] { asio::post(loop_, [this] { scheduler_.set_entries(roster_->members().size()); }); });
   watch_ = std::make_shared<ConfigurationWatch>(
       loop_, store_, ConfigurationWatch::Options(),
       ConfigurationWatch::Handlers{
           .on_read = [this](const std::string& body) { OnConfiguration(body, "store"); },
-          .on_answer = [this](bool answered, const std::string& reason) {
-            OnStoreAnswer(answered, reason);
-          }});
+          .on_answer = [this](bool answered,
+                              const std::string& reason) { OnStoreAnswer(answered, reason); }});
   log_.Write(LogLevel::kInfo, "started",
              {{"role", "dispatcher"},
               {"zone", settings_.availability_zone},
--- a/src/zinniamuxd/entry_link.cc
+++ b/src/zinniamuxd/entry_link.cc
@@ -63,8 +63,8 @@
   }
   pause_ = options_.redial_pause;
   heard_at_ = clock_.now();
-  connection_ = std::make_shared<link::FrameConnection>(std::move(socket_),
-                                                        link::FrameConnection::Options());
+  connection_ =
+      std::make_shared<link::FrameConnection>(std::move(socket_), link::FrameConnection::Options());
   connection_->Start(
       {.on_frame = [self = shared_from_this()](std::string_view bytes) { self->OnFrame(bytes); },
        .on_closed =
@@ -89,8 +89,7 @@
   }
   heard_at_ = last_connected_ = clock_.now();
   if (frame.has_welcome()) {
-    const std::string owner =
-        OwnerName(frame.welcome().entry_id(), frame.welcome().incarnation());
+    const std::string owner = OwnerName(frame.welcome().entry_id(), frame.welcome().incarnation());
     if (!owner_.empty() && owner_ != owner) handlers_.on_owner_gone(owner_);
     owner_ = owner;
   }
--- a/src/zinniamuxd/run_codec.cc
+++ b/src/zinniamuxd/run_codec.cc
@@ -17,9 +17,8 @@
 }
 
 core::Resources FromMessage(const runs::Resources& message) {
-  return {.cpu_milli = message.cpu_milli(),
-          .memory_mb = message.memory_mb(),
-          .gpus = message.gpus()};
+  return {
+      .cpu_milli = message.cpu_milli(), .memory_mb = message.memory_mb(), .gpus = message.gpus()};
 }
 
 void ToMessage(const core::RunId& id, runs::RunRef& message) {
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -40,9 +40,9 @@
 constexpr long kStoreConnections = 2;
 
 std::uint64_t UnixMilliseconds() {
-  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
-                                        std::chrono::system_clock::now().time_since_epoch())
-                                        .count());
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+          .count());
 }
 
 core::RunSupervisor::Options SupervisorOptions(const adapters::LeaseBounds& bounds,
@@ -52,7 +52,8 @@
   options.stop_time = bounds.stop_time;
   options.fencing_token = fencing_token;
   // A caller without an answer repeats its job after `retransmit`. Runs of its first sending have
-  // ended by then: the rest is for the stop order, one retry of it, and the executor's time to stop.
+  // ended by then: the rest is for the stop order, one retry of it, and the executor's time to
+  // stop.
   const milliseconds reserve = options.stop_retry * 3 + options.stop_time * 2;
   options.owner_silence = std::max(bounds.retransmit - reserve, milliseconds(500));
   return options;
@@ -173,8 +174,7 @@
   next_read_at_ = clock_.now() + (links_.empty() ? kFirstReadPeriod : kReadPeriod);
   if (rows.has_value() != store_answers_) {
     store_answers_ = rows.has_value();
-    log_.Write(rows ? LogLevel::kInfo : LogLevel::kWarning,
-               rows ? "store_regained" : "store_lost",
+    log_.Write(rows ? LogLevel::kInfo : LogLevel::kWarning, rows ? "store_regained" : "store_lost",
                {{"reason", rows ? "" : rows.error().message}});
   }
   if (!rows) return;
@@ -442,10 +442,10 @@
   metrics_.Set("free_cpu_milli", static_cast<double>(supervisor_.free_room().cpu_milli));
   metrics_.Set("accepting", supervisor_.accepting() ? 1 : 0);
   metrics_.Set("pace", supervisor_.pace());
-  metrics_.Set("dispatchers_connected",
-               static_cast<double>(std::count_if(
-                   links_.begin(), links_.end(),
-                   [](const auto& item) { return item.second->connected(); })));
+  metrics_.Set("dispatchers_connected", static_cast<double>(std::count_if(
+                                            links_.begin(), links_.end(), [](const auto& item) {
+                                              return item.second->connected();
+                                            })));
   metrics_.Set("store_answers", store_answers_ ? 1 : 0);
   metrics_.Set("log_lines_dropped_total", static_cast<double>(log_.dropped()));
 }
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -31,10 +31,10 @@
   if (!error) acceptor_.bind(endpoint, error);
   if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
   if (error) {
-    return tl::unexpected(core::Error{
-        core::ErrorKind::kInternal,
-        "cannot listen on " + AddressText(options_.address) + ": " + error.message(),
-        {}});
+    return tl::unexpected(
+        core::Error{core::ErrorKind::kInternal,
+                    "cannot listen on " + AddressText(options_.address) + ": " + error.message(),
+                    {}});
   }
   Accept();
   return {};
@@ -50,8 +50,8 @@
 
 void SupervisorRegistry::Adopt(asio::ip::tcp::socket socket) {
   auto peer = std::make_shared<Peer>();
-  peer->connection = std::make_shared<link::FrameConnection>(std::move(socket),
-                                                             link::FrameConnection::Options());
+  peer->connection =
+      std::make_shared<link::FrameConnection>(std::move(socket), link::FrameConnection::Options());
   peer->heard_at = clock_.now();
   peers_.push_back(peer);
   peer->connection->Start(
@@ -66,8 +66,7 @@
   }
   peer->heard_at = clock_.now();
   const Duration sent_at = std::chrono::milliseconds(frame.sent_clock_ms());
-  peer->clock_offset =
-      std::max(peer->clock_offset, sent_at - peer->heard_at.time_since_epoch());
+  peer->clock_offset = std::max(peer->clock_offset, sent_at - peer->heard_at.time_since_epoch());
   if (frame.has_hello()) OnHello(peer, frame.hello());
   if (peer->agent_id.empty()) return Drop(peer, "no introduction");
   for (const runs::RunUpdate& update : frame.updates()) {
@@ -83,8 +82,7 @@
   handlers_.on_frame_done();
 }
 
-void SupervisorRegistry::OnHello(const std::shared_ptr<Peer>& peer,
-                                 const runs::AgentHello& hello) {
+void SupervisorRegistry::OnHello(const std::shared_ptr<Peer>& peer, const runs::AgentHello& hello) {
   const auto earlier = by_agent_.find(hello.agent_id());
   if (earlier != by_agent_.end() && earlier->second != peer) {
     Drop(earlier->second, "replaced by a new connection");
--- a/src/zinniamuxd/supervisor_registry.h
+++ b/src/zinniamuxd/supervisor_registry.h
@@ -40,8 +40,8 @@
         on_attached;
     std::function<void(const std::string& agent_id, const std::string& reason)> on_detached;
     std::function<void(const std::string& agent_id, core::ExecutorReport report)> on_report;
-    std::function<void(const std::string& agent_id, const core::RunId& id,
-                       core::RunOutcome outcome, core::Duration elapsed)>
+    std::function<void(const std::string& agent_id, const core::RunId& id, core::RunOutcome outcome,
+                       core::Duration elapsed)>
         on_update;
     // A supervisor knows another version of the configuration.
     std::function<void(std::uint64_t version, const std::string& body)> on_configuration;
--- a/tests/property/lease_world_property_test.cc
+++ b/tests/property/lease_world_property_test.cc
@@ -11,17 +11,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using zinniamux::core::Duration;
+using zinniamux::testing::CounterTrace;
+using zinniamux::testing::CountKind;
+using zinniamux::testing::KindCount;
+using zinniamux::testing::LeaseWorld;
 using zinniamux::tests::CheckProperty;
-using zinniamux::tests::CounterTrace;
-using zinniamux::tests::CountKind;
-using zinniamux::tests::KindCount;
-using zinniamux::tests::LeaseWorld;
 
 // Executors announce themselves within this time.
 constexpr seconds kWarmUp{4};
 
-void AddTrace(LeaseWorld& world, std::uint64_t seed, double load, Duration begin,
-              Duration length) {
+void AddTrace(LeaseWorld& world, std::uint64_t seed, double load, Duration begin, Duration length) {
   for (auto& job : CounterTrace({.seed = seed, .begin = begin, .length = length, .load = load})) {
     job.request.id += "-" + std::to_string(begin.count());
     world.Add(std::move(job));
@@ -36,7 +35,8 @@
 
 void AssertSound(const LeaseWorld& world) {
   cr_assert(world.violations().empty(), "%s", Broken(world).c_str());
-  for (const auto& [id, record] : world.jobs()) cr_assert(record.reply.has_value(), "%s", id.c_str());
+  for (const auto& [id, record] : world.jobs())
+    cr_assert(record.reply.has_value(), "%s", id.c_str());
   cr_assert_eq(world.running_tasks(), 0);
 }
 
@@ -114,8 +114,8 @@
 }
 
 // Load pattern of a burst: for 4 s, more work than the executors can do. Guards against urgent jobs
-// that wait behind others, against lesser queues that starve, and against work on jobs that are late
-// anyway.
+// that wait behind others, against lesser queues that starve, and against work on jobs that are
+// late anyway.
 Test(lease_world, serves_a_burst_by_urgency) {
   LeaseWorld world({.seed = 11});
   AddTrace(world, 11, 0.9, kWarmUp, seconds(10));
@@ -125,8 +125,8 @@
   const KindCount stock = CountKind(world, "stock");
   const KindCount layout = CountKind(world, "layout");
   const KindCount price = CountKind(world, "price");
-  cr_log_info("in time: stock %f layout %f price %f", stock.in_time_share(),
-              layout.in_time_share(), price.in_time_share());
+  cr_log_info("in time: stock %f layout %f price %f", stock.in_time_share(), layout.in_time_share(),
+              price.in_time_share());
   cr_assert_geq(stock.in_time_share(), 0.9, "stock %f", stock.in_time_share());
   cr_assert_geq(layout.in_time_share(), 0.5, "layout %f", layout.in_time_share());
   cr_assert_geq(price.in_time_share(), 0.5, "price %f", price.in_time_share());
--- a/tests/support/job_traces.cc
+++ b/tests/support/job_traces.cc
@@ -5,7 +5,7 @@
 #include <cmath>
 #include <random>
 
-namespace zinniamux::tests {
+namespace zinniamux::testing {
 namespace {
 
 using core::Duration;
@@ -35,8 +35,8 @@
   std::lognormal_distribution<> uneven(0, 0.15);
   SimulatedJob job;
   const double tasks = std::round(kind.mean_tasks * spread(random));
-  const auto count = static_cast<std::uint32_t>(
-      std::clamp<double>(tasks, 1, static_cast<double>(kind.max_tasks)));
+  const auto count =
+      static_cast<std::uint32_t>(std::clamp<double>(tasks, 1, static_cast<double>(kind.max_tasks)));
   const double job_ms = kind.mean_ms * spread(random);
   for (std::uint32_t i = 0; i < count; ++i) {
     job.run_times.emplace_back(static_cast<std::int64_t>(job_ms * uneven(random) * 1000));
@@ -93,4 +93,4 @@
   return count;
 }
 
-}  // namespace zinniamux::tests
+}  // namespace zinniamux::testing
--- a/tests/support/job_traces.h
+++ b/tests/support/job_traces.h
@@ -9,7 +9,7 @@
 
 #include "support/lease_world.h"
 
-namespace zinniamux::tests {
+namespace zinniamux::testing {
 
 // Three kinds of job as at a shop counter: short and wide urgent ones ("stock"), long ones
 // ("layout"), and frequent ones ("price"). At load 1 the three need 245 cores on average.
@@ -37,6 +37,6 @@
 // Counts jobs whose id begins with `kind`.
 KindCount CountKind(const LeaseWorld& world, const std::string& kind);
 
-}  // namespace zinniamux::tests
+}  // namespace zinniamux::testing
 
 #endif  // ZINNIAMUX_TESTS_SUPPORT_JOB_TRACES_H_
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -6,7 +6,7 @@
 #include <utility>
 #include <variant>
 
-namespace zinniamux::tests {
+namespace zinniamux::testing {
 
 using core::Duration;
 using core::TimePoint;
@@ -250,8 +250,8 @@
       Deliver(dispatchers_[d]->frozen_until, options_.link_delay,
               [this, index, d, generation, update = *update] {
                 if (LinkOf(d, index).generation != generation) return;
-                dispatchers_[d]->scheduler->OnRunUpdate("agent-" + std::to_string(index),
-                                                        update.id, update.outcome, update.elapsed);
+                dispatchers_[d]->scheduler->OnRunUpdate("agent-" + std::to_string(index), update.id,
+                                                        update.outcome, update.elapsed);
               });
     } else {
       report = true;
@@ -322,8 +322,8 @@
     });
   }
   const bool lost = LosesAnswer();
-  const Duration delay = lost ? Duration(core::RunSupervisor::Options().answer_limit)
-                              : options_.executor_delay;
+  const Duration delay =
+      lost ? Duration(core::RunSupervisor::Options().answer_limit) : options_.executor_delay;
   Deliver(supervisors_[index]->frozen_until, delay,
           [this, index, incarnation, number = call.number, answer, lost] {
             Supervisor& to = *supervisors_[index];
@@ -430,8 +430,7 @@
   });
 }
 
-void LeaseWorld::SlowExecutor(std::size_t executor, double slowness, Duration at,
-                              Duration length) {
+void LeaseWorld::SlowExecutor(std::size_t executor, double slowness, Duration at, Duration length) {
   At(at, [this, executor, slowness] { executors_[executor]->set_slowness(slowness); });
   At(at + length, [this, executor] { executors_[executor]->set_slowness(1); });
 }
@@ -492,4 +491,4 @@
   }
 }
 
-}  // namespace zinniamux::tests
+}  // namespace zinniamux::testing
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -18,7 +18,7 @@
 #include "core/run_supervisor.h"
 #include "support/simulated_executor.h"
 
-namespace zinniamux::tests {
+namespace zinniamux::testing {
 
 // A job with the true run time of its tasks.
 struct SimulatedJob {
@@ -43,8 +43,7 @@
   struct Options {
     std::uint64_t seed = 1;
     std::size_t dispatchers = 3;
-    std::vector<std::int64_t> executor_cpu_milli =
-        std::vector<std::int64_t>(11, 32'000);
+    std::vector<std::int64_t> executor_cpu_milli = std::vector<std::int64_t>(11, 32'000);
     core::Duration link_delay = std::chrono::microseconds(600);
     core::Duration executor_delay = std::chrono::microseconds(200);
     // Part of the calls to executors without an answer; they are carried out late or at once.
@@ -136,6 +135,6 @@
   std::uint64_t refused_starts_ = 0;
 };
 
-}  // namespace zinniamux::tests
+}  // namespace zinniamux::testing
 
 #endif  // ZINNIAMUX_TESTS_SUPPORT_LEASE_WORLD_H_
--- a/tests/support/simulated_executor.cc
+++ b/tests/support/simulated_executor.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace zinniamux::tests {
+namespace zinniamux::testing {
 
 using core::RunOutcome;
 using core::StartAnswer;
@@ -111,8 +111,8 @@
   if (call.executor_id == options_.id && call.fencing_token >= fence_) {
     fence_ = call.fencing_token;
     if (call.lease_until) {
-      lease_until_ = std::max(lease_until_,
-                              std::min(*call.lease_until, clock() + options_.max_lease));
+      lease_until_ =
+          std::max(lease_until_, std::min(*call.lease_until, clock() + options_.max_lease));
     }
     std::erase_if(ends_, [&](const core::EndedRun& end) { return end.number <= call.last_seen; });
   }
@@ -147,4 +147,4 @@
   ++born_ms_;
 }
 
-}  // namespace zinniamux::tests
+}  // namespace zinniamux::testing
--- a/tests/support/simulated_executor.h
+++ b/tests/support/simulated_executor.h
@@ -12,7 +12,7 @@
 
 #include "core/run_supervisor.h"
 
-namespace zinniamux::tests {
+namespace zinniamux::testing {
 
 // Times are simulated. The owner calls Advance before every call, and at next_event().
 class SimulatedExecutor {
@@ -86,6 +86,6 @@
   std::map<core::TaskId, std::uint32_t> closed_;
 };
 
-}  // namespace zinniamux::tests
+}  // namespace zinniamux::testing
 
 #endif  // ZINNIAMUX_TESTS_SUPPORT_SIMULATED_EXECUTOR_H_
--- /dev/null
+++ b/tests/unit/job_scheduler_test.cc
@@ -0,0 +1,329 @@
+// JobScheduler: admission, placement, retries and answers of one entry.
+#include "core/job_scheduler.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using zinniamux::core::AnswerJob;
+using zinniamux::core::ExecutorReport;
+using zinniamux::core::JobReason;
+using zinniamux::core::JobRequest;
+using zinniamux::core::JobResult;
+using zinniamux::core::JobScheduler;
+using zinniamux::core::ManualClock;
+using zinniamux::core::RunId;
+using zinniamux::core::RunOutcome;
+using zinniamux::core::StartTasks;
+using zinniamux::core::StopTask;
+
+struct Fixture {
+  explicit Fixture(std::vector<std::string> agents = {"a", "b"}) {
+    for (const std::string& agent : agents) Attach(agent, 1);
+  }
+
+  void Attach(const std::string& agent, std::uint64_t incarnation,
+              const std::vector<RunId>& held = {}) {
+    scheduler.OnAgentAttached(agent, "zone", incarnation, held);
+    Report(agent, 4000);
+  }
+
+  void Report(const std::string& agent, std::int64_t free, double pace = 1,
+              std::uint64_t orders_seen = 0) {
+    scheduler.OnReport(agent, {.executor_id = "executor-" + agent,
+                               .service = "service",
+                               .accepting = true,
+                               .capacity = {.cpu_milli = 4000, .memory_mb = 1000},
+                               .free = {.cpu_milli = free, .memory_mb = 1000},
+                               .orders_seen = orders_seen,
+                               .pace = pace});
+  }
+
+  JobRequest Job(const std::string& id, std::uint32_t tasks, bool urgent = false) const {
+    return {.id = id,
+            .queue = urgent ? "urgent" : "normal",
+            .service = "service",
+            .steps = {{.count = tasks,
+                       .need = {.cpu_milli = 1000, .memory_mb = 1},
+                       .estimate = milliseconds(100)}},
+            .urgent = urgent,
+            .attempts = 2,
+            .stretch = 1.6,
+            .slack = milliseconds(60),
+            .deadline = clock.now() + seconds(2)};
+  }
+
+  void Submit(JobRequest job) {
+    scheduler.OnJob(std::move(job));
+    Take();
+  }
+
+  void Take() {
+    scheduler.Place();
+    for (auto& action : scheduler.TakeActions()) {
+      if (const auto* start = std::get_if<StartTasks>(&action)) starts.push_back(*start);
+      if (const auto* stop = std::get_if<StopTask>(&action)) stops.push_back(*stop);
+      if (const auto* answer = std::get_if<AnswerJob>(&action)) answers.push_back(*answer);
+    }
+  }
+
+  // Reports the outcome of every run ordered so far.
+  void EndAll(RunOutcome outcome) {
+    const std::vector<StartTasks> ordered = std::exchange(starts, {});
+    for (const StartTasks& start : ordered) {
+      for (const auto& each : start.starts) {
+        scheduler.OnRunUpdate(
+            start.agent_id,
+            {.task = {.job_id = start.job_id, .step = start.step, .index = each.index},
+             .run = each.run},
+            outcome, milliseconds(100));
+      }
+      Report(start.agent_id, 4000, 1, start.order);
+    }
+    Take();
+  }
+
+  std::size_t ordered_tasks() const {
+    std::size_t count = 0;
+    for (const StartTasks& start : starts) count += start.starts.size();
+    return count;
+  }
+
+  ManualClock clock;
+  JobScheduler scheduler{{.availability_zone = "zone"}, clock};
+  std::vector<StartTasks> starts;
+  std::vector<StopTask> stops;
+  std::vector<AnswerJob> answers;
+};
+
+}  // namespace
+
+// Guards against an answer before every task is done.
+Test(job_scheduler, completes_a_job_when_all_tasks_are_done) {
+  Fixture fixture;
+  fixture.Submit(fixture.Job("job", 3));
+  cr_assert_eq(fixture.ordered_tasks(), 3);
+  cr_assert(fixture.answers.empty());
+  fixture.EndAll(RunOutcome::kDone);
+  cr_assert(fixture.answers.at(0).answer.result == JobResult::kComplete);
+}
+
+// Guards against steps that start before those they depend on.
+Test(job_scheduler, starts_a_step_after_the_steps_before_it) {
+  Fixture fixture;
+  JobRequest job = fixture.Job("job", 2);
+  job.steps.push_back(job.steps.front());
+  job.steps.back().after = {0};
+  fixture.Submit(job);
+  cr_assert_eq(fixture.ordered_tasks(), 2);
+  fixture.EndAll(RunOutcome::kDone);
+  cr_assert(fixture.answers.empty());
+  cr_assert_eq(fixture.ordered_tasks(), 2);
+  cr_assert_eq(fixture.starts.at(0).step, 1);
+  fixture.EndAll(RunOutcome::kDone);
+  cr_assert_eq(fixture.answers.size(), 1);
+}
+
+// Guards against more failed runs than the queue allows, and against a retry on the executor that
+// has just failed it.
+Test(job_scheduler, retries_elsewhere_up_to_the_attempts) {
+  Fixture fixture;
+  fixture.Submit(fixture.Job("job", 1));
+  const std::string first = fixture.starts.at(0).agent_id;
+  fixture.EndAll(RunOutcome::kFailed);
+  cr_assert_neq(fixture.starts.at(0).agent_id, first);
+  cr_assert_eq(fixture.starts.at(0).starts.at(0).run, 2);
+  fixture.EndAll(RunOutcome::kFailed);
+  cr_assert(fixture.answers.at(0).answer.result == JobResult::kFailed);
+  cr_assert(fixture.answers.at(0).answer.reason == JobReason::kAttemptsUsedUp);
+}
+
+// Guards against starts that do not count as attempts but end the job.
+Test(job_scheduler, orders_again_what_was_not_started) {
+  Fixture fixture;
+  fixture.Submit(fixture.Job("job", 1));
+  for (int i = 0; i < 5; ++i) fixture.EndAll(RunOutcome::kNoRoom);
+  cr_assert(fixture.answers.empty());
+  cr_assert_eq(fixture.ordered_tasks(), 1);
+}
+
+// Guards against a refusal that says "not run" of a job that was worked on, and against one that
+// does not say so of a job that certainly was not.
+Test(job_scheduler, refuses_only_what_has_not_run) {
+  Fixture fixture;
+  fixture.Submit(fixture.Job("waiting", 8));
+  fixture.Submit(fixture.Job("late", 8));
+  fixture.clock.Advance(milliseconds(200));
+  fixture.scheduler.OnTimer();
+  fixture.Take();
+  cr_assert_eq(fixture.answers.size(), 1);
+  cr_assert_eq(fixture.answers.at(0).answer.job_id, "late");
+  cr_assert(fixture.answers.at(0).answer.result == JobResult::kRefused);
+  cr_assert_gt(fixture.answers.at(0).answer.retry_after.count(), 0);
+  fixture.clock.Advance(seconds(2));
+  fixture.scheduler.OnTimer();
+  fixture.Take();
+  cr_assert_eq(fixture.answers.at(1).answer.job_id, "waiting");
+  cr_assert(fixture.answers.at(1).answer.result == JobResult::kAbandoned);
+  cr_assert_eq(fixture.stops.size(), 8);
+}
+
+// Guards against jobs that wait for their time to start though the queue shows at their arrival
+// that they cannot.
+Test(job_scheduler, refuses_at_arrival_behind_a_long_queue) {
+  Fixture fixture;
+  fixture.Submit(fixture.Job("running", 8));
+  for (int i = 0; i < 3; ++i) fixture.Submit(fixture.Job("waiting" + std::to_string(i), 8));
+  cr_assert_not(fixture.answers.empty());
+  cr_assert(fixture.answers.at(0).answer.reason == JobReason::kOverloaded);
+}
+
+// Guards against urgent jobs that are refused because of lesser work in the queue.
+Test(job_scheduler, counts_only_work_ahead_of_an_urgent_job) {
+  Fixture fixture;
+  fixture.Submit(fixture.Job("running", 8));
+  fixture.Submit(fixture.Job("waiting", 8));
+  fixture.Submit(fixture.Job("urgent", 8, true));
+  cr_assert(fixture.answers.empty());
+  fixture.EndAll(RunOutcome::kDone);
+  cr_assert_eq(fixture.starts.at(0).job_id, "urgent");
+}
+
+// Guards against lesser jobs that take the last room, so that urgent ones have to wait for an end.
+Test(job_scheduler, keeps_room_for_urgent_jobs) {
+  Fixture fixture({"a", "b", "c", "d", "e", "f", "g", "h"});
+  for (int i = 0; i < 40; ++i) {
+    fixture.Submit(fixture.Job("urgent" + std::to_string(i), 4, true));
+    fixture.EndAll(RunOutcome::kDone);
+  }
+  fixture.answers.clear();
+  for (int i = 0; i < 10; ++i) fixture.Submit(fixture.Job("normal" + std::to_string(i), 3));
+  cr_assert_geq(fixture.ordered_tasks(), 24);
+  cr_assert_leq(fixture.ordered_tasks(), 29);
+  const std::size_t before = fixture.ordered_tasks();
+  fixture.Submit(fixture.Job("urgent", 3, true));
+  cr_assert_eq(fixture.ordered_tasks(), before + 3);
+}
+
+// Guards against a job that can never run waiting until its caller gives up.
+Test(job_scheduler, refuses_what_no_executor_could_run) {
+  Fixture fixture;
+  JobRequest job = fixture.Job("large", 1);
+  job.steps.front().need.cpu_milli = 5000;
+  fixture.Submit(job);
+  cr_assert(fixture.answers.at(0).answer.reason == JobReason::kNeverRunnable);
+}
+
+// Guards against work for a caller that has gone.
+Test(job_scheduler, stops_the_runs_of_a_cancelled_job) {
+  Fixture fixture;
+  fixture.Submit(fixture.Job("job", 3));
+  fixture.scheduler.OnCancel("job");
+  fixture.Take();
+  cr_assert_eq(fixture.stops.size(), 3);
+  cr_assert_eq(fixture.scheduler.job_count(), 0);
+}
+
+// Guards against a second run of a task while the first may still be held by an agent that is away,
+// and against a job that waits for an agent for ever.
+Test(job_scheduler, orders_again_when_the_runs_of_a_lost_agent_are_over) {
+  Fixture fixture;
+  JobRequest job = fixture.Job("job", 1);
+  job.deadline = fixture.clock.now() + seconds(20);
+  fixture.Submit(job);
+  const std::string agent = fixture.starts.at(0).agent_id;
+  fixture.starts.clear();
+  fixture.scheduler.OnAgentDetached(agent);
+  fixture.clock.Advance(milliseconds(2000));
+  fixture.scheduler.OnTimer();
+  fixture.Take();
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+  fixture.clock.Advance(milliseconds(200));
+  fixture.scheduler.OnTimer();
+  fixture.Take();
+  cr_assert_eq(fixture.ordered_tasks(), 1);
+  cr_assert_neq(fixture.starts.at(0).agent_id, agent);
+}
+
+// Guards against a new process of an agent whose executor still runs what the earlier one started.
+Test(job_scheduler, waits_for_the_runs_of_an_earlier_process) {
+  Fixture fixture;
+  JobRequest job = fixture.Job("job", 1);
+  job.deadline = fixture.clock.now() + seconds(20);
+  fixture.Submit(job);
+  const std::string agent = fixture.starts.at(0).agent_id;
+  fixture.starts.clear();
+  fixture.scheduler.OnAgentDetached(agent);
+  fixture.Attach(agent, 2);
+  fixture.Take();
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+  fixture.clock.Advance(milliseconds(2200));
+  fixture.scheduler.OnTimer();
+  fixture.Take();
+  cr_assert_eq(fixture.ordered_tasks(), 1);
+}
+
+// Guards against runs that are started again although the agent, back on a new connection, holds
+// them; and against waiting for those that it does not hold.
+Test(job_scheduler, takes_up_held_runs_after_a_lost_connection) {
+  Fixture fixture({"a"});
+  fixture.Submit(fixture.Job("job", 2));
+  const RunId held{.task = {.job_id = "job", .index = 0}, .run = 1};
+  fixture.starts.clear();
+  fixture.scheduler.OnAgentDetached("a");
+  fixture.Attach("a", 1, {held});
+  fixture.Take();
+  cr_assert_eq(fixture.ordered_tasks(), 1);
+  cr_assert_eq(fixture.starts.at(0).starts.at(0).index, 1);
+}
+
+// Guards against runs that are left on an executor which has turned slow, while others have room.
+Test(job_scheduler, moves_a_run_off_a_slow_executor) {
+  Fixture fixture({"a", "b", "c"});
+  fixture.Submit(fixture.Job("job", 1));
+  const std::string slow = fixture.starts.at(0).agent_id;
+  fixture.starts.clear();
+  fixture.Report(slow, 3000, 8, 1);
+  fixture.clock.Advance(milliseconds(60));
+  fixture.scheduler.OnTimer();
+  fixture.Take();
+  cr_assert_eq(fixture.stops.size(), 1);
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+  fixture.scheduler.OnRunUpdate(slow, fixture.stops.at(0).id, RunOutcome::kStopped,
+                                milliseconds(70));
+  fixture.Take();
+  cr_assert_eq(fixture.ordered_tasks(), 1);
+  cr_assert_neq(fixture.starts.at(0).agent_id, slow);
+}
+
+// Guards against jobs that are taken by a process which ends before they do, and left unanswered.
+Test(job_scheduler, answers_everything_before_its_end) {
+  Fixture fixture;
+  fixture.Submit(fixture.Job("early", 1));
+  fixture.scheduler.StopAt(fixture.clock.now() + milliseconds(150));
+  fixture.Submit(fixture.Job("late", 1));
+  cr_assert_eq(fixture.answers.at(0).answer.job_id, "late");
+  cr_assert(fixture.answers.at(0).answer.reason == JobReason::kShuttingDown);
+  fixture.scheduler.AbandonAll();
+  fixture.Take();
+  cr_assert_eq(fixture.answers.at(1).answer.job_id, "early");
+  cr_assert(fixture.answers.at(1).answer.result == JobResult::kAbandoned);
+}
+
+// Guards against a second run when a caller repeats a job whose answer it has not seen.
+Test(job_scheduler, repeats_the_answer_of_a_job) {
+  Fixture fixture;
+  fixture.Submit(fixture.Job("job", 1));
+  cr_assert_not(fixture.scheduler.OnJob(fixture.Job("job", 1)));
+  fixture.EndAll(RunOutcome::kDone);
+  cr_assert(fixture.scheduler.Remembered("job")->result == JobResult::kComplete);
+  fixture.clock.Advance(seconds(11));
+  fixture.scheduler.OnTimer();
+  cr_assert_not(fixture.scheduler.Remembered("job").has_value());
+}
--- /dev/null
+++ b/tests/unit/platform_codec_test.cc
@@ -0,0 +1,222 @@
+// Codecs of the users' platform: what is read from outside, and what is refused.
+#include <criterion/criterion.h>
+
+#include <string>
+
+#include "platform/configuration_codec.h"
+#include "platform/executor_codec.h"
+#include "platform/job_codec.h"
+#include "platform/names.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+using zinniamux::adapters::HttpRequest;
+using zinniamux::core::CallHold;
+using zinniamux::core::CallStart;
+using zinniamux::core::ExecutorTime;
+using zinniamux::core::JobReply;
+using zinniamux::core::JobResult;
+using zinniamux::core::QueueRule;
+using zinniamux::core::RunOutcome;
+using zinniamux::core::StartAnswer;
+
+constexpr char kAnnouncement[] =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready",)"
+    R"("capacity":{"cpu":32000,"mem_mb":65536,"gpu":0},"labels":["a","r1"],"clock_ms":482113,)"
+    R"("seq":4,"born":1700000000000})";
+
+std::string Without(std::string text, const std::string& part) {
+  text.erase(text.find(part), part.size());
+  return text;
+}
+
+}  // namespace
+
+// Guards against an executor that is taken with a wrong size, lifetime or clock.
+Test(executor_codec, reads_an_announcement) {
+  const auto read = zinniamux::platform::ParseAnnouncement("i-1", kAnnouncement);
+  cr_assert(read.has_value());
+  cr_assert_eq(read->address, "10.0.0.1:80");
+  cr_assert_eq(read->status.id, "i-1");
+  cr_assert_eq(read->status.capacity.cpu_milli, 32000);
+  cr_assert_eq(read->status.born_ms, 1700000000000);
+  cr_assert_eq(read->status.clock.count(), 482113);
+  cr_assert_eq(read->status.labels.size(), 2);
+  cr_assert_not(read->status.draining);
+}
+
+// Guards against reports of another writer that name an executor to use.
+Test(executor_codec, refuses_announcements_of_another_writer) {
+  const std::string good = kAnnouncement;
+  const std::string bad[] = {
+      "",
+      "\xff\xfe",
+      "[]",
+      "{\"service\":",
+      Without(good, R"("service":"s",)"),
+      Without(good, R"("seq":4,)"),
+      Without(good, R"("capacity":{"cpu":32000,"mem_mb":65536,"gpu":0},)"),
+      Without(good, R"("clock_ms":482113,)"),
+      good.substr(0, good.find("ready")) + "resting" + good.substr(good.find("ready") + 5),
+      good.substr(0, good.find("32000")) + "\"x\"" + good.substr(good.find("32000") + 5),
+      good.substr(0, good.find("32000")) + "-1" + good.substr(good.find("32000") + 5),
+      good.substr(0, good.find("[\"a\"")) + "7" + good.substr(good.find(",\"clock")),
+  };
+  for (const std::string& body : bad) {
+    cr_assert_not(zinniamux::platform::ParseAnnouncement("i-1", body).has_value(), "%s",
+                  body.c_str());
+  }
+}
+
+// Guards against an answer that is taken for another one: each decides whether a task may start
+// elsewhere.
+Test(executor_codec, tells_the_answers_to_a_start_apart) {
+  const auto answer = [](int status, const std::string& body) {
+    return zinniamux::platform::ParseStartResult(status, body).answer;
+  };
+  cr_assert(answer(0, "") == StartAnswer::kNone);
+  cr_assert(answer(200, R"({"clock_ms":1})") == StartAnswer::kStarted);
+  cr_assert(answer(409, R"({"clock_ms":1,"reason":"fence"})") == StartAnswer::kFenced);
+  cr_assert(answer(409, R"({"clock_ms":1,"reason":"old"})") == StartAnswer::kOutdated);
+  cr_assert(answer(409, R"({"clock_ms":1,"reason":"late"})") == StartAnswer::kLeaseExpired);
+  cr_assert(answer(409, R"({"clock_ms":1,"reason":"room"})") == StartAnswer::kNoRoom);
+  cr_assert(answer(409, "") == StartAnswer::kRejected);
+  cr_assert(answer(429, "") == StartAnswer::kUnhealthy);
+  cr_assert(answer(503, "{}") == StartAnswer::kUnhealthy);
+  cr_assert(answer(421, "") == StartAnswer::kUnhealthy);
+  cr_assert(answer(400, "") == StartAnswer::kRejected);
+  cr_assert_eq(zinniamux::platform::ParseStartResult(409, R"({"clock_ms":77,"reason":"late"})")
+                   .clock->count(),
+               77);
+}
+
+// Guards against runs that are mixed up between steps, indexes and attempts.
+Test(executor_codec, reads_running_and_ended_runs) {
+  const auto read = zinniamux::platform::ParseHoldResult(
+      200,
+      R"({"clock_ms":9,"born":5,"running":[["ab.0.1.17",2,"cp",41,7]],"ended":[[58,"ab.0.1.9",1,"done",""]]})");
+  cr_assert(read.has_value());
+  cr_assert_eq(read->born_ms, 5);
+  cr_assert_eq(read->running.at(0).id.task.job_id, "ab");
+  cr_assert_eq(read->running.at(0).id.task.step, 1);
+  cr_assert_eq(read->running.at(0).id.task.index, 17);
+  cr_assert_eq(read->running.at(0).id.run, 2);
+  cr_assert_eq(read->running.at(0).percent, 41);
+  cr_assert_eq(read->ended.at(0).number, 58);
+  cr_assert(read->ended.at(0).outcome == RunOutcome::kDone);
+  for (const char* body : {"", "{}", R"({"clock_ms":9,"running":[[1]],"ended":[]})",
+                           R"({"clock_ms":9,"running":[],"ended":[[1,"a.b",1,"done",""]]})"}) {
+    cr_assert_not(zinniamux::platform::ParseHoldResult(200, body).has_value(), "%s", body);
+  }
+  cr_assert_not(zinniamux::platform::ParseHoldResult(503, "{}").has_value());
+}
+
+// Guards against calls that the executor cannot read.
+Test(executor_codec, composes_calls) {
+  const CallStart start{.id = {.task = {.job_id = "ab", .step = 1, .index = 17}, .run = 2},
+                        .spec = "text",
+                        .lease_until = ExecutorTime(486000),
+                        .fencing_token = 7};
+  cr_assert_eq(zinniamux::platform::ComposeStart(start),
+               R"({"fence":7,"run":2,"spec":"text","task":"ab.0.1.17","until_ms":486000})");
+  cr_assert_eq(zinniamux::platform::ComposeHold(
+                   CallHold{.fencing_token = 7, .last_seen = 57, .wait = milliseconds(250)}),
+               R"({"fence":7,"last_seen":57,"wait_ms":250})");
+}
+
+// Guards against a job that is run with other sizes, steps or limits than its caller gave.
+Test(job_codec, reads_a_job) {
+  const auto job = zinniamux::platform::ParseJob(
+      R"({"spec":"s","best_effort":true,"steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,)"
+      R"("data_rack":"r1-3"},{"cpu":2000,"after":[0],"required_label":"b","max_per_server":2}]})");
+  cr_assert(job.has_value());
+  cr_assert_not(job->demands.durable);
+  cr_assert_not(job->demands.special);
+  const auto& steps = job->request.steps;
+  cr_assert_eq(steps.at(0).count, 4);
+  cr_assert_eq(steps.at(0).need.cpu_milli, 500);
+  cr_assert_eq(steps.at(0).estimate.count(), 900);
+  cr_assert_eq(steps.at(0).preferred_rack, "r1-3");
+  cr_assert_eq(steps.at(1).count, 1);
+  cr_assert_eq(steps.at(1).after.at(0), 0);
+  cr_assert_eq(steps.at(1).required_label, "b");
+  cr_assert_eq(steps.at(1).max_per_executor, 2);
+}
+
+// Guards against jobs that must be stored being accepted as if they were.
+Test(job_codec, marks_what_is_not_supported) {
+  cr_assert(zinniamux::platform::ParseJob(R"({"spec":"s","steps":[{"cpu":1}]})")->demands.durable);
+  cr_assert(zinniamux::platform::ParseJob(
+                R"({"best_effort":true,"steps":[{"cpu":1,"count":2,"gang":true}]})")
+                ->demands.special);
+}
+
+// Guards against crashes and half-read jobs.
+Test(job_codec, refuses_malformed_jobs) {
+  for (const char* body :
+       {"", "{}", "[1]", "\xc3\x28", R"({"steps":[]})", R"({"steps":{}})", R"({"steps":[7]})",
+        R"({"steps":[{"cpu":"x"}]})", R"({"steps":[{"cpu":-1}]})", R"({"steps":[{"count":0}]})",
+        R"({"steps":[{"count":1e99}]})", R"({"steps":[{"after":[0]}]})",
+        R"({"steps":[{"after":[-1]}]})", R"({"steps":[{}],"spec":7})"}) {
+    cr_assert_not(zinniamux::platform::ParseJob(body).has_value(), "%s", body);
+  }
+}
+
+// Guards against paths that are taken for a job of the queue.
+Test(job_codec, reads_the_id_from_the_path) {
+  const QueueRule queue{.prefix = "/q/"};
+  cr_assert_eq(zinniamux::platform::JobIdOf("/q/5c0e7a21d94b36f8", queue).value(),
+               "5c0e7a21d94b36f8");
+  cr_assert_eq(zinniamux::platform::JobIdOf("/q/", queue).value(), "");
+  cr_assert_not(zinniamux::platform::JobIdOf("/q/5c0e7a21d94b36f", queue).has_value());
+  cr_assert_not(zinniamux::platform::JobIdOf("/q/5c0e7a21d94b36fg", queue).has_value());
+}
+
+// Guards against a refusal that callers take for an abandoned job, and the other way round.
+Test(job_codec, answers_tell_refused_from_abandoned) {
+  const auto status = [](JobResult result) {
+    return zinniamux::platform::ComposeAnswer({.result = result}).status;
+  };
+  cr_assert_eq(status(JobResult::kComplete), 200);
+  cr_assert_eq(status(JobResult::kFailed), 200);
+  cr_assert_eq(status(JobResult::kRefused), 503);
+  cr_assert_eq(status(JobResult::kAbandoned), 504);
+  const auto refusal = zinniamux::platform::ComposeRefusal("overloaded", milliseconds(1200));
+  cr_assert_eq(refusal.headers.at(0).first, "Retry-After");
+  cr_assert_eq(refusal.headers.at(0).second, "2");
+}
+
+// Guards against callers whose patience is misread.
+Test(job_codec, reads_how_long_a_caller_waits) {
+  const auto patience = [](const std::string& text) {
+    HttpRequest request;
+    request.headers = {{std::string(zinniamux::platform::kDeadlineHeader), text}};
+    return zinniamux::platform::CallerPatience(request);
+  };
+  cr_assert_eq(patience("1500")->count(), 1500);
+  for (const char* text : {"", "x", "0", "-5", "99999999999999999999"}) {
+    cr_assert_not(patience(text).has_value(), "%s", text);
+  }
+}
+
+// Guards against a configuration that is read in part.
+Test(configuration_codec, reads_queues) {
+  const auto read = zinniamux::platform::ParseConfiguration(
+      R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"non_idempotent",)"
+      R"("timeout_ms":1500,"slo_ms":60,"priority":2,"service":"s","attempts":4,"stretch":1.6}],)"
+      R"("services":[],"limits":{}})");
+  cr_assert(read.has_value());
+  cr_assert_eq(read->version, 7);
+  const QueueRule& queue = read->queues.at(0);
+  cr_assert_eq(queue.prefix, "/p/");
+  cr_assert_eq(queue.priority, 2);
+  cr_assert_eq(queue.attempts, 4);
+  cr_assert_eq(queue.slack.count(), 60);
+  cr_assert_eq(queue.timeout.count(), 1500);
+  cr_assert_float_eq(queue.stretch, 1.6, 1e-9);
+  for (const char* body : {"", "{}", R"({"version":1})", R"({"version":"x","routes":[]})",
+                           R"({"version":1,"routes":[{"name":"r"}]})"}) {
+    cr_assert_not(zinniamux::platform::ParseConfiguration(body).has_value(), "%s", body);
+  }
+}
--- /dev/null
+++ b/tests/unit/run_supervisor_test.cc
@@ -0,0 +1,286 @@
+// RunSupervisor: starts, leases, stops and lost answers on one executor.
+#include "core/run_supervisor.h"
+
+#include <criterion/criterion.h>
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using zinniamux::core::CallHold;
+using zinniamux::core::CallStart;
+using zinniamux::core::CallStop;
+using zinniamux::core::ExecutorTime;
+using zinniamux::core::HoldAnswer;
+using zinniamux::core::LeasedExecutor;
+using zinniamux::core::ManualClock;
+using zinniamux::core::RunId;
+using zinniamux::core::RunOutcome;
+using zinniamux::core::RunSupervisor;
+using zinniamux::core::RunUpdate;
+using zinniamux::core::StartAnswer;
+
+const std::string kOwner = "entry@1";
+
+RunId Run(std::uint32_t index, std::uint32_t run = 1) {
+  return {.task = {.job_id = "job", .index = index}, .run = run};
+}
+
+struct Fixture {
+  Fixture() { Announce(1); }
+
+  LeasedExecutor Status(std::uint64_t sequence) {
+    return {.id = "executor",
+            .born_ms = 10,
+            .service = "service",
+            .capacity = {.cpu_milli = 4000, .memory_mb = 1000},
+            .sequence = sequence,
+            .clock = ExecutorTime(5000)};
+  }
+
+  // The first report, and the look that shows that nothing runs.
+  void Announce(std::uint64_t sequence) {
+    supervisor.OnExecutorStatus(Status(sequence));
+    AnswerHold({});
+    Take();
+  }
+
+  template <typename Action>
+  std::vector<Action> Of() const {
+    std::vector<Action> found;
+    for (const auto& action : taken) {
+      if (const auto* each = std::get_if<Action>(&action)) found.push_back(*each);
+    }
+    return found;
+  }
+
+  void Take() { taken = supervisor.TakeActions(); }
+
+  void Order(std::uint32_t index, std::int64_t cpu_milli = 1000) {
+    supervisor.OnOrder(kOwner, {.id = Run(index),
+                                .need = {.cpu_milli = cpu_milli, .memory_mb = 10},
+                                .estimate = milliseconds(100),
+                                .expires = clock.now() + milliseconds(400)});
+    Take();
+  }
+
+  void Start(std::uint32_t index) {
+    Order(index);
+    supervisor.OnStartAnswer(Run(index), StartAnswer::kStarted, Clock());
+    Take();
+    RememberHold();
+  }
+
+  ExecutorTime Clock() const {
+    return ExecutorTime(5000) + std::chrono::duration_cast<milliseconds>(clock.now() - began);
+  }
+
+  void RememberHold() {
+    for (const CallHold& call : Of<CallHold>()) hold = call;
+  }
+
+  // Answers the last hold call.
+  void AnswerHold(HoldAnswer answer) {
+    Take();
+    RememberHold();
+    if (answer.born_ms == 0) answer.born_ms = 10;
+    if (answer.clock == ExecutorTime(0)) answer.clock = Clock();
+    supervisor.OnHoldAnswer(hold.number, answer);
+    Take();
+    RememberHold();
+  }
+
+  ManualClock clock;
+  const zinniamux::core::TimePoint began = clock.now();
+  RunSupervisor supervisor{{.fencing_token = 7}, clock};
+  std::vector<zinniamux::core::SupervisorAction> taken;
+  CallHold hold;
+};
+
+}  // namespace
+
+// Guards against leases that end before the executor's own clock says so, and against starts
+// without the fencing token.
+Test(run_supervisor, starts_with_a_lease_on_the_executors_clock) {
+  Fixture fixture;
+  fixture.clock.Advance(milliseconds(300));
+  fixture.Order(0);
+  const auto starts = fixture.Of<CallStart>();
+  cr_assert_eq(starts.size(), 1);
+  cr_assert_eq(starts[0].lease_until.count(), 5000 + 300 + 1000);
+  cr_assert_eq(starts[0].fencing_token, 7);
+  cr_assert_eq(starts[0].executor_id, "executor");
+}
+
+// Guards against starts that the executor would have to refuse for want of room.
+Test(run_supervisor, refuses_what_does_not_fit) {
+  Fixture fixture;
+  fixture.Order(0, 3000);
+  fixture.Order(1, 1500);
+  const auto updates = fixture.Of<RunUpdate>();
+  cr_assert_eq(updates.size(), 1);
+  cr_assert(updates[0].outcome == RunOutcome::kNoRoom);
+  cr_assert(fixture.Of<CallStart>().empty());
+}
+
+// Guards against starts by an order that was held up on its way.
+Test(run_supervisor, refuses_an_expired_order) {
+  Fixture fixture;
+  fixture.supervisor.OnOrder(
+      kOwner, {.id = Run(0), .need = {}, .expires = fixture.clock.now() - milliseconds(1)});
+  fixture.Take();
+  cr_assert(fixture.Of<RunUpdate>().at(0).outcome == RunOutcome::kExpired);
+}
+
+// Guards against room that is given away while the run may still be there.
+Test(run_supervisor, frees_room_only_when_the_end_is_listed) {
+  Fixture fixture;
+  fixture.Start(0);
+  fixture.supervisor.OnStopOrder(kOwner, Run(0));
+  fixture.supervisor.OnStopAnswer(Run(0), true);
+  cr_assert_eq(fixture.supervisor.free_room().cpu_milli, 3000);
+  fixture.clock.Advance(milliseconds(1));
+  fixture.AnswerHold({.running = {{.id = Run(0)}}});
+  cr_assert_eq(fixture.supervisor.free_room().cpu_milli, 3000);
+  fixture.AnswerHold({.ended = {{.number = 1, .id = Run(0), .outcome = RunOutcome::kStopped}}});
+  cr_assert_eq(fixture.supervisor.free_room().cpu_milli, 4000);
+  cr_assert(fixture.Of<RunUpdate>().at(0).outcome == RunOutcome::kStopped);
+}
+
+// Guards against a second run of a task whose first start was not answered and is carried out late:
+// it is reported as not started only after a stop was answered and a later look shows nothing.
+Test(run_supervisor, revokes_a_start_without_an_answer) {
+  Fixture fixture;
+  fixture.Order(0);
+  fixture.supervisor.OnStartAnswer(Run(0), StartAnswer::kNone, std::nullopt);
+  fixture.Take();
+  cr_assert_eq(fixture.Of<CallStop>().size(), 1);
+  fixture.supervisor.OnStopAnswer(Run(0), false);
+  fixture.Take();
+  cr_assert(fixture.Of<RunUpdate>().empty());
+  fixture.clock.Advance(milliseconds(150));
+  fixture.supervisor.OnTimer();
+  fixture.Take();
+  cr_assert_eq(fixture.Of<CallStop>().size(), 1);
+  fixture.supervisor.OnStopAnswer(Run(0), true);
+  fixture.clock.Advance(milliseconds(1));
+  fixture.AnswerHold({});
+  if (fixture.Of<RunUpdate>().empty()) fixture.AnswerHold({});
+  cr_assert(fixture.Of<RunUpdate>().at(0).outcome == RunOutcome::kUnhealthy);
+}
+
+// Guards against runs that outlive the entry which ordered them, so that the caller's repetition
+// would run beside them.
+Test(run_supervisor, stops_runs_of_a_silent_owner) {
+  Fixture fixture;
+  fixture.Start(0);
+  fixture.clock.Advance(milliseconds(901));
+  fixture.supervisor.OnTimer();
+  fixture.Take();
+  cr_assert_eq(fixture.Of<CallStop>().size(), 1);
+}
+
+// Guards against a lease that is renewed for a run which the executor does not let go of.
+Test(run_supervisor, stops_renewing_while_a_stop_is_not_answered) {
+  Fixture fixture;
+  fixture.Start(0);
+  fixture.Start(1);
+  fixture.supervisor.OnStopOrder(kOwner, Run(0));
+  fixture.clock.Advance(milliseconds(350));
+  fixture.supervisor.OnTimer();
+  fixture.AnswerHold({.running = {{.id = Run(0)}, {.id = Run(1)}}});
+  cr_assert_not(fixture.hold.lease_until.has_value());
+}
+
+// Guards against runs that wait for ever on an executor which has gone silent.
+Test(run_supervisor, ends_runs_when_the_lease_of_a_silent_executor_is_over) {
+  Fixture fixture;
+  fixture.Start(0);
+  for (int i = 0; i < 12; ++i) {
+    fixture.clock.Advance(milliseconds(150));
+    fixture.supervisor.OnHoldAnswer(fixture.hold.number, std::nullopt);
+    fixture.supervisor.OnOwnerHeard(kOwner);
+    fixture.supervisor.OnTimer();
+    fixture.Take();
+    fixture.RememberHold();
+    if (!fixture.Of<RunUpdate>().empty()) break;
+  }
+  cr_assert(fixture.Of<RunUpdate>().at(0).outcome == RunOutcome::kLapsed);
+  cr_assert_not(fixture.supervisor.accepting());
+  // Renewals went unanswered; one of them may have been carried out.
+  cr_assert_geq((fixture.clock.now() - fixture.began).count(), 1'000'000);
+}
+
+// Guards against runs of an earlier process of this agent that go on unseen.
+Test(run_supervisor, stops_runs_that_it_does_not_know) {
+  ManualClock clock;
+  RunSupervisor supervisor({.fencing_token = 8}, clock);
+  supervisor.OnExecutorStatus({.id = "executor",
+                               .born_ms = 10,
+                               .service = "service",
+                               .capacity = {.cpu_milli = 4000},
+                               .sequence = 3,
+                               .clock = ExecutorTime(5000)});
+  cr_assert_not(supervisor.accepting());
+  auto actions = supervisor.TakeActions();
+  std::uint64_t number = 0;
+  for (const auto& action : actions) {
+    if (const auto* call = std::get_if<CallHold>(&action)) number = call->number;
+  }
+  supervisor.OnHoldAnswer(number, HoldAnswer{.born_ms = 10, .running = {{.id = Run(0)}}});
+  actions = supervisor.TakeActions();
+  std::size_t stops = 0;
+  for (const auto& action : actions) stops += std::holds_alternative<CallStop>(action) ? 1 : 0;
+  cr_assert_eq(stops, 1);
+  cr_assert(supervisor.accepting());
+}
+
+// Guards against a delayed report of an earlier lifetime that replaces a later one.
+Test(run_supervisor, ignores_reports_of_an_earlier_lifetime) {
+  Fixture fixture;
+  LeasedExecutor earlier = fixture.Status(50);
+  earlier.born_ms = 9;
+  cr_assert_not(fixture.supervisor.OnExecutorStatus(earlier));
+  cr_assert_not(fixture.supervisor.OnExecutorStatus(fixture.Status(1)));
+  cr_assert(fixture.supervisor.OnExecutorStatus(fixture.Status(2)));
+}
+
+// Guards against starts on an executor that is leaving.
+Test(run_supervisor, refuses_orders_while_the_executor_drains) {
+  Fixture fixture;
+  LeasedExecutor draining = fixture.Status(2);
+  draining.draining = true;
+  fixture.supervisor.OnExecutorStatus(draining);
+  fixture.Order(0);
+  cr_assert(fixture.Of<RunUpdate>().at(0).outcome == RunOutcome::kNotAccepting);
+}
+
+// Guards against an end that is acknowledged before it was taken, and against one that is reported
+// twice because the executor lists it again.
+Test(run_supervisor, takes_each_end_once) {
+  Fixture fixture;
+  fixture.Start(0);
+  fixture.clock.Advance(milliseconds(1));
+  const HoldAnswer answer{.ended = {{.number = 4, .id = Run(0), .outcome = RunOutcome::kDone}}};
+  cr_assert_eq(fixture.hold.last_seen, 0);
+  fixture.AnswerHold(answer);
+  cr_assert_eq(fixture.Of<RunUpdate>().size(), 1);
+  cr_assert_eq(fixture.hold.last_seen, 4);
+  fixture.AnswerHold(answer);
+  cr_assert(fixture.Of<RunUpdate>().empty());
+}
+
+// Guards against an agent that cannot start anything because an earlier process had a clock that
+// ran ahead.
+Test(run_supervisor, raises_its_token_when_it_is_fenced) {
+  Fixture fixture;
+  fixture.Order(0);
+  fixture.supervisor.OnStartAnswer(Run(0), StartAnswer::kFenced, fixture.Clock());
+  fixture.Take();
+  cr_assert_gt(fixture.Of<CallStart>().at(0).fencing_token, 7);
+}
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -80,7 +80,8 @@
 
 // Guards against a process that starts with two roles, none, or a format of another version.
 Test(settings, requires_one_role_and_a_known_version) {
-  AssertReports(MessageFor("version: 1\n"), "entry, agent, dispatcher, supervisor: saw no role; allowed: exactly one role");
+  AssertReports(MessageFor("version: 1\n"),
+                "entry, agent, dispatcher, supervisor: saw no role; allowed: exactly one role");
   AssertReports(MessageFor(std::string(kEntry) + "agent: {}\n"), "saw several roles");
   AssertReports(MessageFor("version: 2\nentry: {}\n"), ":1: version: saw 2");
   AssertReports(MessageFor("entry: {}\n"), "version: saw nothing");
--- /dev/null
+++ b/tests/unit/store_client_test.cc
@@ -0,0 +1,156 @@
+// StoreClient against a server that answers as the platform's store does.
+#include "platform/store_client.h"
+
+#include <criterion/criterion.h>
+
+#include <future>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "adapters/base64.h"
+#include "adapters/http_client.h"
+#include "adapters/http_server.h"
+#include "adapters/steady_clock.h"
+#include "support/port_block.h"
+
+namespace {
+
+using nlohmann::json;
+using zinniamux::adapters::HttpRequest;
+using zinniamux::adapters::HttpResponder;
+using zinniamux::adapters::HttpResponse;
+using zinniamux::core::CommitOutcome;
+using zinniamux::core::ConfigurationSource;
+using zinniamux::core::ErrorKind;
+using zinniamux::core::Result;
+using zinniamux::core::TableRow;
+
+// Answers the calls in turn and keeps them.
+class Store {
+ public:
+  explicit Store(std::vector<HttpResponse> answers) : answers_(std::move(answers)) {
+    const std::uint16_t port = ports_.Next();
+    server_ = *zinniamux::adapters::HttpServer::Start(
+        {.port = port}, [this](HttpRequest request, const HttpResponder& responder) {
+          const std::lock_guard lock(mutex_);
+          calls_.push_back(std::move(request));
+          responder(calls_.size() <= answers_.size() ? answers_[calls_.size() - 1]
+                                                     : HttpResponse{.status = 503});
+        });
+    client_ = std::make_unique<zinniamux::platform::StoreClient>(
+        zinniamux::platform::StoreClient::Options{.url =
+                                                      "http://127.0.0.1:" + std::to_string(port)},
+        http_, clock_);
+  }
+
+  zinniamux::platform::StoreClient& client() { return *client_; }
+  std::vector<HttpRequest> calls() {
+    const std::lock_guard lock(mutex_);
+    return calls_;
+  }
+
+ private:
+  zinniamux::testing::PortBlock ports_;
+  std::mutex mutex_;
+  std::vector<HttpResponse> answers_;
+  std::vector<HttpRequest> calls_;
+  std::unique_ptr<zinniamux::adapters::HttpServer> server_;
+  zinniamux::adapters::SteadyClock clock_;
+  zinniamux::adapters::HttpClient http_;
+  std::unique_ptr<zinniamux::platform::StoreClient> client_;
+};
+
+std::string RowsBody(const std::vector<std::pair<std::string, std::string>>& rows, bool more) {
+  json body{{"rows", json::array()}, {"has_more", more}, {"ver", 530}, {"now_ms", 1}};
+  for (const auto& [key, value] : rows) {
+    body["rows"].push_back({{"table", "t"},
+                            {"part", ""},
+                            {"key", key},
+                            {"value", zinniamux::adapters::EncodeBase64(value)},
+                            {"ver", 5}});
+  }
+  return body.dump();
+}
+
+template <typename Value, typename Call>
+Value Wait(Call&& call) {
+  auto promise = std::make_shared<std::promise<Value>>();
+  std::future<Value> future = promise->get_future();
+  call([promise](Value value) { promise->set_value(std::move(value)); });
+  return future.get();
+}
+
+Result<std::vector<TableRow>> ReadRows(Store& store, const std::string& prefix) {
+  return Wait<Result<std::vector<TableRow>>>(
+      [&](auto done) { store.client().ReadRows(prefix, done); });
+}
+
+}  // namespace
+
+// Guards against rows beyond the first page that are lost, and against a page that is read twice.
+Test(store_client, reads_all_pages) {
+  Store store({{.body = RowsBody({{"entry/a", "1"}, {"entry/b", "2"}}, true)},
+               {.body = RowsBody({{"entry/c", "3"}}, false)}});
+  const auto rows = ReadRows(store, "entry/");
+  cr_assert_eq(rows->size(), 3);
+  cr_assert_eq(rows->at(2).value, "3");
+  cr_assert_eq(store.calls().size(), 2);
+  cr_assert(store.calls().at(1).query.find("from=entry%2Fb%01") != std::string::npos, "%s",
+            store.calls().at(1).query.c_str());
+}
+
+// Guards against an outage that looks like an empty table.
+Test(store_client, tells_an_outage_from_no_rows) {
+  Store store({{.status = 503}, {.body = RowsBody({}, false)}, {.body = "not json"}});
+  cr_assert(ReadRows(store, "entry/").error().kind == ErrorKind::kStoreUnavailable);
+  cr_assert(ReadRows(store, "entry/")->empty());
+  cr_assert(ReadRows(store, "entry/").error().kind == ErrorKind::kStoreUnavailable);
+}
+
+// Guards against a conflict that is taken for success, and against an unknown outcome that is taken
+// for either.
+Test(store_client, tells_commit_outcomes_apart) {
+  Store store(
+      {{.body = R"({"ver":1,"now_ms":1})"}, {.status = 412, .body = "{}"}, {.status = 503}});
+  const auto commit = [&store] {
+    return Wait<CommitOutcome>([&](auto done) {
+      store.client().Commit(
+          {.conditions = {{.key = "entry/a", .version = 4}}, .puts = {{"entry/a", "v"}}}, done);
+    });
+  };
+  cr_assert(commit() == CommitOutcome::kCommitted);
+  cr_assert(commit() == CommitOutcome::kConflict);
+  cr_assert(commit() == CommitOutcome::kUnknown);
+  const json body = json::parse(store.calls().at(0).body);
+  cr_assert_eq(body["expected"][0]["ver"], 4);
+  cr_assert_eq(body["upserts"][0]["value"], zinniamux::adapters::EncodeBase64("v"));
+}
+
+// Guards against changes that are missed after the store has dropped its history.
+Test(store_client, reports_a_lost_history) {
+  Store store(
+      {{.status = 410}, {.body = R"({"rows":[{"key":"x","removed":true}],"ver":533,"now_ms":1})"}});
+  const auto await = [&store] {
+    return Wait<Result<std::uint64_t>>(
+        [&](auto done) { store.client().AwaitChange(530, std::chrono::milliseconds(10), done); });
+  };
+  cr_assert(await().error().kind == ErrorKind::kNotFound);
+  cr_assert_eq(*await(), 533);
+}
+
+// Guards against a missing configuration that is taken for an outage, or for an empty one.
+Test(store_client, reads_the_configuration) {
+  Store store({{.body = RowsBody({}, false)}, {.body = RowsBody({{"config", "{}"}}, false)}});
+  const auto read = [&store] {
+    return Wait<Result<ConfigurationSource::Document>>(
+        [&](auto done) { store.client().ReadConfiguration(done); });
+  };
+  cr_assert(read().error().kind == ErrorKind::kNotFound);
+  const auto document = read();
+  cr_assert_eq(document->body, "{}");
+  cr_assert_eq(document->position, 530);
+}
