dispatcher, supervisor: the configuration reaches a dispatcher that starts while the store is away; docs

Cause: such a dispatcher answered 503 until the store was back. Supervisors keep the configuration and offer it to an entry that knows an older one. Logs go to standard output.

--- a/src/adapters/json_log.cc
+++ b/src/adapters/json_log.cc
@@ -52,7 +52,7 @@
 
 log4cxx::AppenderPtr MakeAppender(const std::string& file) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
-  if (file.empty()) return std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
+  if (file.empty()) return std::make_shared<log4cxx::ConsoleAppender>(layout, "System.out");
   return std::make_shared<log4cxx::FileAppender>(layout, file, true);
 }
 
--- a/src/adapters/json_log.h
+++ b/src/adapters/json_log.h
@@ -27,7 +27,7 @@
   using Fill = std::function<void(nlohmann::json&)>;
 
   struct Options {
-    // A file path; empty for standard error.
+    // A file path; empty for standard output.
     std::string file;
     LogLevel level = LogLevel::kInfo;
     // Added to every line.
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -1,4 +1,4 @@
-// The daemon's settings, read from a YAML file at start. See docs/operations.md for every key.
+// The daemon's settings, read from a YAML file at start. See docs/OPERATIONS.md for every key.
 #ifndef ZINNIAMUX_ADAPTERS_SETTINGS_H_
 #define ZINNIAMUX_ADAPTERS_SETTINGS_H_
 
--- a/src/zinniamuxd/entry_metrics.h
+++ b/src/zinniamuxd/entry_metrics.h
@@ -20,7 +20,7 @@
 
 class ShardHost;
 
-// Names and labels of an entry's metrics; see docs/operations.md. Thread-safe.
+// Names and labels of an entry's metrics; see docs/OPERATIONS.md. Thread-safe.
 class EntryMetrics {
  public:
   // All arguments outlive this object.
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -250,6 +250,11 @@
     config_version_ = frame.config_version();
     config_body_ = frame.config_body();
   }
+  if (frame.has_welcome() && frame.config_version() < config_version_) {
+    // An entry that has started while the store is away.
+    link.outgoing().set_config_version(config_version_);
+    link.outgoing().set_config_body(config_body_);
+  }
   for (const runs::StartOrder& message : frame.starts()) {
     for (const core::RunOrder& order : FromMessage(message)) supervisor_.OnOrder(owner, order);
     std::uint64_t& seen = orders_seen_[owner];
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -136,6 +136,8 @@
 void SupervisorRegistry::Send(Peer& peer) {
   peer.sent_at = clock_.now();
   peer.has_outgoing = false;
+  // Without a body this only says which version is known here.
+  peer.outgoing.set_config_version(config_version_);
   const std::string bytes = peer.outgoing.SerializeAsString();
   peer.outgoing.Clear();
   peer.connection->Send(bytes);
@@ -149,7 +151,6 @@
 void SupervisorRegistry::OfferConfiguration(Peer& peer) {
   if (peer.config_version >= config_version_ || config_body_.empty()) return;
   peer.config_version = config_version_;
-  peer.outgoing.set_config_version(config_version_);
   peer.outgoing.set_config_body(config_body_);
 }
 
