--- a/src/adapters/json_log.cc
+++ b/src/adapters/json_log.cc
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr std::size_t kMaxBufferBytes = 64U << 10U;
+// Lines of this time are written together, because each wake-up of the writer costs more than the
+// formatting of a line.
+constexpr std::chrono::milliseconds kGatherTime{50};
 
 using SystemTime = std::chrono::system_clock::time_point;
 
@@ -89,6 +92,7 @@
       stopping_ = true;
     }
     work_.notify_one();
+    gathered_.notify_one();
     thread_.join();
     logger_->removeAllAppenders();
   }
@@ -109,6 +113,7 @@
         return;
       }
       was_empty = waiting_.empty();
+      if (waiting_.size() + 1 == options_.capacity / 2) gathered_.notify_one();
       waiting_.push_back({level, time, std::string(event), std::move(fill)});
       ++accepted_;
     }
@@ -118,6 +123,8 @@
   void Flush() {
     std::unique_lock lock(mutex_);
     const std::uint64_t target = accepted_;
+    flush_to_ = target;
+    gathered_.notify_one();
     written_changed_.wait(lock, [&] { return written_ >= target; });
   }
 
@@ -135,6 +142,9 @@
     while (true) {
       work_.wait(lock, [this] { return stopping_ || !waiting_.empty(); });
       if (waiting_.empty()) break;
+      gathered_.wait_for(lock, kGatherTime, [this] {
+        return stopping_ || flush_to_ > written_ || waiting_.size() >= options_.capacity / 2;
+      });
       lines.swap(waiting_);
       lock.unlock();
       for (const Line& line : lines) Print(line);
@@ -188,12 +198,15 @@
   const log4cxx::LoggerPtr logger_;
   std::mutex mutex_;
   std::condition_variable work_;
+  std::condition_variable gathered_;
   std::condition_variable written_changed_;
   // Guarded by mutex_. Invariant: waiting_.size() <= options_.capacity. As many lines again may be
   // in the hands of the writer thread.
   std::vector<Line> waiting_;
   std::uint64_t accepted_ = 0;
   std::uint64_t written_ = 0;
+  // Lines up to this one are waited for.
+  std::uint64_t flush_to_ = 0;
   bool stopping_ = false;
   std::atomic<std::uint64_t> dropped_{0};
   // Used by the writer thread only: lines that are formatted, and how many drops the last report
--- a/src/core/executor_view.h
+++ b/src/core/executor_view.h
@@ -44,16 +44,20 @@
   void OnReport(ExecutorReport report) {
     report_ = std::move(report);
     pending_.erase(pending_.begin(), pending_.upper_bound(report_.orders_seen));
+    free_ = report_.free;
+    for (const auto& [order, need] : pending_) free_ -= need;
+  }
+  void OnOrder(std::uint64_t order, const Resources& need) {
+    pending_[order] += need;
+    free_ -= need;
+  }
+  void ForgetOrders() {
+    pending_.clear();
+    free_ = report_.free;
   }
-  void OnOrder(std::uint64_t order, const Resources& need) { pending_[order] += need; }
-  void ForgetOrders() { pending_.clear(); }
 
   // Room after every order that was sent.
-  Resources free() const {
-    Resources free = report_.free;
-    for (const auto& [order, need] : pending_) free -= need;
-    return free;
-  }
+  const Resources& free() const { return free_; }
   bool takes_work() const { return attached_ && report_.accepting; }
   bool HasLabel(std::string_view label) const {
     return std::find(report_.labels.begin(), report_.labels.end(), label) != report_.labels.end();
@@ -64,6 +68,8 @@
   std::string availability_zone_;
   bool attached_ = false;
   ExecutorReport report_;
+  // Invariant: the room of the report less all pending needs.
+  Resources free_;
   // Needs by order number, for orders that the report does not cover.
   std::map<std::uint64_t, Resources> pending_;
 };
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -214,6 +214,8 @@
 // --- Placement
 
 void JobScheduler::Place() {
+  if (queue_.empty()) return;
+  median_pace_ = RoomPlacement::MedianPace(views_);
   std::vector<std::string> waiting;
   waiting.reserve(queue_.size());
   for (const auto& [key, id] : queue_) waiting.push_back(id);
@@ -248,7 +250,10 @@
         return wanted.max_per_executor == 0 || on_agent[view.agent_id()] < wanted.max_per_executor;
       };
       ExecutorView* view = placement_.Choose(
-          views_, {.service = job.request.service, .step = &wanted, .allows = allows});
+          views_, {.service = job.request.service,
+                   .step = &wanted,
+                   .median_pace = median_pace_,
+                   .allows = allows});
       // Tasks of a step are alike, so the next one fits nowhere either, unless this one avoids an
       // executor of its own.
       if (view == nullptr && task.avoid.empty()) break;
@@ -408,7 +413,7 @@
 // --- Slow executors
 
 void JobScheduler::MoveStragglers() {
-  const double median = RoomPlacement::MedianPace(views_);
+  const double median = median_pace_ = RoomPlacement::MedianPace(views_);
   for (auto& [agent_id, agent] : agents_) {
     const double pace = agent.view.report().pace;
     if (!agent.view.attached() || pace < median * options_.move_ratio) continue;
@@ -439,7 +444,9 @@
   const JobStep& wanted = job.request.steps[static_cast<std::size_t>(&step - job.steps.data())];
   const auto need = static_cast<double>(wanted.need.cpu_milli);
   if (FreeMilli(job.request.service) < need + ReservedMilli(job.request.service)) return false;
-  return placement_.Choose(views_, {.service = job.request.service, .step = &wanted}) != nullptr;
+  return placement_.Choose(views_, {.service = job.request.service,
+                                    .step = &wanted,
+                                    .median_pace = median_pace}) != nullptr;
 }
 
 // --- Agents
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -186,7 +187,9 @@
     Rank rank = Rank::kNormal;
     TimePoint due;
     std::uint64_t number = 0;
-    auto operator<=>(const QueueKey&) const = default;
+    bool operator<(const QueueKey& other) const {
+      return std::tie(rank, due, number) < std::tie(other.rank, other.due, other.number);
+    }
   };
 
   struct Agent {
@@ -251,6 +254,8 @@
   std::map<std::string, Agent> agents_;
   // Views of agents_, in its order.
   std::vector<ExecutorView*> views_;
+  // RoomPlacement::MedianPace of views_, as of the last placement.
+  double median_pace_ = 1;
   // Starts of the current placement by agent, gathered so that a step's tasks share one order.
   std::map<std::string, StartTasks> gathering_;
   std::uint64_t next_order_ = 1;
--- a/src/core/room_placement.cc
+++ b/src/core/room_placement.cc
@@ -44,23 +44,26 @@
 
 ExecutorView* RoomPlacement::Choose(std::span<ExecutorView* const> executors,
                                     const Query& query) const {
-  const double median_pace = MedianPace(executors);
   ExecutorView* best = nullptr;
   double best_score = 0;
   for (ExecutorView* executor : executors) {
-    if (!executor->takes_work() || executor->report().service != query.service) continue;
-    if (!query.step->need.Fits(executor->free())) continue;
-    if (!TrustsPace(*executor, median_pace)) continue;
-    const std::string& label = query.step->required_label;
-    if (!label.empty() && !executor->HasLabel(label)) continue;
-    if (query.allows && !query.allows(*executor)) continue;
+    if (!executor->takes_work() || !query.step->need.Fits(executor->free())) continue;
     const double score = Score(*executor, query);
-    if (best == nullptr || score > best_score) {
-      best = executor;
-      best_score = score;
-    }
+    // What costs more to find out is asked of candidates only.
+    if (best != nullptr && score <= best_score) continue;
+    if (!IsCandidate(*executor, query)) continue;
+    best = executor;
+    best_score = score;
   }
   return best;
 }
 
+bool RoomPlacement::IsCandidate(const ExecutorView& executor, const Query& query) const {
+  if (executor.report().service != query.service) return false;
+  if (!TrustsPace(executor, query.median_pace)) return false;
+  const std::string& label = query.step->required_label;
+  if (!label.empty() && !executor.HasLabel(label)) return false;
+  return !query.allows || query.allows(executor);
+}
+
 }  // namespace zinniamux::core
--- a/src/core/room_placement.h
+++ b/src/core/room_placement.h
@@ -33,6 +33,8 @@
   struct Query {
     std::string_view service;
     const JobStep* step = nullptr;
+    // MedianPace of the executors.
+    double median_pace = 1;
     // Executors for which this returns false are left out.
     std::function<bool(const ExecutorView&)> allows;
   };
@@ -48,6 +50,7 @@
  private:
   // True unless the executor is slow, or slower than others and filled as far as it may be.
   bool TrustsPace(const ExecutorView& executor, double median_pace) const;
+  bool IsCandidate(const ExecutorView& executor, const Query& query) const;
   double Score(const ExecutorView& executor, const Query& query) const;
 
   const Options options_;
--- a/src/core/run.h
+++ b/src/core/run.h
@@ -2,10 +2,10 @@
 #ifndef ZINNIAMUX_CORE_RUN_H_
 #define ZINNIAMUX_CORE_RUN_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace zinniamux::core {
 
@@ -44,7 +44,11 @@
   std::uint32_t step = 0;
   std::uint32_t index = 0;
 
-  auto operator<=>(const TaskId&) const = default;
+  bool operator==(const TaskId&) const = default;
+  bool operator<(const TaskId& other) const {
+    return std::tie(job_id, occurrence, step, index) <
+           std::tie(other.job_id, other.occurrence, other.step, other.index);
+  }
 };
 
 // One start of a task. Numbers of a task's runs increase.
@@ -52,7 +56,10 @@
   TaskId task;
   std::uint32_t run = 1;
 
-  auto operator<=>(const RunId&) const = default;
+  bool operator==(const RunId&) const = default;
+  bool operator<(const RunId& other) const {
+    return std::tie(task, run) < std::tie(other.task, other.run);
+  }
 };
 
 // How a run ended, or why it never started.
--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -121,8 +121,8 @@
 }
 
 HttpResponse CallerGateway::Fetch(const std::string& id) const {
-  if (const auto remembered = scheduler_.Remembered(id))
-    return platform::ComposeAnswer(*remembered);
+  const auto remembered = scheduler_.Remembered(id);
+  if (remembered) return platform::ComposeAnswer(*remembered);
   if (!scheduler_.Knows(id)) return platform::ComposeUnknownJob();
   return platform::ComposeState(true);
 }
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -127,8 +127,7 @@
                   [this](LoopHttpServer::ConnectionId connection, const HttpRequest& request,
                          HttpResponder responder) {
                     gateway_.OnRequest(connection, request, std::move(responder));
-                    scheduler_.Place();
-                    CarryOut();
+                    PlaceSoon();
                   },
               .on_closed =
                   [this](LoopHttpServer::ConnectionId connection) {
@@ -280,6 +279,16 @@
              answered ? "store_regained" : "store_lost", {{"reason", reason}});
 }
 
+void DispatcherDaemon::PlaceSoon() {
+  if (placing_) return;
+  placing_ = true;
+  asio::post(loop_, [this] {
+    placing_ = false;
+    scheduler_.Place();
+    CarryOut();
+  });
+}
+
 void DispatcherDaemon::CarryOut() {
   for (core::SchedulerAction& action : scheduler_.TakeActions()) {
     if (const auto* start = std::get_if<core::StartTasks>(&action)) {
--- a/src/zinniamuxd/dispatcher_daemon.h
+++ b/src/zinniamuxd/dispatcher_daemon.h
@@ -46,6 +46,8 @@
   void OnConfiguration(const std::string& body, const char* source);
   void OnStoreAnswer(bool answered, const std::string& reason);
   bool IsReady() const;
+  // Places once after all events that are ready now.
+  void PlaceSoon();
   // Carries out what the scheduler decided.
   void CarryOut();
   void LogStatus();
@@ -71,6 +73,7 @@
   asio::signal_set signals_;
   asio::steady_timer timer_;
   bool store_answers_ = true;
+  bool placing_ = false;
   // Unset until a stop was asked for.
   core::TimePoint leaving_since_;
   core::TimePoint next_roster_at_;
--- a/src/zinniamuxd/entry_link.h
+++ b/src/zinniamuxd/entry_link.h
@@ -63,6 +63,7 @@
     has_outgoing_ = true;
     return outgoing_;
   }
+  bool has_outgoing() const { return has_outgoing_; }
   void Flush();
 
   static std::string OwnerName(const std::string& entry_id, std::uint64_t incarnation) {
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -33,6 +33,9 @@
 constexpr milliseconds kFirstReadPeriod{300};
 // A link to an entry whose row is gone is given up after this time without a connection.
 constexpr std::chrono::seconds kForgetEntry{30};
+// Between two reports to an entry that nothing else is sent to, for each entry: bounds the reports
+// of one supervisor to 250 a second, however many entries there are.
+constexpr milliseconds kReportPause{4};
 // Left of the grace when the process ends whatever still runs.
 constexpr milliseconds kGraceReserve{500};
 // Starts and stops share these connections with a hold call.
@@ -77,7 +80,8 @@
       executor_client_(kExecutorConnections),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       timer_(loop_),
-      supervisor_timer_(loop_) {}
+      supervisor_timer_(loop_),
+      report_timer_(loop_) {}
 
 core::Result<void> SupervisorDaemon::Listen() {
   auto local = LoopHttpServer::Start(
@@ -261,8 +265,7 @@
     seen = std::max(seen, message.order());
   }
   for (const runs::RunRef& stop : frame.stops()) supervisor_.OnStopOrder(owner, FromMessage(stop));
-  const bool changes = frame.starts_size() > 0 || frame.stops_size() > 0;
-  if (changes) Report();
+  if (frame.starts_size() > 0) FillReport(link, *link.outgoing().mutable_report());
   CarryOut();
 }
 
@@ -389,9 +392,26 @@
 
 void SupervisorDaemon::Report() {
   for (auto& [id, link] : links_) {
-    if (!link->connected()) continue;
-    FillReport(*link, *link->outgoing().mutable_report());
+    if (link->connected() && link->has_outgoing()) {
+      FillReport(*link, *link->outgoing().mutable_report());
+    }
   }
+  ReportLater();
+}
+
+void SupervisorDaemon::ReportLater() {
+  if (report_waits_ || links_.empty()) return;
+  report_waits_ = true;
+  report_timer_.expires_after(kReportPause * static_cast<int>(links_.size()));
+  report_timer_.async_wait([this](const asio::error_code& error) {
+    report_waits_ = false;
+    if (error) return;
+    for (auto& [id, link] : links_) {
+      if (!link->connected()) continue;
+      FillReport(*link, *link->outgoing().mutable_report());
+      link->Flush();
+    }
+  });
 }
 
 // --- Time and signals
--- a/src/zinniamuxd/supervisor_daemon.h
+++ b/src/zinniamuxd/supervisor_daemon.h
@@ -51,7 +51,9 @@
   void SendToExecutor(std::string_view path, const std::string& executor_id, std::string body,
                       std::chrono::milliseconds timeout,
                       std::function<void(const adapters::HttpResult&)> on_result);
+  // Reports to entries with something else to send go out with it, the others are paced.
   void Report();
+  void ReportLater();
   void FillReport(const EntryLink& link, runs::ExecutorReport& message) const;
   EntryLink* LinkOf(const std::string& owner);
 
@@ -81,6 +83,8 @@
   asio::signal_set signals_;
   asio::steady_timer timer_;
   asio::steady_timer supervisor_timer_;
+  asio::steady_timer report_timer_;
+  bool report_waits_ = false;
   core::TimePoint next_read_at_;
   bool reading_ = false;
   bool store_answers_ = true;
--- a/tests/unit/room_placement_test.cc
+++ b/tests/unit/room_placement_test.cc
@@ -43,7 +43,10 @@
   std::string Choose(const JobStep& step) {
     const RoomPlacement placement({.availability_zone = "here"});
     const ExecutorView* view =
-        placement.Choose(views, {.service = "service", .step = &step, .allows = {}});
+        placement.Choose(views, {.service = "service",
+                                  .step = &step,
+                                  .median_pace = RoomPlacement::MedianPace(views),
+                                  .allows = {}});
     return view == nullptr ? "" : view->agent_id();
   }
 
