supervisor: starts without an answer are revoked early, and again in the executor's next lifetime

Cause 2: a drawn seed of the simulated world ran a task twice: the executor restarted under its id, forgot the stop, and carried the start out 5 s later. Stops of such starts are sent to the new lifetime.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -249,11 +249,10 @@
         if (health_.standing(view.agent_id()) == ExecutorHealth::Standing::kEjected) return false;
         return wanted.max_per_executor == 0 || on_agent[view.agent_id()] < wanted.max_per_executor;
       };
-      ExecutorView* view = placement_.Choose(
-          views_, {.service = job.request.service,
-                   .step = &wanted,
-                   .median_pace = median_pace_,
-                   .allows = allows});
+      ExecutorView* view = placement_.Choose(views_, {.service = job.request.service,
+                                                      .step = &wanted,
+                                                      .median_pace = median_pace_,
+                                                      .allows = allows});
       // Tasks of a step are alike, so the next one fits nowhere either, unless this one avoids an
       // executor of its own.
       if (view == nullptr && task.avoid.empty()) break;
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -53,6 +53,8 @@
   executor_->sequence = 0;
   last_seen_ = acknowledged_ = sending_seen_ = 0;
   unknown_stops_.clear();
+  // The new lifetime knows nothing of the stops that revoked these.
+  for (const auto& [id, until] : revoked_starts_) unknown_stops_.emplace(id, clock_.now());
   unanswered_ = 0;
   pace_ = PaceMeter();
   needs_first_look_ = true;
@@ -125,7 +127,14 @@
                                   .spec = run.order.spec,
                                   .executor_id = executor_->id,
                                   .lease_until = RenewLease(),
-                                  .fencing_token = fencing_token_});
+                                  .fencing_token = fencing_token_,
+                                  .answer_limit = StartLimit()});
+}
+
+milliseconds RunSupervisor::StartLimit() const {
+  const std::chrono::duration<double> limit(answer_seconds_ * options_.start_limit_factor);
+  return std::clamp(std::chrono::duration_cast<milliseconds>(limit), options_.least_start_limit,
+                    options_.most_start_limit);
 }
 
 void RunSupervisor::OnStopOrder(const std::string& owner, const RunId& id) {
@@ -159,6 +168,11 @@
   if (found == runs_.end()) return;
   Run& run = found->second;
   if (answer == StartAnswer::kStarted) run.seen_running = true;
+  if (answer != StartAnswer::kNone && run.state == State::kStarting) {
+    constexpr double kWeight = 0.2;
+    const double seconds = std::chrono::duration<double>(clock_.now() - run.state_at).count();
+    answer_seconds_ += (seconds - answer_seconds_) * kWeight;
+  }
   if (run.state != State::kStarting) return;
   switch (answer) {
     case StartAnswer::kStarted:
@@ -185,6 +199,7 @@
       Finish(found, RunOutcome::kUnhealthy);
       break;
     case StartAnswer::kNone:
+      revoked_starts_[id] = clock_.now() + options_.late_orders;
       BeginStop(id, run, RunOutcome::kUnhealthy);
       break;
   }
@@ -349,9 +364,13 @@
   const bool has_running = std::any_of(runs_.begin(), runs_.end(), [](const auto& entry) {
     return entry.second.state == State::kRunning || entry.second.state == State::kStarting;
   });
-  const bool settles = std::any_of(runs_.begin(), runs_.end(), [](const auto& entry) {
-    return entry.second.state == State::kStopped;
-  });
+  bool settles = false;
+  bool awaits_stop = false;
+  for (const auto& [id, run] : runs_) {
+    if (run.state != State::kStopped) continue;
+    settles = true;
+    awaits_stop = awaits_stop || run.seen_running;
+  }
   hold_ = Hold{.number = next_hold_++, .sent_at = clock_.now(), .quick = settles};
   sending_seen_ = last_seen_;
   CallHold call{.number = hold_->number,
@@ -360,8 +379,8 @@
                 .last_seen = last_seen_};
   if (has_running && MayRenew()) call.lease_until = RenewLease();
   if (has_running && !needs_first_look_) call.wait = options_.hold_wait;
-  // A stopped run ends soon; without an end to list, the look itself settles it.
-  if (settles) call.wait = options_.stop_time;
+  // A stopped run ends soon. One that never started has no end; the look itself settles it.
+  if (settles) call.wait = awaits_stop ? options_.stop_time : milliseconds(0);
   actions_.emplace_back(std::move(call));
 }
 
@@ -379,6 +398,7 @@
   for (const std::string& owner : silent) OnOwnerLost(owner);
   if (!executor_) return;
   NotePace();
+  std::erase_if(revoked_starts_, [now](const auto& start) { return start.second < now; });
   EndLapsedRuns();
   for (auto& [id, run] : runs_) {
     if (run.state == State::kStopping && run.next_stop_at <= now) SendStop(id, run);
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -96,6 +96,8 @@
   std::string executor_id;
   ExecutorTime lease_until{0};
   std::uint64_t fencing_token = 0;
+  // Without an answer by then, the start is revoked.
+  std::chrono::milliseconds answer_limit{0};
 };
 struct CallStop {
   RunId id;
@@ -132,8 +134,14 @@
     std::chrono::milliseconds hold_wait{250};
     // A hold call without an answer is given up after its wait and this time.
     std::chrono::milliseconds answer_limit{200};
-    // A start without an answer is revoked after this time.
-    std::chrono::milliseconds start_limit{200};
+    // A start without an answer is revoked after this many times the usual time of an answer,
+    // within these bounds. Objectives leave about 100 ms beside a task of 60 ms; a slow VM takes
+    // longer.
+    int start_limit_factor = 8;
+    std::chrono::milliseconds least_start_limit{60};
+    std::chrono::milliseconds most_start_limit{250};
+    // A call without an answer may be carried out this much later.
+    std::chrono::milliseconds late_orders{13'000};
     std::chrono::milliseconds stop_retry{100};
     // Unanswered stops for this long end the renewal of the lease.
     std::chrono::milliseconds stop_limit{300};
@@ -237,6 +245,7 @@
   ExecutorTime ExecutorNow() const;
   void NoteClock(ExecutorTime clock);
   ExecutorTime RenewLease();
+  std::chrono::milliseconds StartLimit() const;
   void NoteAnswered(bool answered);
   // Ends all runs once their lease has run out without an answer of the executor.
   void EndLapsedRuns();
@@ -265,11 +274,16 @@
   TimePoint lease_over_at_;
   // Calls without an answer since the last one that was answered.
   int unanswered_ = 0;
+  // Mean time of answers to starts, in seconds.
+  double answer_seconds_ = 0;
   // The pace in the last report.
   double reported_pace_ = 0;
   // Set until a look has shown which runs an earlier agent left behind.
   bool needs_first_look_ = false;
+  // Stops of runs that it does not hold, by when they are sent again.
   std::map<RunId, TimePoint> unknown_stops_;
+  // Starts without an answer, until they cannot be carried out late any more.
+  std::map<RunId, TimePoint> revoked_starts_;
   bool stopping_ = false;
   PaceMeter pace_;
   std::vector<SupervisorAction> actions_;
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -332,9 +332,8 @@
 }
 
 void SupervisorDaemon::Call(const core::CallStart& call) {
-  const core::RunSupervisor::Options options;
   SendToExecutor(platform::kRunStartPath, call.executor_id, platform::ComposeStart(call),
-                 options.start_limit, [this, id = call.id](const HttpResult& result) {
+                 call.answer_limit, [this, id = call.id](const HttpResult& result) {
                    const auto start = platform::ParseStartResult(result.status, result.body);
                    if (start.answer != core::StartAnswer::kStarted) {
                      log_.Write(LogLevel::kInfo, "start_not_confirmed",
--- a/tests/property/lease_world_property_test.cc
+++ b/tests/property/lease_world_property_test.cc
@@ -67,6 +67,21 @@
   }
 }
 
+std::string ProblemsUnderDrawnFaults(std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  LeaseWorld world({.seed = seed, .lost_answers = random() % 2 == 0 ? 0.0 : 0.06});
+  AddTrace(world, seed, 0.9, kWarmUp, seconds(5));
+  const std::size_t faults = 1 + random() % 6;
+  for (std::size_t i = 0; i < faults; ++i) DrawFault(world, random);
+  world.Run(seconds(30));
+  std::string problems = Broken(world);
+  for (const auto& [id, record] : world.jobs()) {
+    if (!record.reply) problems += id + " is not answered\n";
+  }
+  if (world.running_tasks() > 0) problems += "tasks still run\n";
+  return problems;
+}
+
 }  // namespace
 
 // Guards against two runs of a task at a time, starts of refused jobs, incomplete answers marked
@@ -74,19 +89,23 @@
 Test(lease_world, keeps_its_rules_under_drawn_faults) {
   constexpr std::uint64_t kSeed = 20261204;
   CheckProperty(kSeed, "rules hold under drawn faults", [](std::uint64_t seed) {
-    std::mt19937_64 random(seed);
-    LeaseWorld world({.seed = seed, .lost_answers = random() % 2 == 0 ? 0.0 : 0.06});
-    AddTrace(world, seed, 0.9, kWarmUp, seconds(5));
-    const std::size_t faults = 1 + random() % 6;
-    for (std::size_t i = 0; i < faults; ++i) DrawFault(world, random);
-    world.Run(seconds(30));
-    RC_LOG() << Broken(world);
-    RC_ASSERT(world.violations().empty());
-    for (const auto& [id, record] : world.jobs()) RC_ASSERT(record.reply.has_value());
-    RC_ASSERT(world.running_tasks() == 0U);
+    const std::string problems = ProblemsUnderDrawnFaults(seed);
+    RC_LOG() << problems;
+    RC_ASSERT(problems.empty());
   });
 }
 
+// Seeds that once broke a rule. 0 to 109: runs reported as broken lived on in the executor's next
+// lifetime. 200 and the long one: a start without an answer was carried out after the executor had
+// restarted and had forgotten the stop.
+Test(lease_world, keeps_its_rules_with_earlier_failures) {
+  for (const std::uint64_t seed :
+       {0UL, 2UL, 12UL, 34UL, 43UL, 57UL, 109UL, 200UL, 3548405929401UL}) {
+    const std::string problems = ProblemsUnderDrawnFaults(seed);
+    cr_assert(problems.empty(), "seed %lu: %s", seed, problems.c_str());
+  }
+}
+
 // Guards against a run that is reported as broken though it runs in the executor's next lifetime:
 // a start that was on its way when the executor restarted under its id.
 Test(lease_world, keeps_one_run_a_task_when_executors_restart) {
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -278,7 +278,7 @@
     const bool at_once = std::uniform_real_distribution<>(0, 1)(random_) < kShareDoneAtOnce;
     const milliseconds delay(at_once ? 1 : std::uniform_int_distribution<>(2000, 12000)(random_));
     After(delay, [this, index, call] { executors_[index]->Start(call); });
-    return Deliver(supervisor.frozen_until, core::RunSupervisor::Options().start_limit,
+    return Deliver(supervisor.frozen_until, call.answer_limit,
                    [answer] { answer(core::StartAnswer::kNone, std::nullopt); });
   }
   After(options_.executor_delay, [this, index, call, answer] {
--- a/tests/unit/room_placement_test.cc
+++ b/tests/unit/room_placement_test.cc
@@ -44,9 +44,9 @@
     const RoomPlacement placement({.availability_zone = "here"});
     const ExecutorView* view =
         placement.Choose(views, {.service = "service",
-                                  .step = &step,
-                                  .median_pace = RoomPlacement::MedianPace(views),
-                                  .allows = {}});
+                                 .step = &step,
+                                 .median_pace = RoomPlacement::MedianPace(views),
+                                 .allows = {}});
     return view == nullptr ? "" : view->agent_id();
   }
 
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -284,3 +284,21 @@
   fixture.Take();
   cr_assert_gt(fixture.Of<CallStart>().at(0).fencing_token, 7);
 }
+
+// Guards against a start that is revoked so late that its task cannot be in time elsewhere, and
+// against starts that are revoked although a slow VM answers each of them.
+Test(run_supervisor, revokes_starts_by_the_usual_time_of_an_answer) {
+  Fixture fixture;
+  fixture.Order(0);
+  cr_assert_eq(fixture.Of<CallStart>().at(0).answer_limit.count(), 60);
+  for (std::uint32_t index = 0; index < 20; ++index) {
+    if (index > 0) fixture.Order(index);
+    fixture.clock.Advance(milliseconds(20));
+    fixture.supervisor.OnStartAnswer(Run(index), StartAnswer::kNoRoom, fixture.Clock());
+    fixture.Take();
+  }
+  fixture.Order(30);
+  const auto limit = fixture.Of<CallStart>().at(0).answer_limit;
+  cr_assert_gt(limit.count(), 140);
+  cr_assert_leq(limit.count(), 160);
+}
