--- a/src/zinniamuxd/run_codec.cc
+++ b/src/zinniamuxd/run_codec.cc
@@ -78,6 +78,7 @@
   std::vector<core::RunOrder> orders;
   const core::TimePoint expires{std::chrono::milliseconds(message.expires_clock_ms())};
   const int count = std::min(message.indexes_size(), message.runs_size());
+  orders.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     orders.push_back({.id = {.task = {.job_id = message.job_id(),
                                       .occurrence = message.occurrence(),
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -41,11 +41,12 @@
 }
 
 void SupervisorRegistry::Accept() {
-  acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    if (!error) Adopt(std::move(socket));
-    Accept();
-  });
+  acceptor_.async_accept(loop_,
+                         [this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+                           if (error == asio::error::operation_aborted) return;
+                           if (!error) Adopt(std::move(socket));
+                           Accept();
+                         });
 }
 
 void SupervisorRegistry::Adopt(asio::ip::tcp::socket socket) {
--- a/tests/property/lease_world_property_test.cc
+++ b/tests/property/lease_world_property_test.cc
@@ -35,8 +35,9 @@
 
 void AssertSound(const LeaseWorld& world) {
   cr_assert(world.violations().empty(), "%s", Broken(world).c_str());
-  for (const auto& [id, record] : world.jobs())
+  for (const auto& [id, record] : world.jobs()) {
     cr_assert(record.reply.has_value(), "%s", id.c_str());
+  }
   cr_assert_eq(world.running_tasks(), 0);
 }
 
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -18,7 +18,6 @@
 constexpr milliseconds kHeartbeat{300};
 constexpr milliseconds kSilenceLimit{900};
 constexpr milliseconds kAnnouncePeriod{1500};
-constexpr milliseconds kRedial{200};
 constexpr double kShareDoneAtOnce = 0.5;
 
 }  // namespace
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -24,7 +24,7 @@
 using zinniamux::core::StopTask;
 
 struct Fixture {
-  explicit Fixture(std::vector<std::string> agents = {"a", "b"}) {
+  explicit Fixture(const std::vector<std::string>& agents = {"a", "b"}) {
     for (const std::string& agent : agents) Attach(agent, 1);
   }
 
