--- a/src/core/executor_view.h
+++ b/src/core/executor_view.h
@@ -27,6 +27,14 @@
   std::uint64_t orders_seen = 0;
   // Recent run time divided by the estimate, 0 if unknown.
   double pace = 0;
+  // Orders of all entries that wait for room.
+  WaitingRoom waiting;
+  // Free room that only urgent runs may use.
+  std::int64_t kept_cpu_milli = 0;
+  // Milli-cores that runs give back in a second: all of them, and those that are not urgent. What
+  // urgent runs give back is kept for others of their kind.
+  double release_rate = 0;
+  double lesser_release_rate = 0;
 };
 
 class ExecutorView {
@@ -51,12 +59,37 @@
     pending_[order] += need;
     free_ -= need;
   }
+  // The order was not sent.
+  void OnOrderDropped(std::uint64_t order) {
+    const auto found = pending_.find(order);
+    if (found == pending_.end()) return;
+    free_ += found->second;
+    pending_.erase(found);
+  }
   void ForgetOrders() {
     pending_.clear();
     free_ = report_.free;
   }
 
-  // Room after every order that was sent.
+  // How long an order would wait for room, from the orders that come before it and the rate at
+  // which runs give room back. Duration::max() if nothing is known to give any.
+  Duration WaitFor(const Resources& need, StartRank rank) const {
+    std::int64_t ahead = report_.waiting.ahead_of(rank);
+    if (rank == StartRank::kNormal) ahead += report_.kept_cpu_milli;
+    if (need.cpu_milli + ahead <= free_.cpu_milli && need.Fits(free_)) return Duration(0);
+    const double rate =
+        rank == StartRank::kNormal ? report_.lesser_release_rate : report_.release_rate;
+    if (rate <= 0) return Duration::max();
+    // Without room for its memory, an order waits for at least one end of its size.
+    const std::int64_t missing =
+        std::max(need.cpu_milli + ahead - free_.cpu_milli,
+                 need.memory_mb > free_.memory_mb ? need.cpu_milli : std::int64_t{0});
+    const std::chrono::duration<double> wait(
+        static_cast<double>(std::max<std::int64_t>(missing, 0)) / rate);
+    return std::chrono::duration_cast<Duration>(wait);
+  }
+
+  // Room after every order that was sent; negative if more was ordered than there is.
   const Resources& free() const { return free_; }
   bool takes_work() const { return attached_ && report_.accepting; }
   bool HasLabel(std::string_view label) const {
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -14,7 +14,8 @@
     : options_(options),
       clock_(clock),
       wait_policy_(options.wait),
-      placement_({.availability_zone = options.availability_zone}) {}
+      placement_({.availability_zone = options.availability_zone}),
+      placement_salt_(options.placement_salt) {}
 
 // --- Admission
 
@@ -40,24 +41,6 @@
   });
 }
 
-double JobScheduler::CapacityMilli(const std::string& service) const {
-  double capacity = 0;
-  for (const ExecutorView* view : views_) {
-    if (!view->takes_work() || view->report().service != service) continue;
-    capacity += static_cast<double>(view->report().capacity.cpu_milli);
-  }
-  return capacity;
-}
-
-double JobScheduler::FreeMilli(const std::string& service) const {
-  double free = 0;
-  for (const ExecutorView* view : views_) {
-    if (!view->takes_work() || view->report().service != service) continue;
-    free += static_cast<double>(std::max<std::int64_t>(0, view->free().cpu_milli));
-  }
-  return free;
-}
-
 bool JobScheduler::CanEverRun(const JobRequest& request) const {
   return std::all_of(request.steps.begin(), request.steps.end(), [&](const JobStep& step) {
     return std::any_of(views_.begin(), views_.end(), [&](const ExecutorView* view) {
@@ -89,32 +72,17 @@
     Refuse(request, *reason, Duration(0));
     return true;
   }
-  const TimePoint now = clock_.now();
-  const TimePoint start_by = wait_policy_.StartBy(request, ChainOf(request), now);
-  const QueueKey key{request.urgent ? Rank::kUrgent : Rank::kNormal, start_by, next_job_number_};
-  const Duration wait = ExpectedWait(key, request.service);
-  if (now + wait > start_by) {
-    Refuse(request, JobReason::kOverloaded, wait);
-    return true;
-  }
   Accept(std::move(request));
   return true;
 }
 
-Duration JobScheduler::ExpectedWait(const QueueKey& key, const std::string& service) const {
-  double backlog = 0;
-  for (auto ahead = queue_.begin(); ahead != queue_.end() && ahead->first < key; ++ahead) {
-    backlog += jobs_.at(ahead->second).backlog;
-  }
-  return WaitPolicy::ExpectedWait(backlog, CapacityMilli(service) / static_cast<double>(entries_));
-}
-
 void JobScheduler::Accept(JobRequest request) {
   const std::string id = request.id;
   Job& job = jobs_[id];
   job.received = clock_.now();
   const Duration chain = ChainOf(request);
   job.start_by = wait_policy_.StartBy(request, chain, job.received);
+  job.latest_start = wait_policy_.LatestStart(request, chain, job.received);
   job.objective = job.received + wait_policy_.Objective(request, chain);
   for (const JobStep& step : request.steps) {
     Step state;
@@ -123,26 +91,22 @@
     job.steps.push_back(std::move(state));
   }
   job.request = std::move(request);
-  if (job.request.urgent) NoteUrgentNeed(job.request);
   UnblockSteps(job);
 }
 
-void JobScheduler::NoteUrgentNeed(const JobRequest& request) {
-  constexpr double kWeight = 0.1;
-  const JobStep& first = request.steps.front();
-  const double need = static_cast<double>(first.need.cpu_milli) * first.count;
-  urgent_need_milli_ += (need - urgent_need_milli_) * kWeight;
-}
-
-void JobScheduler::Refuse(const JobRequest& request, JobReason reason, Duration expected_wait) {
+milliseconds JobScheduler::RetryAfter(const std::string& job_id, Duration expected_wait) const {
   // The hash spreads the returns of callers that are refused at the same time.
   constexpr std::size_t kSpreadSteps = 1024;
   const double spread =
-      static_cast<double>(std::hash<std::string>()(request.id) % kSpreadSteps) / kSpreadSteps;
+      static_cast<double>(std::hash<std::string>()(job_id) % kSpreadSteps) / kSpreadSteps;
+  return wait_policy_.RetryAfter(expected_wait, spread);
+}
+
+void JobScheduler::Refuse(const JobRequest& request, JobReason reason, Duration expected_wait) {
   const JobReply answer{.job_id = request.id,
                         .result = JobResult::kRefused,
                         .reason = reason,
-                        .retry_after = wait_policy_.RetryAfter(expected_wait, spread)};
+                        .retry_after = RetryAfter(request.id, expected_wait)};
   actions_.emplace_back(AnswerJob{.answer = answer, .queue = request.queue});
 }
 
@@ -170,7 +134,6 @@
 }
 
 void JobScheduler::Enqueue(Job& job) {
-  CountBacklog(job);
   const std::string& id = job.request.id;
   if (job.ready == 0 || queue_keys_.contains(id)) return;
   const QueueKey key = KeyOf(job);
@@ -186,34 +149,27 @@
   queue_keys_.erase(key);
 }
 
-JobScheduler::QueueKey JobScheduler::KeyOf(const Job& job) const {
-  if (job.first_ordered != TimePoint()) return {Rank::kStarted, job.received, next_job_number_};
-  return {job.request.urgent ? Rank::kUrgent : Rank::kNormal, job.start_by, next_job_number_};
-}
-
-void JobScheduler::CountBacklog(Job& job) {
-  job.backlog = 0;
-  for (std::size_t i = 0; i < job.steps.size(); ++i) {
-    const double seconds = std::chrono::duration<double>(job.steps[i].estimate).count();
-    job.backlog +=
-        job.steps[i].ready * seconds * static_cast<double>(job.request.steps[i].need.cpu_milli);
-  }
+StartRank JobScheduler::RankOf(const Job& job) const {
+  if (MayHaveRun(job)) return StartRank::kStarted;
+  return job.request.urgent ? StartRank::kUrgent : StartRank::kNormal;
 }
 
-double JobScheduler::ReservedMilli(const std::string& service) const {
-  return std::min(urgent_need_milli_ * options_.reserved_jobs,
-                  CapacityMilli(service) * options_.max_reserved_share);
+JobScheduler::QueueKey JobScheduler::KeyOf(const Job& job) const {
+  return {RankOf(job), MayHaveRun(job) ? job.received : job.start_by, next_job_number_};
 }
 
-bool JobScheduler::LeavesReserve(const Job& job) const {
-  if (job.request.urgent || job.first_ordered != TimePoint() || urgent_need_milli_ == 0) {
-    return true;
-  }
-  double need = 0;
+Duration JobScheduler::ExpectedWait(const Job& job) const {
   for (std::size_t i = 0; i < job.steps.size(); ++i) {
-    need += job.steps[i].ready * static_cast<double>(job.request.steps[i].need.cpu_milli);
+    if (job.steps[i].ready == 0) continue;
+    const Duration wait = placement_.LeastWait(views_, {.service = job.request.service,
+                                                        .step = &job.request.steps[i],
+                                                        .rank = RankOf(job),
+                                                        .median_pace = median_pace_});
+    // Nothing is known of the wait.
+    if (wait == Duration::max()) break;
+    return wait;
   }
-  return FreeMilli(job.request.service) >= need + ReservedMilli(job.request.service);
+  return Duration(0);
 }
 
 // --- Placement
@@ -228,55 +184,96 @@
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) continue;
     Job& job = found->second;
-    if (!PlaceJob(job)) continue;
-    CountBacklog(job);
-    if (job.ready == 0) Dequeue(job);
+    PlaceJob(job);
+    if (job.ready == 0) {
+      Dequeue(job);
+    } else if (!MayHaveRun(job)) {
+      // No executor will have room in time. The wait would only take room from others.
+      GiveUp(job, JobReason::kOverloaded);
+    }
   }
 }
 
-bool JobScheduler::PlaceJob(Job& job) {
-  if (!LeavesReserve(job)) return true;
-  for (std::uint32_t s = 0; s < job.steps.size(); ++s) {
-    Step& step = job.steps[s];
-    if (step.ready == 0) continue;
-    const JobStep& wanted = job.request.steps[s];
-    std::map<std::string, std::uint32_t> on_agent;
-    if (wanted.max_per_executor > 0) {
-      for (const Task& task : step.tasks) {
-        if (task.state == TaskState::kOrdered) ++on_agent[task.agent_id];
-      }
+ExecutorView* JobScheduler::ChooseExecutor(const Job& job, const RoomPlacement::Query& query) {
+  // Its tasks would end after the objective.
+  if (query.rank != StartRank::kStarted && clock_.now() >= job.latest_start) return nullptr;
+  if (ExecutorView* free = placement_.Choose(views_, query)) return free;
+  const TimePoint latest =
+      query.rank == StartRank::kStarted ? clock_.now() + options_.order_expiry : job.start_by;
+  const Duration limit = latest - clock_.now();
+  if (limit <= Duration(0)) return nullptr;
+  return placement_.ChooseSoonest(views_, query, limit, next_order_ + placement_salt_);
+}
+
+void JobScheduler::PlaceJob(Job& job) {
+  const StartRank rank = RankOf(job);
+  bool complete = true;
+  for (std::uint32_t s = 0; s < job.steps.size(); ++s)
+    complete = PlaceStep(job, s, rank) && complete;
+  // A job of which only some tasks start in time is late, and has taken room from others.
+  if (!complete && rank != StartRank::kStarted) TakeBackOrders(job);
+  for (auto& [key, start] : gathering_) actions_.emplace_back(std::move(start));
+  gathering_.clear();
+}
+
+bool JobScheduler::PlaceStep(Job& job, std::uint32_t step_index, StartRank rank) {
+  Step& step = job.steps[step_index];
+  if (step.ready == 0) return true;
+  const JobStep& wanted = job.request.steps[step_index];
+  std::map<std::string, std::uint32_t> on_agent;
+  if (wanted.max_per_executor > 0) {
+    for (const Task& task : step.tasks) {
+      if (task.state == TaskState::kOrdered) ++on_agent[task.agent_id];
     }
-    for (std::uint32_t index = 0; index < step.tasks.size() && step.ready > 0; ++index) {
-      Task& task = step.tasks[index];
-      if (task.state != TaskState::kReady) continue;
-      const auto allows = [&](const ExecutorView& view) {
-        if (view.agent_id() == task.avoid) return false;
-        if (health_.standing(view.agent_id()) == ExecutorHealth::Standing::kEjected) return false;
-        return wanted.max_per_executor == 0 || on_agent[view.agent_id()] < wanted.max_per_executor;
-      };
-      ExecutorView* view = placement_.Choose(views_, {.service = job.request.service,
-                                                      .step = &wanted,
-                                                      .median_pace = median_pace_,
-                                                      .allows = allows});
-      // Tasks of a step are alike, so the next one fits nowhere either, unless this one avoids an
-      // executor of its own.
-      if (view == nullptr && task.avoid.empty()) break;
-      if (view == nullptr) continue;
-      if (wanted.max_per_executor > 0) ++on_agent[view->agent_id()];
-      Order(job, s, index, agents_.at(view->agent_id()));
+  }
+  for (std::uint32_t index = 0; index < step.tasks.size() && step.ready > 0; ++index) {
+    Task& task = step.tasks[index];
+    if (task.state != TaskState::kReady) continue;
+    const auto allows = [&](const ExecutorView& view) {
+      if (view.agent_id() == task.avoid) return false;
+      if (health_.standing(view.agent_id()) == ExecutorHealth::Standing::kEjected) return false;
+      return wanted.max_per_executor == 0 || on_agent[view.agent_id()] < wanted.max_per_executor;
+    };
+    ExecutorView* view = ChooseExecutor(job, {.service = job.request.service,
+                                              .step = &wanted,
+                                              .rank = rank,
+                                              .median_pace = median_pace_,
+                                              .allows = allows});
+    // Tasks of a step are alike, so the next one fits nowhere either, unless this one avoids an
+    // executor of its own.
+    if (view == nullptr && task.avoid.empty()) break;
+    if (view == nullptr) continue;
+    if (wanted.max_per_executor > 0) ++on_agent[view->agent_id()];
+    Order(job, step_index, index, rank, agents_.at(view->agent_id()));
+  }
+  return step.ready == 0;
+}
+
+void JobScheduler::TakeBackOrders(Job& job) {
+  for (const auto& [key, start] : gathering_) {
+    Agent& agent = agents_.at(start.agent_id);
+    agent.view.OnOrderDropped(start.order);
+    Step& step = job.steps[start.step];
+    for (const StartTasks::Start& each : start.starts) {
+      agent.runs.erase({.task = {.job_id = job.request.id, .step = start.step, .index = each.index},
+                        .run = each.run});
+      --step.tasks[each.index].run;
+      --job.ordered;
+      MakeReady(job, step, step.tasks[each.index]);
     }
-    for (auto& [agent_id, start] : gathering_) actions_.emplace_back(std::move(start));
-    gathering_.clear();
   }
-  return true;
+  gathering_.clear();
 }
 
-void JobScheduler::Order(Job& job, std::uint32_t step_index, std::uint32_t index, Agent& agent) {
+void JobScheduler::Order(Job& job, std::uint32_t step_index, std::uint32_t index, StartRank rank,
+                         Agent& agent) {
   Step& step = job.steps[step_index];
   Task& task = step.tasks[index];
   const TimePoint now = clock_.now();
   const JobStep& wanted = job.request.steps[step_index];
-  StartTasks& start = gathering_[agent.view.agent_id()];
+  TimePoint expires = std::min(now + options_.order_expiry, job.request.deadline);
+  if (rank != StartRank::kStarted) expires = std::min(expires, job.latest_start);
+  StartTasks& start = gathering_[{step_index, agent.view.agent_id()}];
   if (start.starts.empty()) {
     start = StartTasks{.agent_id = agent.view.agent_id(),
                        .order = next_order_++,
@@ -285,7 +282,9 @@
                        .spec = job.request.spec,
                        .need = wanted.need,
                        .estimate = std::chrono::duration_cast<milliseconds>(step.estimate),
-                       .expires = std::min(now + options_.order_expiry, job.request.deadline)};
+                       .expires = expires,
+                       .rank = rank,
+                       .urgent = job.request.urgent};
   }
   ++task.run;
   task.state = TaskState::kOrdered;
@@ -375,11 +374,12 @@
   AnswerJob action{.answer = {.job_id = job.request.id, .result = result, .reason = reason},
                    .queue = job.request.queue,
                    .took = now - job.received,
+                   .expected_wait = expected_wait,
                    .failed_runs = job.failed_runs,
                    .refused_starts = job.refused_starts};
   action.waited = (job.first_ordered == TimePoint() ? now : job.first_ordered) - job.received;
   if (result == JobResult::kRefused) {
-    action.answer.retry_after = wait_policy_.RetryAfter(expected_wait, 0.5);
+    action.answer.retry_after = RetryAfter(job.request.id, expected_wait);
   } else {
     Remember(action.answer);
   }
@@ -402,7 +402,7 @@
 
 void JobScheduler::GiveUp(Job& job, JobReason reason) {
   if (MayHaveRun(job)) return End(job, JobResult::kAbandoned, reason);
-  End(job, JobResult::kRefused, reason, ExpectedWait(KeyOf(job), job.request.service));
+  End(job, JobResult::kRefused, reason, ExpectedWait(job));
 }
 
 void JobScheduler::AbandonAll() {
@@ -446,10 +446,9 @@
   const TimePoint end_elsewhere = now + scaled(median_pace);
   if (end_here <= job.objective || end_elsewhere >= end_here) return false;
   const JobStep& wanted = job.request.steps[static_cast<std::size_t>(&step - job.steps.data())];
-  const auto need = static_cast<double>(wanted.need.cpu_milli);
-  if (FreeMilli(job.request.service) < need + ReservedMilli(job.request.service)) return false;
   return placement_.Choose(views_, {.service = job.request.service,
                                     .step = &wanted,
+                                    .rank = StartRank::kStarted,
                                     .median_pace = median_pace}) != nullptr;
 }
 
@@ -507,7 +506,7 @@
   const TimePoint now = clock_.now();
   std::vector<std::string> late;
   for (const auto& [id, job] : jobs_) {
-    const bool waits = job.first_ordered == TimePoint();
+    const bool waits = !MayHaveRun(job);
     if (job.request.deadline <= now || (waits && job.start_by <= now)) late.push_back(id);
   }
   for (const std::string& id : late) {
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -36,8 +36,10 @@
   std::string spec;
   Resources need;
   std::chrono::milliseconds estimate{0};
-  // The agent refuses the order after this time.
+  // The runs do not start after this time.
   TimePoint expires;
+  StartRank rank = StartRank::kNormal;
+  bool urgent = false;
   struct Start {
     std::uint32_t index = 0;
     std::uint32_t run = 0;
@@ -57,6 +59,8 @@
   // From its arrival to the first order and to the answer.
   Duration waited{0};
   Duration took{0};
+  // Of a refused job: how long its tasks would have waited at the best executor, 0 if unknown.
+  Duration expected_wait{0};
   std::uint32_t failed_runs = 0;
   std::uint32_t refused_starts = 0;
 };
@@ -80,11 +84,15 @@
  public:
   struct Options {
     std::string availability_zone;
+    // Differs between entries; see RoomPlacement::ChooseSoonest.
+    std::uint64_t placement_salt = 0;
     WaitPolicy::Options wait;
     // An agent that went away has ended every run by then: its silence limit, one lease on a clock
     // that is 2 % slow, and the time of a stop.
     std::chrono::milliseconds lost_after{2100};
-    // Orders that an agent gets later are refused by it.
+    // Orders wait for room on an executor for this time at most, and are then placed anew. It must
+    // be less than the silence after which an agent counts as lost: one that was frozen would
+    // otherwise start what has been ordered elsewhere since.
     std::chrono::milliseconds order_expiry{400};
     // Answers that are repeated to callers that send a job again.
     std::chrono::milliseconds answer_memory{10'000};
@@ -93,10 +101,6 @@
     std::size_t max_jobs = 20'000;
     // Orders of one task that agents refuse, before the job is given up.
     std::uint32_t max_refused_starts = 30;
-    // Room that jobs which are not urgent leave free: this many urgent jobs of mean size, at most
-    // this share of all room. Urgent jobs then start without waiting for an end.
-    double reserved_jobs = 1.0;
-    double max_reserved_share = 0.12;
     // A run is moved off an executor whose pace is this many times the median.
     double move_ratio = 3.0;
   };
@@ -124,14 +128,11 @@
   void AbandonAll();
   void OnTimer();
 
-  // Entries that share the executors with this one, and this one.
-  void set_entries(std::size_t entries) { entries_ = std::max<std::size_t>(entries, 1); }
-
   std::vector<SchedulerAction> TakeActions();
 
   bool Knows(const std::string& job_id) const { return jobs_.contains(job_id); }
   std::size_t job_count() const { return jobs_.size(); }
-  // Jobs with tasks that wait for room.
+  // Jobs with tasks that are not ordered.
   std::size_t queued_jobs() const { return queue_.size(); }
   // Jobs of the queue without an order.
   std::size_t PendingOf(const std::string& queue) const;
@@ -165,7 +166,9 @@
     JobRequest request;
     std::vector<Step> steps;
     TimePoint received;
+    // It is refused unless its tasks are expected to start by then.
     TimePoint start_by;
+    TimePoint latest_start;
     // The answer is in time until then.
     TimePoint objective;
     TimePoint first_ordered;
@@ -176,15 +179,10 @@
     std::uint32_t refused_starts = 0;
     // An executor has worked on it.
     bool worked_on = false;
-    // Milli-core seconds of its tasks that wait.
-    double backlog = 0;
   };
-  // Jobs that have started come first, so that what they have used is not lost, then urgent ones,
-  // then the others. Within a rank, who must start first comes first. A lesser queue is never
-  // starved by another one: its jobs reach their time to start.
-  enum class Rank { kStarted, kUrgent, kNormal };
+  // Within a rank, who must start first comes first.
   struct QueueKey {
-    Rank rank = Rank::kNormal;
+    StartRank rank = StartRank::kNormal;
     TimePoint due;
     std::uint64_t number = 0;
     bool operator<(const QueueKey& other) const {
@@ -205,30 +203,30 @@
   };
 
   void Accept(JobRequest request);
-  void NoteUrgentNeed(const JobRequest& request);
   std::optional<JobReason> ReasonToRefuse(const JobRequest& request) const;
   void GiveUp(Job& job, JobReason reason);
   void Refuse(const JobRequest& request, JobReason reason, Duration expected_wait);
+  std::chrono::milliseconds RetryAfter(const std::string& job_id, Duration expected_wait) const;
   Duration ChainOf(const JobRequest& request) const;
   Duration EstimateOf(const JobRequest& request, const JobStep& step) const;
   void UnblockSteps(Job& job);
   void MakeReady(Job& job, Step& step, Task& task);
   void Enqueue(Job& job);
   void Dequeue(Job& job);
-  static void CountBacklog(Job& job);
+  StartRank RankOf(const Job& job) const;
   QueueKey KeyOf(const Job& job) const;
-  // How long a job with this key waits for those ahead of it.
-  Duration ExpectedWait(const QueueKey& key, const std::string& service) const;
-  double ReservedMilli(const std::string& service) const;
-  // False if a job must leave the room that is left to urgent ones.
-  bool LeavesReserve(const Job& job) const;
+  // How long the first tasks that wait would have to wait at the best executor.
+  Duration ExpectedWait(const Job& job) const;
   void MoveStragglers();
   bool ShouldMove(const Job& job, const Step& step, const Task& task, double pace,
                   double median_pace) const;
-  // Returns false if the job was ended.
-  bool PlaceJob(Job& job);
-  void Order(Job& job, std::uint32_t step, std::uint32_t index, Agent& agent);
-  bool FitsSomewhere(const Resources& need) const;
+  void PlaceJob(Job& job);
+  // False if a task of the step is not placed.
+  bool PlaceStep(Job& job, std::uint32_t step_index, StartRank rank);
+  // Takes back the orders that were not sent.
+  void TakeBackOrders(Job& job);
+  ExecutorView* ChooseExecutor(const Job& job, const RoomPlacement::Query& query);
+  void Order(Job& job, std::uint32_t step, std::uint32_t index, StartRank rank, Agent& agent);
   void OnRunOver(const Agent& agent, const RunId& id, RunOutcome outcome, Duration elapsed);
   void OnTaskOver(Job& job, const RunId& id, RunOutcome outcome);
   static bool MayHaveRun(const Job& job) { return job.worked_on || job.ordered > 0; }
@@ -237,8 +235,6 @@
   void Remember(const JobReply& answer);
   void ForgetOldAnswers();
   void LoseRuns(const Agent& agent, const std::set<RunId>& lost);
-  double CapacityMilli(const std::string& service) const;
-  double FreeMilli(const std::string& service) const;
   bool HasExecutors(const std::string& service) const;
   bool CanEverRun(const JobRequest& request) const;
 
@@ -246,6 +242,7 @@
   const Clock& clock_;
   const WaitPolicy wait_policy_;
   const RoomPlacement placement_;
+  const std::uint64_t placement_salt_;
   RunTimeEstimator estimator_;
   ExecutorHealth health_;
   std::unordered_map<std::string, Job> jobs_;
@@ -256,13 +253,11 @@
   std::vector<ExecutorView*> views_;
   // RoomPlacement::MedianPace of views_, as of the last placement.
   double median_pace_ = 1;
-  // Starts of the current placement by agent, gathered so that a step's tasks share one order.
-  std::map<std::string, StartTasks> gathering_;
+  // Starts of the job that is being placed, by step and agent, so that a step's tasks share an
+  // order.
+  std::map<std::pair<std::uint32_t, std::string>, StartTasks> gathering_;
   std::uint64_t next_order_ = 1;
   std::uint64_t next_job_number_ = 1;
-  // Mean processor need of an urgent job, all its tasks together; 0 without urgent jobs.
-  double urgent_need_milli_ = 0;
-  std::size_t entries_ = 1;
   // Set when the process is to end.
   std::optional<TimePoint> end_;
   std::unordered_map<std::string, JobReply> remembered_;
--- a/src/core/room_placement.cc
+++ b/src/core/room_placement.cc
@@ -47,7 +47,8 @@
   ExecutorView* best = nullptr;
   double best_score = 0;
   for (ExecutorView* executor : executors) {
-    if (!executor->takes_work() || !query.step->need.Fits(executor->free())) continue;
+    if (!executor->takes_work()) continue;
+    if (executor->WaitFor(query.step->need, query.rank) > Duration(0)) continue;
     const double score = Score(*executor, query);
     // What costs more to find out is asked of candidates only.
     if (best != nullptr && score <= best_score) continue;
@@ -58,6 +59,39 @@
   return best;
 }
 
+ExecutorView* RoomPlacement::ChooseSoonest(std::span<ExecutorView* const> executors,
+                                           const Query& query, Duration limit,
+                                           std::uint64_t salt) const {
+  ExecutorView* best = nullptr;
+  double best_score = 0;
+  const double age = std::chrono::duration<double>(options_.view_age).count();
+  for (ExecutorView* executor : executors) {
+    if (!executor->takes_work() || !query.step->need.Fits(executor->report().capacity)) continue;
+    const Duration wait = executor->WaitFor(query.step->need, query.rank);
+    if (wait > limit) continue;
+    constexpr std::uint64_t kSteps = 1024;
+    salt = salt * 6364136223846793005ULL + 1442695040888963407ULL;
+    const double shift = static_cast<double>((salt >> 33U) % kSteps) / kSteps * age;
+    const double score = std::chrono::duration<double>(wait).count() + shift;
+    if (best != nullptr && score >= best_score) continue;
+    if (!IsCandidate(*executor, query)) continue;
+    best = executor;
+    best_score = score;
+  }
+  return best;
+}
+
+Duration RoomPlacement::LeastWait(std::span<ExecutorView* const> executors,
+                                  const Query& query) const {
+  Duration least = Duration::max();
+  for (const ExecutorView* executor : executors) {
+    if (!executor->takes_work() || !query.step->need.Fits(executor->report().capacity)) continue;
+    const Duration wait = executor->WaitFor(query.step->need, query.rank);
+    if (wait < least && IsCandidate(*executor, query)) least = wait;
+  }
+  return least;
+}
+
 bool RoomPlacement::IsCandidate(const ExecutorView& executor, const Query& query) const {
   if (executor.report().service != query.service) return false;
   if (!TrustsPace(executor, query.median_pace)) return false;
--- a/src/core/room_placement.h
+++ b/src/core/room_placement.h
@@ -2,6 +2,8 @@
 #ifndef ZINNIAMUX_CORE_ROOM_PLACEMENT_H_
 #define ZINNIAMUX_CORE_ROOM_PLACEMENT_H_
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <span>
 #include <string>
@@ -28,11 +30,14 @@
     // Below this it is sound. In between it may be filled in part, so that one which was slow is
     // tried with a few tasks before it gets many.
     double sound_ratio = 1.5;
+    // Views are this old: the pause between reports to an entry that orders nothing.
+    std::chrono::milliseconds view_age{20};
   };
 
   struct Query {
     std::string_view service;
     const JobStep* step = nullptr;
+    StartRank rank = StartRank::kNormal;
     // MedianPace of the executors.
     double median_pace = 1;
     // Executors for which this returns false are left out.
@@ -41,9 +46,18 @@
 
   explicit RoomPlacement(Options options) : options_(std::move(options)) {}
 
-  // The best executor with room, or null. Slow executors are not chosen.
+  // The best executor on which the task can start at once, or null. Slow executors are not chosen.
   ExecutorView* Choose(std::span<ExecutorView* const> executors, const Query& query) const;
 
+  // The executor on which the task waits least, at most `limit`, or null. Waits that differ by less
+  // than a report's age are ordered by `salt`, so that entries with the same view of the executors
+  // do not all choose the same one.
+  ExecutorView* ChooseSoonest(std::span<ExecutorView* const> executors, const Query& query,
+                              Duration limit, std::uint64_t salt) const;
+
+  // The least wait on any executor; Duration::max() if none can run the task.
+  Duration LeastWait(std::span<ExecutorView* const> executors, const Query& query) const;
+
   // The median pace of executors that are known, 1 if none is.
   static double MedianPace(std::span<ExecutorView* const> executors);
 
--- a/src/core/run.cc
+++ b/src/core/run.cc
@@ -27,6 +27,8 @@
       return "expired";
     case RunOutcome::kNotAccepting:
       return "not_accepting";
+    case RunOutcome::kWithdrawn:
+      return "withdrawn";
   }
   return "unknown";
 }
--- a/src/core/run.h
+++ b/src/core/run.h
@@ -2,11 +2,14 @@
 #ifndef ZINNIAMUX_CORE_RUN_H_
 #define ZINNIAMUX_CORE_RUN_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <tuple>
 
+#include "core/clock.h"
+
 namespace zinniamux::core {
 
 // What a task needs, or what an executor has. Processor time is in thousandths of a core.
@@ -62,6 +65,37 @@
   }
 };
 
+// Which of the tasks that wait starts first. Jobs that have started come first, so that what they
+// have used is not lost, then urgent ones, then the others.
+enum class StartRank { kStarted, kUrgent, kNormal };
+
+// An order of an entry to start one run.
+struct RunOrder {
+  RunId id;
+  std::string spec;
+  Resources need;
+  std::chrono::milliseconds estimate{0};
+  // The run does not start after this time.
+  TimePoint expires;
+  StartRank rank = StartRank::kNormal;
+  // May use the room that is kept for urgent runs.
+  bool urgent = false;
+};
+
+// Processor need of the orders that wait for room on an executor.
+struct WaitingRoom {
+  // Of those that come before or along with an urgent order.
+  std::int64_t urgent_cpu_milli = 0;
+  std::int64_t all_cpu_milli = 0;
+  // Of urgent orders alone.
+  std::int64_t urgent_only_cpu_milli = 0;
+
+  std::int64_t ahead_of(StartRank rank) const {
+    return rank == StartRank::kNormal ? all_cpu_milli : urgent_cpu_milli;
+  }
+  bool operator==(const WaitingRoom&) const = default;
+};
+
 // How a run ended, or why it never started.
 enum class RunOutcome {
   kDone,
@@ -80,10 +114,12 @@
   kOutdated,
   // Not started: the executor failed or did not answer, and the start is revoked.
   kUnhealthy,
-  // Not started: the order arrived after its expiry.
+  // Not started: the order arrived after its expiry, or waited for room until then.
   kExpired,
   // Not started: there is no executor, or it is leaving.
   kNotAccepting,
+  // Not started: it was stopped while it waited for room.
+  kWithdrawn,
 };
 
 // The executor worked on the run; it counts as an attempt only if it is kFailed.
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -10,7 +10,10 @@
 using std::chrono::milliseconds;
 
 RunSupervisor::RunSupervisor(const Options& options, const Clock& clock)
-    : options_(options), clock_(clock), fencing_token_(options.fencing_token) {}
+    : options_(options),
+      clock_(clock),
+      fencing_token_(options.fencing_token),
+      queue_(options.max_waiting) {}
 
 bool RunSupervisor::OnExecutorStatus(const LeasedExecutor& status) {
   if (executor_) {
@@ -35,6 +38,7 @@
         status.clock - std::chrono::duration_cast<milliseconds>(clock_.now().time_since_epoch());
   }
   if (changed) actions_.emplace_back(ReportChanged{});
+  StartWaiting();
   MaybeHold();
   return true;
 }
@@ -43,6 +47,7 @@
   if (!executor_ || executor_->id != executor_id) return;
   ForgetExecutor(RunOutcome::kStopped);
   executor_.reset();
+  StartWaiting();
   actions_.emplace_back(ReportChanged{});
 }
 
@@ -83,6 +88,7 @@
 
 void RunSupervisor::OnOwnerLost(const std::string& owner) {
   owner_heard_.erase(owner);
+  RefuseWaiting(queue_.TakeOf(owner), RunOutcome::kWithdrawn);
   for (auto& [id, run] : runs_) {
     if (run.owner == owner) BeginStop(id, run, RunOutcome::kStopped);
   }
@@ -104,7 +110,8 @@
 std::optional<RunOutcome> RunSupervisor::ReasonToRefuse(const RunOrder& order) const {
   if (!accepting()) return RunOutcome::kNotAccepting;
   if (clock_.now() > order.expires) return RunOutcome::kExpired;
-  if (!order.need.Fits(free_room())) return RunOutcome::kNoRoom;
+  if (!order.need.Fits(executor_->capacity)) return RunOutcome::kNoRoom;
+  if (queue_.ContainsTask(order.id.task)) return RunOutcome::kOutdated;
   // A higher run of the task is here already, or this one arrived twice.
   const auto same_task = runs_.lower_bound({order.id.task, 0});
   if (same_task != runs_.end() && same_task->first.task == order.id.task) {
@@ -119,10 +126,47 @@
     actions_.emplace_back(RunUpdate{.owner = owner, .id = order.id, .outcome = *reason});
     return;
   }
-  Run run{.owner = owner, .order = order, .ordered_at = clock_.now()};
-  used_ += order.need;
-  Run& added = runs_.emplace(order.id, std::move(run)).first->second;
-  SendStart(added);
+  if (!queue_.Add({.owner = owner, .order = order})) {
+    actions_.emplace_back(
+        RunUpdate{.owner = owner, .id = order.id, .outcome = RunOutcome::kNoRoom});
+    return;
+  }
+  StartWaiting();
+}
+
+void RunSupervisor::StartWaiting() {
+  if (!accepting()) return RefuseWaiting(queue_.TakeAll(), RunOutcome::kNotAccepting);
+  RefuseWaiting(queue_.TakeExpired(clock_.now()), RunOutcome::kExpired);
+  NoteUrgentUse();
+  while (auto next = queue_.TakeFitting(free_room(), kept_cpu_milli())) {
+    Begin(*std::move(next));
+    NoteUrgentUse();
+  }
+}
+
+void RunSupervisor::NoteUrgentUse() {
+  reserve_.Note(urgent_used_milli_ + queue_.waiting_room().urgent_only_cpu_milli, clock_.now());
+}
+
+std::int64_t RunSupervisor::kept_cpu_milli() const {
+  return executor_ ? reserve_.Kept(executor_->capacity.cpu_milli, clock_.now()) : 0;
+}
+
+void RunSupervisor::Begin(StartQueue::Waiting waiting) {
+  const RunId id = waiting.order.id;
+  used_ += waiting.order.need;
+  if (waiting.order.urgent) urgent_used_milli_ += waiting.order.need.cpu_milli;
+  Run run{.owner = std::move(waiting.owner),
+          .order = std::move(waiting.order),
+          .began_at = clock_.now()};
+  SendStart(runs_.emplace(id, std::move(run)).first->second);
+}
+
+void RunSupervisor::RefuseWaiting(const std::vector<StartQueue::Waiting>& orders,
+                                  RunOutcome outcome) {
+  for (const StartQueue::Waiting& each : orders) {
+    actions_.emplace_back(RunUpdate{.owner = each.owner, .id = each.order.id, .outcome = outcome});
+  }
 }
 
 void RunSupervisor::SendStart(Run& run) {
@@ -144,6 +188,11 @@
 
 void RunSupervisor::OnStopOrder(const std::string& owner, const RunId& id) {
   OnOwnerHeard(owner);
+  if (auto waiting = queue_.Take(id)) {
+    if (waiting->owner == owner)
+      return RefuseWaiting({*std::move(waiting)}, RunOutcome::kWithdrawn);
+    queue_.Add(*std::move(waiting));
+  }
   const auto run = runs_.find(id);
   if (run == runs_.end() || run->second.owner != owner) return;
   BeginStop(id, run->second, RunOutcome::kStopped);
@@ -214,11 +263,13 @@
       BeginStop(id, run, RunOutcome::kUnhealthy);
       break;
   }
+  StartWaiting();
   MaybeHold();
 }
 
 void RunSupervisor::OnStopAnswer(const RunId& id, bool answered) {
   NoteAnswered(answered);
+  StartWaiting();
   if (!answered) return;
   unknown_stops_.erase(id);
   const auto found = runs_.find(id);
@@ -229,8 +280,10 @@
 }
 
 RunSupervisor::Runs::iterator RunSupervisor::Finish(Runs::iterator run, RunOutcome outcome) {
-  used_ -= run->second.order.need;
-  const Duration elapsed = clock_.now() - run->second.ordered_at;
+  const RunOrder& order = run->second.order;
+  used_ -= order.need;
+  if (order.urgent) urgent_used_milli_ -= order.need.cpu_milli;
+  const Duration elapsed = clock_.now() - run->second.began_at;
   const double estimate = std::chrono::duration<double>(run->second.order.estimate).count();
   if (outcome == RunOutcome::kDone && estimate > 0) {
     pace_.Add(std::chrono::duration<double>(elapsed).count() / estimate, clock_.now());
@@ -254,7 +307,7 @@
   constexpr double kLeastSeconds = 0.03;
   const TimePoint now = clock_.now();
   const double estimate = std::chrono::duration<double>(run.order.estimate).count();
-  const double elapsed = std::chrono::duration<double>(now - run.ordered_at).count();
+  const double elapsed = std::chrono::duration<double>(now - run.began_at).count();
   if (run.pace_noted || estimate <= 0) return;
   if (elapsed < std::max(kLeastSeconds, kLeastPart * estimate)) return;
   run.pace_noted = true;
@@ -305,6 +358,7 @@
   if (!answer) {
     // The next call follows at once if runs need it; OnTimer paces calls to a silent executor.
     next_hold_at_ = clock_.now() + options_.stop_retry;
+    StartWaiting();
     return MaybeHold();
   }
   if (answer->born_ms != 0 && answer->born_ms < executor_->born_ms) return MaybeHold();
@@ -318,6 +372,7 @@
     needs_first_look_ = false;
     actions_.emplace_back(ReportChanged{});
   }
+  StartWaiting();
   MaybeHold();
 }
 
@@ -398,6 +453,7 @@
 
 void RunSupervisor::StopAccepting() {
   stopping_ = true;
+  StartWaiting();
   actions_.emplace_back(ReportChanged{});
 }
 
@@ -412,6 +468,7 @@
   NotePace();
   std::erase_if(revoked_starts_, [now](const auto& start) { return start.second < now; });
   EndLapsedRuns();
+  StartWaiting();
   for (auto& [id, run] : runs_) {
     if (run.state == State::kStopping && run.next_stop_at <= now) SendStop(id, run);
   }
@@ -425,8 +482,8 @@
 }
 
 TimePoint RunSupervisor::next_timer() const {
-  TimePoint next = TimePoint::max();
-  if (!runs_.empty()) {
+  TimePoint next = queue_.next_expiry();
+  if (!runs_.empty() || !queue_.empty()) {
     for (const auto& [owner, heard] : owner_heard_) {
       next = std::min(next, heard + options_.owner_silence + milliseconds(1));
     }
@@ -442,8 +499,22 @@
 
 std::vector<SupervisorAction> RunSupervisor::TakeActions() { return std::exchange(actions_, {}); }
 
+double RunSupervisor::release_rate(bool with_urgent) const {
+  // Shorter estimates would promise room faster than starts and reports take.
+  constexpr double kLeastSeconds = 0.01;
+  const double pace = pace_.value(clock_.now());
+  double rate = 0;
+  for (const auto& [id, run] : runs_) {
+    if (run.order.urgent && !with_urgent) continue;
+    const double estimate = std::chrono::duration<double>(run.order.estimate).count();
+    const double seconds = std::max(estimate * (pace > 0 ? pace : 1), kLeastSeconds);
+    rate += static_cast<double>(run.order.need.cpu_milli) / seconds;
+  }
+  return rate;
+}
+
 std::vector<RunId> RunSupervisor::RunsOf(const std::string& owner) const {
-  std::vector<RunId> ids;
+  std::vector<RunId> ids = queue_.IdsOf(owner);
   for (const auto& [id, run] : runs_) {
     if (run.owner == owner) ids.push_back(id);
   }
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -15,6 +15,8 @@
 #include "core/clock.h"
 #include "core/pace_meter.h"
 #include "core/run.h"
+#include "core/start_queue.h"
+#include "core/urgent_reserve.h"
 
 namespace zinniamux::core {
 
@@ -35,15 +37,6 @@
   ExecutorTime clock{0};
 };
 
-// An order of an entry to start one run.
-struct RunOrder {
-  RunId id;
-  std::string spec;
-  Resources need;
-  std::chrono::milliseconds estimate{0};
-  TimePoint expires;
-};
-
 // What the executor answered to a start.
 enum class StartAnswer {
   kStarted,
@@ -118,7 +111,8 @@
 
 using SupervisorAction = std::variant<CallStart, CallStop, CallHold, RunUpdate, ReportChanged>;
 
-// Starts, holds and stops the runs that entries order. Rules that it keeps:
+// Starts, holds and stops the runs that entries order; orders without room wait until they expire.
+// Rules that it keeps:
 // - A run is reported as ended, or as not started, only when the executor cannot run it any more.
 // - The room of a run is free only then.
 // - Runs of an entry that was silent for `owner_silence` are stopped; while a stop stays
@@ -150,6 +144,9 @@
     // Runs of an owner end when it was silent for this long: less than the time after which a
     // caller repeats a job at another entry, by the time that stopping takes.
     std::chrono::milliseconds owner_silence{900};
+    // Orders that wait for room. Entries order no more than can start within part of an objective,
+    // which is tens of tasks.
+    std::size_t max_waiting = 512;
     std::uint64_t fencing_token = 1;
   };
 
@@ -163,7 +160,7 @@
   void OnOwnerHeard(const std::string& owner);
   // The owner's process is known to be gone.
   void OnOwnerLost(const std::string& owner);
-  // Starts each run or refuses it with an update.
+  // Starts the run, lets it wait for room, or refuses it with an update.
   void OnOrder(const std::string& owner, const RunOrder& order);
   void OnStopOrder(const std::string& owner, const RunId& id);
 
@@ -184,6 +181,14 @@
   bool accepting() const;
   Resources free_room() const;
   std::size_t run_count() const { return runs_.size(); }
+  std::size_t waiting_count() const { return queue_.size(); }
+  WaitingRoom waiting_room() const { return queue_.waiting_room(); }
+  // Free room that is kept for urgent runs.
+  std::int64_t kept_cpu_milli() const;
+  // Milli-cores that runs give back in a second, from their estimates and the recent pace; of all
+  // runs, or of those that are not urgent.
+  double release_rate(bool with_urgent) const;
+  // Runs and waiting orders of the owner.
   std::vector<RunId> RunsOf(const std::string& owner) const;
   // Recent run time divided by the estimate, 0 if unknown.
   double pace() const { return pace_.value(clock_.now()); }
@@ -203,7 +208,7 @@
     std::string owner;
     RunOrder order;
     State state = State::kStarting;
-    TimePoint ordered_at;
+    TimePoint began_at;
     // When the call that put it into `state` was sent; answers to earlier looks say nothing of it.
     TimePoint state_at;
     TimePoint next_stop_at;
@@ -231,6 +236,10 @@
   void BeginLifetime(std::int64_t born_ms);
   void ForgetExecutor(RunOutcome outcome);
   std::optional<RunOutcome> ReasonToRefuse(const RunOrder& order) const;
+  void StartWaiting();
+  void NoteUrgentUse();
+  void Begin(StartQueue::Waiting waiting);
+  void RefuseWaiting(const std::vector<StartQueue::Waiting>& orders, RunOutcome outcome);
   void SendStart(Run& run);
   void BeginStop(const RunId& id, Run& run, RunOutcome not_started);
   void SendStop(const RunId& id, Run& run);
@@ -265,6 +274,11 @@
   Runs runs_;
   // Invariant: the sum of the needs of runs_.
   Resources used_;
+  // Invariant: empty unless accepting(), as of the end of each call.
+  StartQueue queue_;
+  // Processor need of the urgent ones among runs_.
+  std::int64_t urgent_used_milli_ = 0;
+  UrgentReserve reserve_;
   std::map<std::string, TimePoint> owner_heard_;
   std::optional<Hold> hold_;
   std::uint64_t next_hold_ = 1;
--- /dev/null
+++ b/src/core/start_queue.cc
@@ -0,0 +1,98 @@
+// Order of starts on one executor.
+#include "core/start_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace zinniamux::core {
+
+bool StartQueue::Add(Waiting waiting) {
+  if (orders_.size() >= capacity_) return false;
+  const Key key{waiting.order.rank, waiting.order.expires, next_number_++};
+  orders_.emplace(key, std::move(waiting));
+  return true;
+}
+
+std::optional<StartQueue::Waiting> StartQueue::TakeFitting(const Resources& free,
+                                                           std::int64_t kept_cpu_milli) {
+  Resources free_for_others = free;
+  free_for_others.cpu_milli -= kept_cpu_milli;
+  std::optional<StartRank> held_back_after;
+  for (auto next = orders_.begin(); next != orders_.end(); ++next) {
+    if (held_back_after && next->first.rank > *held_back_after) break;
+    const RunOrder& order = next->second.order;
+    const bool may_use_all = order.urgent || order.rank == StartRank::kStarted;
+    if (!order.need.Fits(may_use_all ? free : free_for_others)) {
+      held_back_after = next->first.rank;
+      continue;
+    }
+    Waiting waiting = std::move(next->second);
+    orders_.erase(next);
+    return waiting;
+  }
+  return std::nullopt;
+}
+
+template <typename Matches>
+std::vector<StartQueue::Waiting> StartQueue::TakeIf(const Matches& matches) {
+  std::vector<Waiting> taken;
+  for (auto next = orders_.begin(); next != orders_.end();) {
+    if (!matches(next->second)) {
+      ++next;
+      continue;
+    }
+    taken.push_back(std::move(next->second));
+    next = orders_.erase(next);
+  }
+  return taken;
+}
+
+std::vector<StartQueue::Waiting> StartQueue::TakeExpired(TimePoint now) {
+  return TakeIf([now](const Waiting& waiting) { return waiting.order.expires <= now; });
+}
+
+std::vector<StartQueue::Waiting> StartQueue::TakeOf(std::string_view owner) {
+  return TakeIf([owner](const Waiting& waiting) { return waiting.owner == owner; });
+}
+
+std::vector<StartQueue::Waiting> StartQueue::TakeAll() {
+  return TakeIf([](const Waiting&) { return true; });
+}
+
+std::optional<StartQueue::Waiting> StartQueue::Take(const RunId& id) {
+  std::vector<Waiting> taken =
+      TakeIf([&id](const Waiting& waiting) { return waiting.order.id == id; });
+  if (taken.empty()) return std::nullopt;
+  return std::move(taken.front());
+}
+
+bool StartQueue::ContainsTask(const TaskId& task) const {
+  return std::any_of(orders_.begin(), orders_.end(),
+                     [&](const auto& entry) { return entry.second.order.id.task == task; });
+}
+
+std::vector<RunId> StartQueue::IdsOf(std::string_view owner) const {
+  std::vector<RunId> ids;
+  for (const auto& [key, waiting] : orders_) {
+    if (waiting.owner == owner) ids.push_back(waiting.order.id);
+  }
+  return ids;
+}
+
+WaitingRoom StartQueue::waiting_room() const {
+  WaitingRoom room;
+  for (const auto& [key, waiting] : orders_) {
+    room.all_cpu_milli += waiting.order.need.cpu_milli;
+    if (waiting.order.urgent) room.urgent_only_cpu_milli += waiting.order.need.cpu_milli;
+    if (key.rank <= StartRank::kUrgent) room.urgent_cpu_milli += waiting.order.need.cpu_milli;
+  }
+  return room;
+}
+
+TimePoint StartQueue::next_expiry() const {
+  TimePoint next = TimePoint::max();
+  for (const auto& [key, waiting] : orders_) next = std::min(next, waiting.order.expires);
+  return next;
+}
+
+}  // namespace zinniamux::core
--- /dev/null
+++ b/src/core/start_queue.h
@@ -0,0 +1,74 @@
+// Orders that wait for room on one executor.
+#ifndef ZINNIAMUX_CORE_START_QUEUE_H_
+#define ZINNIAMUX_CORE_START_QUEUE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/run.h"
+
+namespace zinniamux::core {
+
+// Load pattern: several entries order more than an executor has room for, each with a view that is
+// tens of milliseconds old. An order that waits here starts in the turn in which room becomes free;
+// an order that is refused costs two messages, and the room is idle until the next one arrives.
+// Orders start by rank, then by when they expire. One that does not fit holds back those of lesser
+// ranks, so that wide or urgent tasks are not starved by small ones. Not thread-safe.
+class StartQueue {
+ public:
+  struct Waiting {
+    std::string owner;
+    RunOrder order;
+  };
+
+  // `capacity` bounds the orders that wait.
+  explicit StartQueue(std::size_t capacity) : capacity_(capacity) {}
+
+  // False if the queue is full.
+  bool Add(Waiting waiting);
+  // Removes the next order that may start in `free`. Orders that are neither urgent nor of a job
+  // that has started leave `kept_cpu_milli` of it.
+  std::optional<Waiting> TakeFitting(const Resources& free, std::int64_t kept_cpu_milli);
+  std::vector<Waiting> TakeExpired(TimePoint now);
+  std::vector<Waiting> TakeOf(std::string_view owner);
+  std::vector<Waiting> TakeAll();
+  std::optional<Waiting> Take(const RunId& id);
+
+  bool ContainsTask(const TaskId& task) const;
+  std::vector<RunId> IdsOf(std::string_view owner) const;
+  std::size_t size() const { return orders_.size(); }
+  bool empty() const { return orders_.empty(); }
+  // What the waiting orders need, for those before an urgent one and for all.
+  WaitingRoom waiting_room() const;
+  // When the next order expires; TimePoint::max() without orders.
+  TimePoint next_expiry() const;
+
+ private:
+  struct Key {
+    StartRank rank = StartRank::kNormal;
+    TimePoint expires;
+    std::uint64_t number = 0;
+    bool operator<(const Key& other) const {
+      return std::tie(rank, expires, number) < std::tie(other.rank, other.expires, other.number);
+    }
+  };
+
+  // Removes the orders for which `matches` returns true.
+  template <typename Matches>
+  std::vector<Waiting> TakeIf(const Matches& matches);
+
+  const std::size_t capacity_;
+  std::map<Key, Waiting> orders_;
+  std::uint64_t next_number_ = 1;
+};
+
+}  // namespace zinniamux::core
+
+#endif  // ZINNIAMUX_CORE_START_QUEUE_H_
--- a/src/core/wait_policy.h
+++ b/src/core/wait_policy.h
@@ -16,10 +16,13 @@
 class WaitPolicy {
  public:
   struct Options {
-    // Part of the objective that a job may wait for its first task. The rest is for its run and for
-    // tasks that start later than the first.
-    double wait_share = 0.25;
+    // Part of the objective that tasks may be expected to wait. The rest is for the run, for tasks
+    // that run longer than estimated, and for reports that are late. Urgent orders are overtaken by
+    // none, so that their expected waits hold; others are overtaken by later urgent ones.
+    double urgent_wait_share = 0.35;
+    double wait_share = 0.08;
     std::chrono::milliseconds least_retry_after{1000};
+    // Before the spread.
     std::chrono::milliseconds most_retry_after{4000};
   };
 
@@ -31,12 +34,11 @@
     return std::chrono::duration_cast<Duration>(chain * job.stretch) + job.slack;
   }
 
-  // The first task must have been placed by then.
+  // Tasks must be expected to start by then, or the job is refused.
   TimePoint StartBy(const JobRequest& job, Duration chain, TimePoint received) const;
 
-  // The wait that the work ahead of a job causes. `backlog` and `capacity` are in milli-cores times
-  // time, and milli-cores.
-  static Duration ExpectedWait(double backlog_milli_seconds, double capacity_milli);
+  // Tasks that start by then end in time.
+  TimePoint LatestStart(const JobRequest& job, Duration chain, TimePoint received) const;
 
   // When a refused caller may come back: after the wait that it would have had, spread by `spread`
   // (0 to 1, a hash of the job), so that callers refused together do not return together.
--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -157,6 +157,7 @@
               {"reason", NameOf(result.reason)},
               {"waited_ms", Milliseconds(answer.waited)},
               {"took_ms", Milliseconds(answer.took)},
+              {"expected_wait_ms", Milliseconds(answer.expected_wait)},
               {"failed_runs", answer.failed_runs},
               {"refused_starts", answer.refused_starts},
               {"retry_after_ms", result.retry_after.count()}});
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -47,6 +47,7 @@
 core::JobScheduler::Options SchedulerOptions(const adapters::DispatcherSettings& settings) {
   core::JobScheduler::Options options;
   options.availability_zone = settings.availability_zone;
+  options.placement_salt = std::hash<std::string>()(settings.id);
   const milliseconds silence = SupervisorRegistry::Options().silence_limit;
   // A lease on a clock that is 2 % slow, and the time of a stop order on its way.
   options.lost_after =
@@ -170,8 +171,7 @@
       core::EntryRoster::Options{.self = {.entry_id = settings_.id,
                                           .incarnation = incarnation_,
                                           .rpc_address = AddressText(settings_.rpc)}},
-      store_, clock_,
-      [this] { asio::post(loop_, [this] { scheduler_.set_entries(roster_->members().size()); }); });
+      store_, clock_, [] {});
   watch_ = std::make_shared<ConfigurationWatch>(
       loop_, store_, ConfigurationWatch::Options(),
       ConfigurationWatch::Handlers{
@@ -322,6 +322,8 @@
                          {"takes_work", view->takes_work()},
                          {"cpu_milli", view->report().capacity.cpu_milli},
                          {"free_milli", view->free().cpu_milli},
+                         {"waiting_milli", view->report().waiting.all_cpu_milli},
+                         {"kept_milli", view->report().kept_cpu_milli},
                          {"pace", view->report().pace}});
   }
   log_.Write(LogLevel::kInfo, "status",
--- a/src/zinniamuxd/run_codec.cc
+++ b/src/zinniamuxd/run_codec.cc
@@ -46,6 +46,11 @@
   for (const std::string& label : report.labels) message.add_labels(label);
   message.set_orders_seen(report.orders_seen);
   message.set_pace_permille(static_cast<std::uint32_t>(report.pace * kPermille));
+  message.set_waiting_urgent_cpu_milli(report.waiting.urgent_cpu_milli);
+  message.set_waiting_cpu_milli(report.waiting.all_cpu_milli);
+  message.set_kept_cpu_milli(report.kept_cpu_milli);
+  message.set_release_cpu_milli(static_cast<std::int64_t>(report.release_rate));
+  message.set_lesser_release_cpu_milli(static_cast<std::int64_t>(report.lesser_release_rate));
 }
 
 core::ExecutorReport FromMessage(const runs::ExecutorReport& message) {
@@ -56,7 +61,12 @@
           .free = FromMessage(message.free()),
           .labels = {message.labels().begin(), message.labels().end()},
           .orders_seen = message.orders_seen(),
-          .pace = message.pace_permille() / kPermille};
+          .pace = message.pace_permille() / kPermille,
+          .waiting = {.urgent_cpu_milli = message.waiting_urgent_cpu_milli(),
+                      .all_cpu_milli = message.waiting_cpu_milli()},
+          .kept_cpu_milli = message.kept_cpu_milli(),
+          .release_rate = static_cast<double>(message.release_cpu_milli()),
+          .lesser_release_rate = static_cast<double>(message.lesser_release_cpu_milli())};
 }
 
 void ToMessage(const core::StartTasks& start, core::Duration clock_offset,
@@ -68,6 +78,8 @@
   ToMessage(start.need, *message.mutable_need());
   message.set_estimate_ms(static_cast<std::uint32_t>(start.estimate.count()));
   message.set_expires_clock_ms(ClockMilliseconds(start.expires + clock_offset));
+  message.set_rank(static_cast<std::uint32_t>(start.rank));
+  message.set_urgent(start.urgent);
   for (const core::StartTasks::Start& each : start.starts) {
     message.add_indexes(each.index);
     message.add_runs(each.run);
@@ -76,6 +88,9 @@
 
 std::vector<core::RunOrder> FromMessage(const runs::StartOrder& message) {
   std::vector<core::RunOrder> orders;
+  const auto rank = message.rank() <= static_cast<std::uint32_t>(core::StartRank::kNormal)
+                        ? static_cast<core::StartRank>(message.rank())
+                        : core::StartRank::kNormal;
   const core::TimePoint expires{std::chrono::milliseconds(message.expires_clock_ms())};
   const int count = std::min(message.indexes_size(), message.runs_size());
   orders.reserve(static_cast<std::size_t>(count));
@@ -88,7 +103,9 @@
                       .spec = message.spec(),
                       .need = FromMessage(message.need()),
                       .estimate = std::chrono::milliseconds(message.estimate_ms()),
-                      .expires = expires});
+                      .expires = expires,
+                      .rank = rank,
+                      .urgent = message.urgent()});
   }
   return orders;
 }
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -384,6 +384,10 @@
   report.accepting = supervisor_.accepting();
   report.free = supervisor_.free_room();
   report.pace = supervisor_.pace();
+  report.waiting = supervisor_.waiting_room();
+  report.kept_cpu_milli = supervisor_.kept_cpu_milli();
+  report.release_rate = supervisor_.release_rate(true);
+  report.lesser_release_rate = supervisor_.release_rate(false);
   const auto seen = orders_seen_.find(link.owner());
   if (seen != orders_seen_.end()) report.orders_seen = seen->second;
   ToMessage(report, message);
@@ -463,6 +467,7 @@
 
 void SupervisorDaemon::UpdateGauges() {
   metrics_.Set("runs", static_cast<double>(supervisor_.run_count()));
+  metrics_.Set("waiting_orders", static_cast<double>(supervisor_.waiting_count()));
   metrics_.Set("free_cpu_milli", static_cast<double>(supervisor_.free_room().cpu_milli));
   metrics_.Set("accepting", supervisor_.accepting() ? 1 : 0);
   metrics_.Set("pace", supervisor_.pace());
--- a/tests/property/lease_world_property_test.cc
+++ b/tests/property/lease_world_property_test.cc
@@ -153,6 +153,38 @@
   cr_assert_geq(price.in_time_share(), 0.5, "price %f", price.in_time_share());
 }
 
+// Load pattern of contention: eight dispatchers, whose views are tens of milliseconds old, place
+// more work than the executors can do. Guards against orders that executors refuse for want of
+// room, which cost messages and leave executors idle until the next order.
+Test(lease_world, wastes_no_orders_when_dispatchers_contend) {
+  constexpr std::size_t kDispatchers = 8;
+  LeaseWorld world({.seed = 13,
+                    .dispatchers = kDispatchers,
+                    .executor_cpu_milli = std::vector<std::int64_t>(33, 32'000),
+                    .report_pause = milliseconds(32)});
+  std::size_t tasks = 0;
+  for (auto& job : CounterTrace({.seed = 13,
+                   .begin = kWarmUp,
+                   .length = seconds(10),
+                   .load = 5.4,
+                   .dispatchers = kDispatchers})) {
+    tasks += job.run_times.size();
+    world.Add(std::move(job));
+  }
+  world.Run(seconds(35));
+  AssertSound(world);
+  const auto refused_starts = static_cast<double>(world.refused_starts());
+  const KindCount stock = CountKind(world, "stock");
+  const KindCount layout = CountKind(world, "layout");
+  const KindCount price = CountKind(world, "price");
+  cr_log_info("in time: stock %f layout %f price %f, refused starts %f of %zu tasks",
+              stock.in_time_share(), layout.in_time_share(), price.in_time_share(), refused_starts,
+              tasks);
+  cr_assert_leq(refused_starts, 0.05 * static_cast<double>(tasks), "%f of %zu", refused_starts,
+                tasks);
+  cr_assert_geq(stock.in_time_share(), 0.9, "stock %f", stock.in_time_share());
+}
+
 // Load pattern of slow executors: two of eleven take seven times as long for 8 s and then recover.
 // Guards against runs that stay there, and against executors that are left idle after they have
 // recovered.
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -46,6 +46,8 @@
     std::vector<std::int64_t> executor_cpu_milli = std::vector<std::int64_t>(11, 32'000);
     core::Duration link_delay = std::chrono::microseconds(600);
     core::Duration executor_delay = std::chrono::microseconds(200);
+    // Between two reports of a supervisor to dispatchers that nothing else is sent to.
+    core::Duration report_pause{0};
     // Part of the calls to executors without an answer; they are carried out late or at once.
     double lost_answers = 0;
     core::JobScheduler::Options scheduler;
@@ -103,6 +105,7 @@
   void Connect(std::size_t dispatcher, std::size_t supervisor);
   core::ExecutorReport ReportOf(std::size_t supervisor, std::size_t dispatcher) const;
   void SendReport(std::size_t supervisor, std::size_t dispatcher);
+  void SendReports(std::size_t supervisor);
   void CarryOutSupervisor(std::size_t index);
   void CarryOutDispatcher(std::size_t index);
   void CallExecutor(std::size_t index, const core::CallStart& call);
--- /dev/null
+++ b/tests/unit/start_queue_test.cc
@@ -0,0 +1,116 @@
+// StartQueue and UrgentReserve: which waiting order starts next on an executor.
+#include "core/start_queue.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+#include "core/urgent_reserve.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using zinniamux::core::Resources;
+using zinniamux::core::RunOrder;
+using zinniamux::core::StartQueue;
+using zinniamux::core::StartRank;
+using zinniamux::core::TimePoint;
+using zinniamux::core::UrgentReserve;
+
+constexpr TimePoint kNow{seconds(100)};
+constexpr std::size_t kCapacity = 4;
+
+RunOrder Order(std::uint32_t index, std::int64_t cpu_milli, StartRank rank,
+               milliseconds expires_in) {
+  return {.id = {.task = {.job_id = "job", .index = index}},
+          .need = {.cpu_milli = cpu_milli, .memory_mb = 1},
+          .expires = kNow + expires_in,
+          .rank = rank,
+          .urgent = rank == StartRank::kUrgent};
+}
+
+Resources Room(std::int64_t cpu_milli) { return {.cpu_milli = cpu_milli, .memory_mb = 100}; }
+
+// The index of the next order that starts, or -1.
+int Next(StartQueue& queue, std::int64_t free, std::int64_t kept = 0) {
+  const auto taken = queue.TakeFitting(Room(free), kept);
+  return taken ? static_cast<int>(taken->order.id.task.index) : -1;
+}
+
+}  // namespace
+
+// Guards against urgent tasks that wait behind others, and against tasks that miss their objective
+// behind some that have time.
+Test(start_queue, starts_by_rank_and_then_by_expiry) {
+  StartQueue queue(kCapacity);
+  queue.Add({.owner = "a", .order = Order(0, 10, StartRank::kNormal, milliseconds(50))});
+  queue.Add({.owner = "a", .order = Order(1, 10, StartRank::kNormal, milliseconds(20))});
+  queue.Add({.owner = "b", .order = Order(2, 10, StartRank::kUrgent, milliseconds(90))});
+  queue.Add({.owner = "b", .order = Order(3, 10, StartRank::kStarted, milliseconds(400))});
+  for (const int expected : {3, 2, 1, 0, -1}) cr_assert_eq(Next(queue, 100), expected);
+}
+
+// Guards against wide or urgent tasks that small ones of a lesser rank starve, and against room
+// that stays idle beside one that does not fit.
+Test(start_queue, a_task_that_does_not_fit_holds_back_lesser_ranks_only) {
+  StartQueue queue(kCapacity);
+  queue.Add({.owner = "a", .order = Order(0, 80, StartRank::kUrgent, milliseconds(10))});
+  queue.Add({.owner = "a", .order = Order(1, 20, StartRank::kUrgent, milliseconds(20))});
+  queue.Add({.owner = "a", .order = Order(2, 20, StartRank::kNormal, milliseconds(5))});
+  cr_assert_eq(Next(queue, 50), 1);
+  cr_assert_eq(Next(queue, 50), -1);
+  cr_assert_eq(Next(queue, 90), 0);
+  cr_assert_eq(Next(queue, 50), 2);
+}
+
+// Guards against lesser work in the room that is kept for urgent tasks, and against started jobs
+// that are held up by it.
+Test(start_queue, lesser_orders_leave_the_room_that_is_kept) {
+  StartQueue queue(kCapacity);
+  queue.Add({.owner = "a", .order = Order(0, 30, StartRank::kNormal, milliseconds(10))});
+  cr_assert_eq(Next(queue, 40, 20), -1);
+  queue.Add({.owner = "a", .order = Order(1, 30, StartRank::kUrgent, milliseconds(10))});
+  queue.Add({.owner = "a", .order = Order(2, 30, StartRank::kStarted, milliseconds(10))});
+  cr_assert_eq(Next(queue, 40, 20), 2);
+  cr_assert_eq(Next(queue, 40, 20), 1);
+  cr_assert_eq(Next(queue, 50, 20), 0);
+}
+
+// Guards against a queue without a bound, and against orders that stay after their time.
+Test(start_queue, is_bounded_and_gives_up_expired_orders) {
+  StartQueue queue(kCapacity);
+  for (std::uint32_t i = 0; i < kCapacity; ++i) {
+    const milliseconds expires_in(10 * (i + 1));
+    cr_assert(queue.Add({.owner = "a", .order = Order(i, 10, StartRank::kNormal, expires_in)}));
+  }
+  cr_assert_not(queue.Add({.owner = "a", .order = Order(9, 10, StartRank::kUrgent, seconds(1))}));
+  cr_assert(queue.next_expiry() == kNow + milliseconds(10));
+  cr_assert_eq(queue.TakeExpired(kNow + milliseconds(20)).size(), 2);
+  cr_assert_eq(queue.waiting_room().all_cpu_milli, 20);
+  cr_assert_eq(queue.TakeOf("b").size(), 0);
+  cr_assert_eq(queue.TakeOf("a").size(), 2);
+  cr_assert(queue.empty());
+}
+
+// Load pattern: short urgent tasks use a fifth of an executor, with gaps. Guards against lesser
+// work that fills the gaps, and against room that is kept long after urgent work has ended.
+Test(urgent_reserve, keeps_what_urgent_runs_used_of_late) {
+  constexpr std::int64_t kCpuMilli = 32'000;
+  UrgentReserve reserve;
+  cr_assert_eq(reserve.Kept(kCpuMilli, kNow), 0);
+  TimePoint now = kNow;
+  for (int i = 0; i < 100; ++i) {
+    reserve.Note(i % 2 == 0 ? 12'000 : 0, now);
+    now += milliseconds(50);
+  }
+  reserve.Note(0, now);
+  // Three quarters of the mean use of 6,000.
+  cr_assert_geq(reserve.Kept(kCpuMilli, now), 4000);
+  cr_assert_leq(reserve.Kept(kCpuMilli, now), 5000);
+  // While urgent runs use that much, nothing more is kept.
+  reserve.Note(12'000, now);
+  cr_assert_eq(reserve.Kept(kCpuMilli, now), 0);
+  reserve.Note(0, now);
+  cr_assert_leq(reserve.Kept(kCpuMilli, now + seconds(5)), 100);
+}
