scheduler: jobs that are not urgent wait at the entry until a short wait is in sight

Change: two limits. A job is refused when no executor has room within 25 % of its objective, and ordered when executors have room within 1.5 %. Urgent orders may wait for 35 %. Six tenths of the urgent use are kept instead of three quarters.

The frequent jobs still lose a little in a burst at three dispatchers.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -82,6 +82,7 @@
   job.received = clock_.now();
   const Duration chain = ChainOf(request);
   job.start_by = wait_policy_.StartBy(request, chain, job.received);
+  job.order_wait = wait_policy_.OrderWait(request, chain);
   job.latest_start = wait_policy_.LatestStart(request, chain, job.received);
   job.objective = job.received + wait_policy_.Objective(request, chain);
   for (const JobStep& step : request.steps) {
@@ -158,15 +159,14 @@
   return {RankOf(job), MayHaveRun(job) ? job.received : job.start_by, next_job_number_};
 }
 
-Duration JobScheduler::ExpectedWait(const Job& job) const {
+std::optional<Duration> JobScheduler::ExpectedWait(const Job& job) const {
   for (std::size_t i = 0; i < job.steps.size(); ++i) {
     if (job.steps[i].ready == 0) continue;
     const Duration wait = placement_.LeastWait(views_, {.service = job.request.service,
                                                         .step = &job.request.steps[i],
                                                         .rank = RankOf(job),
                                                         .median_pace = median_pace_});
-    // Nothing is known of the wait.
-    if (wait == Duration::max()) break;
+    if (wait == Duration::max()) return std::nullopt;
     return wait;
   }
   return Duration(0);
@@ -188,8 +188,9 @@
     if (job.ready == 0) {
       Dequeue(job);
     } else if (!MayHaveRun(job)) {
-      // No executor will have room in time. The wait would only take room from others.
-      GiveUp(job, JobReason::kOverloaded);
+      // If no executor will have room in time, waiting would only take room from others.
+      const std::optional<Duration> wait = ExpectedWait(job);
+      if (!wait || clock_.now() + *wait > job.start_by) GiveUp(job, JobReason::kOverloaded);
     }
   }
 }
@@ -198,9 +199,9 @@
   // Its tasks would end after the objective.
   if (query.rank != StartRank::kStarted && clock_.now() >= job.latest_start) return nullptr;
   if (ExecutorView* free = placement_.Choose(views_, query)) return free;
-  const TimePoint latest =
-      query.rank == StartRank::kStarted ? clock_.now() + options_.order_expiry : job.start_by;
-  const Duration limit = latest - clock_.now();
+  const bool started = query.rank == StartRank::kStarted;
+  const Duration limit =
+      started ? options_.order_expiry : std::min(job.order_wait, job.start_by - clock_.now());
   if (limit <= Duration(0)) return nullptr;
   return placement_.ChooseSoonest(views_, query, limit, next_order_ + placement_salt_);
 }
@@ -402,7 +403,7 @@
 
 void JobScheduler::GiveUp(Job& job, JobReason reason) {
   if (MayHaveRun(job)) return End(job, JobResult::kAbandoned, reason);
-  End(job, JobResult::kRefused, reason, ExpectedWait(job));
+  End(job, JobResult::kRefused, reason, ExpectedWait(job).value_or(Duration(0)));
 }
 
 void JobScheduler::AbandonAll() {
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -169,6 +169,8 @@
     // It is refused unless its tasks are expected to start by then.
     TimePoint start_by;
     TimePoint latest_start;
+    // Orders are sent where they are expected to wait no longer.
+    Duration order_wait{0};
     // The answer is in time until then.
     TimePoint objective;
     TimePoint first_ordered;
@@ -215,8 +217,9 @@
   void Dequeue(Job& job);
   StartRank RankOf(const Job& job) const;
   QueueKey KeyOf(const Job& job) const;
-  // How long the first tasks that wait would have to wait at the best executor.
-  Duration ExpectedWait(const Job& job) const;
+  // How long the first tasks that wait would have to wait at the best executor, if one can run
+  // them.
+  std::optional<Duration> ExpectedWait(const Job& job) const;
   void MoveStragglers();
   bool ShouldMove(const Job& job, const Step& step, const Task& task, double pace,
                   double median_pace) const;
--- a/src/core/urgent_reserve.h
+++ b/src/core/urgent_reserve.h
@@ -35,7 +35,7 @@
   static constexpr double kMemorySeconds = 1.0;
   // Part of the mean use that is kept. More left executors idle while callers were refused: urgent
   // orders come first when room becomes free, so many find some without it.
-  static constexpr double kKeptPart = 0.75;
+  static constexpr double kKeptPart = 0.6;
   static constexpr double kMostShare = 0.5;
 
   double MeanAt(TimePoint now) const {
--- a/src/core/wait_policy.cc
+++ b/src/core/wait_policy.cc
@@ -15,6 +15,11 @@
   return std::min(received + std::min(share, spare), job.deadline);
 }
 
+Duration WaitPolicy::OrderWait(const JobRequest& job, Duration chain) const {
+  const double part = job.urgent ? options_.urgent_wait_share : options_.order_wait_share;
+  return std::chrono::duration_cast<Duration>(Objective(job, chain) * part);
+}
+
 TimePoint WaitPolicy::LatestStart(const JobRequest& job, Duration chain, TimePoint received) const {
   const Duration spare = std::max(Objective(job, chain) - chain, Duration(0));
   return std::min(received + spare, job.deadline);
--- a/src/core/wait_policy.h
+++ b/src/core/wait_policy.h
@@ -16,11 +16,15 @@
 class WaitPolicy {
  public:
   struct Options {
-    // Part of the objective that tasks may be expected to wait. The rest is for the run, for tasks
-    // that run longer than estimated, and for reports that are late. Urgent orders are overtaken by
-    // none, so that their expected waits hold; others are overtaken by later urgent ones.
+    // Part of the objective that tasks may be expected to wait; a job whose wait is longer is
+    // refused. The rest is for the run, for tasks that run longer than estimated, and for late
+    // reports.
     double urgent_wait_share = 0.35;
-    double wait_share = 0.08;
+    double wait_share = 0.25;
+    // Part of the objective that tasks may be expected to wait at an executor. Urgent orders are
+    // overtaken by none, so that their expected waits hold. The others are overtaken by later
+    // urgent ones, so that they wait at the entry until a short wait is in sight anywhere.
+    double order_wait_share = 0.015;
     std::chrono::milliseconds least_retry_after{1000};
     // Before the spread.
     std::chrono::milliseconds most_retry_after{4000};
@@ -37,6 +41,9 @@
   // Tasks must be expected to start by then, or the job is refused.
   TimePoint StartBy(const JobRequest& job, Duration chain, TimePoint received) const;
 
+  // The longest expected wait with which an order is sent to an executor.
+  Duration OrderWait(const JobRequest& job, Duration chain) const;
+
   // Tasks that start by then end in time.
   TimePoint LatestStart(const JobRequest& job, Duration chain, TimePoint received) const;
 
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -257,10 +257,16 @@
   fixture.Report("a", 1000);
   fixture.Submit(fixture.Job("wide", 3));
   cr_assert_eq(fixture.ordered_tasks(), 0);
-  cr_assert(fixture.answers.at(0).answer.result == JobResult::kRefused);
   // What was taken back is free again.
   fixture.Submit(fixture.Job("narrow", 1));
   cr_assert_eq(fixture.ordered_tasks(), 1);
+  cr_assert_eq(fixture.starts.at(0).job_id, "narrow");
+  fixture.clock.Advance(milliseconds(55));
+  fixture.scheduler.OnTimer();
+  fixture.Take();
+  cr_assert_eq(fixture.answers.size(), 1);
+  cr_assert_eq(fixture.answers.at(0).answer.job_id, "wide");
+  cr_assert(fixture.answers.at(0).answer.result == JobResult::kRefused);
 }
 
 // Guards against a refusal of a job with tasks that run, and against a task that is forgotten when
