scheduler, placement: a random engine for equal waits; waits for memory and GPUs count

An executor with free cores and no free GPU counted as having room at once; WaitFor now says zero only if everything fits. A job whose orders were taken back reported a wait that ended with them. Placement takes a std::minstd_rand instead of its own generator.

--- a/src/core/executor_view.h
+++ b/src/core/executor_view.h
@@ -81,12 +81,12 @@
         rank == StartRank::kNormal ? report_.lesser_release_rate : report_.release_rate;
     if (rate <= 0) return Duration::max();
     // Without room for its memory, an order waits for at least one end of its size.
-    const std::int64_t missing =
-        std::max(need.cpu_milli + ahead - free_.cpu_milli,
-                 need.memory_mb > free_.memory_mb ? need.cpu_milli : std::int64_t{0});
-    const std::chrono::duration<double> wait(
-        static_cast<double>(std::max<std::int64_t>(missing, 0)) / rate);
-    return std::chrono::duration_cast<Duration>(wait);
+    const bool lacks_other_room = need.memory_mb > free_.memory_mb || need.gpus > free_.gpus;
+    const std::int64_t missing = std::max(need.cpu_milli + ahead - free_.cpu_milli,
+                                          lacks_other_room ? need.cpu_milli : std::int64_t{0});
+    const std::chrono::duration<double> wait(static_cast<double>(missing) / rate);
+    // Zero is said only of room that is free now.
+    return std::max(std::chrono::duration_cast<Duration>(wait), Duration(1));
   }
 
   // Room after every order that was sent; negative if more was ordered than there is.
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -15,7 +15,7 @@
       clock_(clock),
       wait_policy_(options.wait),
       placement_({.availability_zone = options.availability_zone}),
-      placement_salt_(options.placement_salt) {}
+      placement_random_(options.placement_seed) {}
 
 // --- Admission
 
@@ -203,14 +203,15 @@
   const Duration limit =
       started ? options_.order_expiry : std::min(job.order_wait, job.start_by - clock_.now());
   if (limit <= Duration(0)) return nullptr;
-  return placement_.ChooseSoonest(views_, query, limit, next_order_ + placement_salt_);
+  return placement_.ChooseSoonest(views_, query, limit, placement_random_);
 }
 
 void JobScheduler::PlaceJob(Job& job) {
   const StartRank rank = RankOf(job);
   bool complete = true;
-  for (std::uint32_t s = 0; s < job.steps.size(); ++s)
+  for (std::uint32_t s = 0; s < job.steps.size(); ++s) {
     complete = PlaceStep(job, s, rank) && complete;
+  }
   // A job of which only some tasks start in time is late, and has taken room from others.
   if (!complete && rank != StartRank::kStarted) TakeBackOrders(job);
   for (auto& [key, start] : gathering_) actions_.emplace_back(std::move(start));
@@ -263,6 +264,7 @@
       MakeReady(job, step, step.tasks[each.index]);
     }
   }
+  job.first_ordered = {};
   gathering_.clear();
 }
 
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <span>
 #include <string>
@@ -85,7 +86,7 @@
   struct Options {
     std::string availability_zone;
     // Differs between entries; see RoomPlacement::ChooseSoonest.
-    std::uint64_t placement_salt = 0;
+    std::uint32_t placement_seed = 1;
     WaitPolicy::Options wait;
     // An agent that went away has ended every run by then: its silence limit, one lease on a clock
     // that is 2 % slow, and the time of a stop.
@@ -245,7 +246,7 @@
   const Clock& clock_;
   const WaitPolicy wait_policy_;
   const RoomPlacement placement_;
-  const std::uint64_t placement_salt_;
+  std::minstd_rand placement_random_;
   RunTimeEstimator estimator_;
   ExecutorHealth health_;
   std::unordered_map<std::string, Job> jobs_;
--- a/src/core/room_placement.cc
+++ b/src/core/room_placement.cc
@@ -61,18 +61,15 @@
 
 ExecutorView* RoomPlacement::ChooseSoonest(std::span<ExecutorView* const> executors,
                                            const Query& query, Duration limit,
-                                           std::uint64_t salt) const {
+                                           std::minstd_rand& random) const {
   ExecutorView* best = nullptr;
   double best_score = 0;
-  const double age = std::chrono::duration<double>(options_.view_age).count();
+  std::uniform_real_distribution<> age(0, std::chrono::duration<double>(options_.view_age).count());
   for (ExecutorView* executor : executors) {
     if (!executor->takes_work() || !query.step->need.Fits(executor->report().capacity)) continue;
     const Duration wait = executor->WaitFor(query.step->need, query.rank);
     if (wait > limit) continue;
-    constexpr std::uint64_t kSteps = 1024;
-    salt = salt * 6364136223846793005ULL + 1442695040888963407ULL;
-    const double shift = static_cast<double>((salt >> 33U) % kSteps) / kSteps * age;
-    const double score = std::chrono::duration<double>(wait).count() + shift;
+    const double score = std::chrono::duration<double>(wait).count() + age(random);
     if (best != nullptr && score >= best_score) continue;
     if (!IsCandidate(*executor, query)) continue;
     best = executor;
--- a/src/core/room_placement.h
+++ b/src/core/room_placement.h
@@ -3,8 +3,8 @@
 #define ZINNIAMUX_CORE_ROOM_PLACEMENT_H_
 
 #include <chrono>
-#include <cstdint>
 #include <functional>
+#include <random>
 #include <span>
 #include <string>
 #include <string_view>
@@ -49,11 +49,11 @@
   // The best executor on which the task can start at once, or null. Slow executors are not chosen.
   ExecutorView* Choose(std::span<ExecutorView* const> executors, const Query& query) const;
 
-  // The executor on which the task waits least, at most `limit`, or null. Waits that differ by less
-  // than a report's age are ordered by `salt`, so that entries with the same view of the executors
-  // do not all choose the same one.
+  // The executor on which the task waits least, at most `limit`, or null. Among waits that differ
+  // by less than a report's age, `random` decides, so that entries with the same view of the
+  // executors do not all choose the same one.
   ExecutorView* ChooseSoonest(std::span<ExecutorView* const> executors, const Query& query,
-                              Duration limit, std::uint64_t salt) const;
+                              Duration limit, std::minstd_rand& random) const;
 
   // The least wait on any executor; Duration::max() if none can run the task.
   Duration LeastWait(std::span<ExecutorView* const> executors, const Query& query) const;
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -188,10 +188,8 @@
 
 void RunSupervisor::OnStopOrder(const std::string& owner, const RunId& id) {
   OnOwnerHeard(owner);
-  if (auto waiting = queue_.Take(id)) {
-    if (waiting->owner == owner)
-      return RefuseWaiting({*std::move(waiting)}, RunOutcome::kWithdrawn);
-    queue_.Add(*std::move(waiting));
+  if (auto waiting = queue_.Take(owner, id)) {
+    return RefuseWaiting({*std::move(waiting)}, RunOutcome::kWithdrawn);
   }
   const auto run = runs_.find(id);
   if (run == runs_.end() || run->second.owner != owner) return;
--- a/src/core/start_queue.cc
+++ b/src/core/start_queue.cc
@@ -59,9 +59,9 @@
   return TakeIf([](const Waiting&) { return true; });
 }
 
-std::optional<StartQueue::Waiting> StartQueue::Take(const RunId& id) {
-  std::vector<Waiting> taken =
-      TakeIf([&id](const Waiting& waiting) { return waiting.order.id == id; });
+std::optional<StartQueue::Waiting> StartQueue::Take(std::string_view owner, const RunId& id) {
+  std::vector<Waiting> taken = TakeIf(
+      [&](const Waiting& waiting) { return waiting.owner == owner && waiting.order.id == id; });
   if (taken.empty()) return std::nullopt;
   return std::move(taken.front());
 }
--- a/src/core/start_queue.h
+++ b/src/core/start_queue.h
@@ -39,7 +39,8 @@
   std::vector<Waiting> TakeExpired(TimePoint now);
   std::vector<Waiting> TakeOf(std::string_view owner);
   std::vector<Waiting> TakeAll();
-  std::optional<Waiting> Take(const RunId& id);
+  // The order, if it is there and of this owner.
+  std::optional<Waiting> Take(std::string_view owner, const RunId& id);
 
   bool ContainsTask(const TaskId& task) const;
   std::vector<RunId> IdsOf(std::string_view owner) const;
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -4,6 +4,7 @@
 #include <asio/post.hpp>
 #include <chrono>
 #include <csignal>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <utility>
 #include <variant>
@@ -47,7 +48,7 @@
 core::JobScheduler::Options SchedulerOptions(const adapters::DispatcherSettings& settings) {
   core::JobScheduler::Options options;
   options.availability_zone = settings.availability_zone;
-  options.placement_salt = std::hash<std::string>()(settings.id);
+  options.placement_seed = static_cast<std::uint32_t>(std::hash<std::string>()(settings.id));
   const milliseconds silence = SupervisorRegistry::Options().silence_limit;
   // A lease on a clock that is 2 % slow, and the time of a stop order on its way.
   options.lost_after =
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -71,7 +71,7 @@
     dispatchers_.push_back(std::make_unique<Dispatcher>());
     core::JobScheduler::Options scheduler = options_.scheduler;
     scheduler.availability_zone = "zone-" + std::to_string(i % 3);
-    scheduler.placement_salt = i;
+    scheduler.placement_seed = static_cast<std::uint32_t>(i + 1);
     dispatchers_.back()->scheduler = std::make_unique<core::JobScheduler>(scheduler, clock_);
   }
   links_.resize(options_.dispatchers * supervisors_.size());
