daemons, settings: one place for incarnations; an unused bound is gone

Dispatcher and supervisor each computed a rising incarnation, entry and agent a random one. bounds.config_apply_ms was read and checked but nothing used it.

--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -136,7 +136,6 @@
   read("lease_ms", bounds.lease);
   read("stop_ms", bounds.stop_time);
   read("retransmit_ms", bounds.retransmit);
-  read("config_apply_ms", bounds.config_apply);
   constexpr double kMaxGraceSeconds = 600;
   const double grace = object.Number("grace_s", 0, kMaxGraceSeconds,
                                      std::chrono::duration<double>(bounds.grace).count());
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -74,8 +74,6 @@
   std::chrono::milliseconds retransmit{1300};
   // A process is killed this long after SIGTERM.
   std::chrono::milliseconds grace{6000};
-  // A changed configuration must be in force this long after it was accepted.
-  std::chrono::milliseconds config_apply{2000};
 };
 
 // Settings of the dispatcher role: an entry of a deployment with leased execution.
--- a/src/zinniamuxd/agent_daemon.cc
+++ b/src/zinniamuxd/agent_daemon.cc
@@ -15,6 +15,7 @@
 #include "core/agent_instance.h"
 #include "rpc/convert.h"
 #include "zinniamuxd/announcement.h"
+#include "zinniamuxd/incarnation.h"
 #include "zinniamuxd/stream_timing.h"
 
 namespace zinniamux::daemon {
@@ -54,15 +55,9 @@
   return kReasonNames[static_cast<std::size_t>(reason)];
 }
 
-std::uint64_t NewIncarnation() {
-  std::random_device source;
-  const std::uint64_t high = source();
-  return (high << 32U | source()) | 1U;
-}
-
 core::AgentCore::Options CoreOptions(const adapters::AgentSettings& settings) {
   return {.agent_id = settings.id,
-          .incarnation = NewIncarnation(),
+          .incarnation = RandomIncarnation(),
           .shard = settings.shard,
           .availability_zone = settings.availability_zone,
           .rack = settings.rack,
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -11,6 +11,7 @@
 
 #include "platform/configuration_codec.h"
 #include "platform/names.h"
+#include "zinniamuxd/incarnation.h"
 
 namespace zinniamux::daemon {
 namespace {
@@ -38,13 +39,6 @@
 constexpr milliseconds kEndReserve{500};
 constexpr long kStoreConnections = 8;
 
-// Distinguishes this process from earlier ones with the same id.
-std::uint64_t NewIncarnation() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 core::JobScheduler::Options SchedulerOptions(const adapters::DispatcherSettings& settings) {
   core::JobScheduler::Options options;
   options.availability_zone = settings.availability_zone;
@@ -65,7 +59,7 @@
       settings_file_(std::move(settings_file)),
       clock_(clock),
       log_(log),
-      incarnation_(NewIncarnation()),
+      incarnation_(RisingIncarnation()),
       metrics_(clock),
       client_(kStoreConnections),
       store_({.url = settings.store_url, .deadline = milliseconds(1000)}, client_, clock),
--- a/src/zinniamuxd/entry_daemon.cc
+++ b/src/zinniamuxd/entry_daemon.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -11,6 +10,7 @@
 #include "adapters/caller_codec.h"
 #include "adapters/config_codec.h"
 #include "rpc/convert.h"
+#include "zinniamuxd/incarnation.h"
 
 namespace zinniamux::daemon {
 namespace {
@@ -31,17 +31,9 @@
 // The longest deadline of a submission, with a margin for its answer.
 constexpr std::chrono::minutes kLongestStop{11};
 
-std::uint64_t NewIncarnation() {
-  // 48 bits are exact in every JSON reader.
-  constexpr std::uint64_t kMask = (1ULL << 48U) - 1;
-  std::random_device random;
-  const std::uint64_t number = (static_cast<std::uint64_t>(random()) << 32U) ^ random();
-  return (number & kMask) | 1U;
-}
-
 core::EntryAddress SelfOf(const adapters::EntrySettings& settings) {
   return {.entry_id = settings.id,
-          .incarnation = NewIncarnation(),
+          .incarnation = RandomIncarnation(),
           .rpc_address = settings.rpc_advertised.empty() ? adapters::AddressText(settings.rpc)
                                                          : settings.rpc_advertised};
 }
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -12,6 +12,7 @@
 #include "adapters/row_codec.h"
 #include "platform/executor_codec.h"
 #include "platform/names.h"
+#include "zinniamuxd/incarnation.h"
 #include "zinniamuxd/run_codec.h"
 
 namespace zinniamux::daemon {
@@ -42,12 +43,6 @@
 constexpr long kExecutorConnections = 12;
 constexpr long kStoreConnections = 2;
 
-std::uint64_t UnixMilliseconds() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 core::RunSupervisor::Options SupervisorOptions(const adapters::LeaseBounds& bounds,
                                                std::uint64_t fencing_token) {
   core::RunSupervisor::Options options;
@@ -71,7 +66,7 @@
       settings_file_(std::move(settings_file)),
       clock_(clock),
       log_(log),
-      incarnation_(UnixMilliseconds()),
+      incarnation_(RisingIncarnation()),
       metrics_(clock),
       // Later processes of this VM get higher tokens.
       supervisor_(SupervisorOptions(settings.bounds, incarnation_), clock),
