scheduler, supervisor: changes reported to four entries only; orders that expect room come back at once

Cause: a supervisor shared 250 reports a second among all dispatchers, so with 35 of them views were 140 ms old, more than twice the run time of the shortest tasks, and all dispatchers chose the executor with the most free room in them.

Now: each executor has four close entries (rendezvous hashing), which get every change; the others get a report with each heartbeat. Tasks go to close executors first, then to one of the others drawn by its last known room. An order that expects room is refused at once if there is none, and placed anew. While a third of such orders miss, views are not trusted: orders wait at close executors as before, and those that are neither urgent nor started leave room for one more.

--- a/src/core/executor_view.h
+++ b/src/core/executor_view.h
@@ -23,6 +23,8 @@
   // Room that no run of any entry takes.
   Resources free;
   std::vector<std::string> labels;
+  // Every change of room is reported to this entry at once; see ReportAudience.
+  bool is_close = false;
   // The highest order of this entry that `free` takes into account.
   std::uint64_t orders_seen = 0;
   // Recent run time divided by the estimate, 0 if unknown.
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -195,15 +195,27 @@
   }
 }
 
-ExecutorView* JobScheduler::ChooseExecutor(const Job& job, const RoomPlacement::Query& query) {
-  // Its tasks would end after the objective.
-  if (query.rank != StartRank::kStarted && clock_.now() >= job.latest_start) return nullptr;
-  if (ExecutorView* free = placement_.Choose(views_, query)) return free;
+JobScheduler::Choice JobScheduler::ChooseExecutor(const Job& job, const Task& task,
+                                                  RoomPlacement::Query query) {
+  const TimePoint now = clock_.now();
   const bool started = query.rank == StartRank::kStarted;
+  // Its tasks would end after the objective.
+  if (!started && now >= job.latest_start) return {};
+  const bool may_miss = task.missed_room < options_.max_missed_room;
+  query.tries_close = close_trust_.holds(now);
+  query.tries_others = may_miss && others_trust_.holds(now);
+  if (ExecutorView* free = placement_.Choose(views_, query, placement_random_)) {
+    return {.view = free, .at_once = may_miss};
+  }
   const Duration limit =
-      started ? options_.order_expiry : std::min(job.order_wait, job.start_by - clock_.now());
-  if (limit <= Duration(0)) return nullptr;
-  return placement_.ChooseSoonest(views_, query, limit, placement_random_);
+      started ? options_.order_expiry : std::min(job.order_wait, job.start_by - now);
+  if (limit <= Duration(0)) return {};
+  // While others order on the same room, the order that comes first is rarely the one that is
+  // neither urgent nor started.
+  if (!query.tries_close && query.rank == StartRank::kNormal) {
+    query.headroom_cpu_milli = query.step->need.cpu_milli;
+  }
+  return {.view = placement_.ChooseSoonest(views_, query, limit, placement_random_)};
 }
 
 void JobScheduler::PlaceJob(Job& job) {
@@ -214,7 +226,12 @@
   }
   // A job of which only some tasks start in time is late, and has taken room from others.
   if (!complete && rank != StartRank::kStarted) TakeBackOrders(job);
-  for (auto& [key, start] : gathering_) actions_.emplace_back(std::move(start));
+  for (auto& [key, start] : gathering_) {
+    if (start.at_once) {
+      TrustOf(agents_.at(start.agent_id).view).NoteOrders(start.starts.size(), clock_.now());
+    }
+    actions_.emplace_back(std::move(start));
+  }
   gathering_.clear();
 }
 
@@ -236,17 +253,18 @@
       if (health_.standing(view.agent_id()) == ExecutorHealth::Standing::kEjected) return false;
       return wanted.max_per_executor == 0 || on_agent[view.agent_id()] < wanted.max_per_executor;
     };
-    ExecutorView* view = ChooseExecutor(job, {.service = job.request.service,
-                                              .step = &wanted,
-                                              .rank = rank,
-                                              .median_pace = median_pace_,
-                                              .allows = allows});
+    const Choice choice = ChooseExecutor(job, task,
+                                         {.service = job.request.service,
+                                          .step = &wanted,
+                                          .rank = rank,
+                                          .median_pace = median_pace_,
+                                          .allows = allows});
     // Tasks of a step are alike, so the next one fits nowhere either, unless this one avoids an
     // executor of its own.
-    if (view == nullptr && task.avoid.empty()) break;
-    if (view == nullptr) continue;
-    if (wanted.max_per_executor > 0) ++on_agent[view->agent_id()];
-    Order(job, step_index, index, rank, agents_.at(view->agent_id()));
+    if (choice.view == nullptr && task.avoid.empty()) break;
+    if (choice.view == nullptr) continue;
+    if (wanted.max_per_executor > 0) ++on_agent[choice.view->agent_id()];
+    Order(job, step_index, index, rank, choice);
   }
   return step.ready == 0;
 }
@@ -269,14 +287,15 @@
 }
 
 void JobScheduler::Order(Job& job, std::uint32_t step_index, std::uint32_t index, StartRank rank,
-                         Agent& agent) {
+                         const Choice& choice) {
+  Agent& agent = agents_.at(choice.view->agent_id());
   Step& step = job.steps[step_index];
   Task& task = step.tasks[index];
   const TimePoint now = clock_.now();
   const JobStep& wanted = job.request.steps[step_index];
   TimePoint expires = std::min(now + options_.order_expiry, job.request.deadline);
   if (rank != StartRank::kStarted) expires = std::min(expires, job.latest_start);
-  StartTasks& start = gathering_[{step_index, agent.view.agent_id()}];
+  StartTasks& start = gathering_[{step_index, agent.view.agent_id(), choice.at_once}];
   if (start.starts.empty()) {
     start = StartTasks{.agent_id = agent.view.agent_id(),
                        .order = next_order_++,
@@ -286,6 +305,7 @@
                        .need = wanted.need,
                        .estimate = std::chrono::duration_cast<milliseconds>(step.estimate),
                        .expires = expires,
+                       .at_once = choice.at_once,
                        .rank = rank,
                        .urgent = job.request.urgent};
   }
@@ -309,6 +329,7 @@
                                Duration elapsed) {
   const auto agent = agents_.find(agent_id);
   if (agent == agents_.end() || agent->second.runs.erase(id) == 0) return;
+  if (outcome == RunOutcome::kNoRoom) TrustOf(agent->second.view).NoteMiss(clock_.now());
   OnRunOver(agent->second, id, outcome, elapsed);
 }
 
@@ -358,6 +379,7 @@
   }
   if (!HasStarted(outcome)) {
     ++job.refused_starts;
+    if (outcome == RunOutcome::kNoRoom) ++task.missed_room;
     // Runs of an earlier sending of the job count up from 1 as well.
     constexpr std::uint32_t kRunSkip = 100;
     if (outcome == RunOutcome::kOutdated) task.run += kRunSkip;
@@ -439,7 +461,7 @@
 }
 
 bool JobScheduler::ShouldMove(const Job& job, const Step& step, const Task& task, double pace,
-                              double median_pace) const {
+                              double median_pace) {
   if (task.state != TaskState::kOrdered || task.moved) return false;
   const TimePoint now = clock_.now();
   const auto scaled = [&step](double ratio) {
@@ -449,10 +471,12 @@
   const TimePoint end_elsewhere = now + scaled(median_pace);
   if (end_here <= job.objective || end_elsewhere >= end_here) return false;
   const JobStep& wanted = job.request.steps[static_cast<std::size_t>(&step - job.steps.data())];
-  return placement_.Choose(views_, {.service = job.request.service,
-                                    .step = &wanted,
-                                    .rank = StartRank::kStarted,
-                                    .median_pace = median_pace}) != nullptr;
+  return placement_.Choose(views_,
+                           {.service = job.request.service,
+                            .step = &wanted,
+                            .rank = StartRank::kStarted,
+                            .median_pace = median_pace},
+                           placement_random_) != nullptr;
 }
 
 // --- Agents
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -24,6 +24,7 @@
 #include "core/room_placement.h"
 #include "core/run.h"
 #include "core/run_time_estimator.h"
+#include "core/view_trust.h"
 #include "core/wait_policy.h"
 
 namespace zinniamux::core {
@@ -39,6 +40,8 @@
   std::chrono::milliseconds estimate{0};
   // The runs do not start after this time.
   TimePoint expires;
+  // Room is expected to be free. Runs without room are refused, to be placed on another executor.
+  bool at_once = false;
   StartRank rank = StartRank::kNormal;
   bool urgent = false;
   struct Start {
@@ -102,6 +105,9 @@
     std::size_t max_jobs = 20'000;
     // Orders of one task that agents refuse, before the job is given up.
     std::uint32_t max_refused_starts = 30;
+    // Orders of one task that are refused for want of room, before the next one waits. Views of
+    // executors that are not close are right more often than not while there is room.
+    std::uint32_t max_missed_room = 6;
     // A run is moved off an executor whose pace is this many times the median.
     double move_ratio = 3.0;
   };
@@ -148,6 +154,8 @@
     std::uint32_t run = 0;
     std::uint32_t failed = 0;
     std::uint32_t refused = 0;
+    // Orders that were refused for want of room.
+    std::uint32_t missed_room = 0;
     std::string agent_id;
     TimePoint ordered_at;
     // The agent on which it failed last.
@@ -223,14 +231,22 @@
   std::optional<Duration> ExpectedWait(const Job& job) const;
   void MoveStragglers();
   bool ShouldMove(const Job& job, const Step& step, const Task& task, double pace,
-                  double median_pace) const;
+                  double median_pace);
   void PlaceJob(Job& job);
   // False if a task of the step is not placed.
   bool PlaceStep(Job& job, std::uint32_t step_index, StartRank rank);
   // Takes back the orders that were not sent.
   void TakeBackOrders(Job& job);
-  ExecutorView* ChooseExecutor(const Job& job, const RoomPlacement::Query& query);
-  void Order(Job& job, std::uint32_t step, std::uint32_t index, StartRank rank, Agent& agent);
+  struct Choice {
+    ExecutorView* view = nullptr;
+    bool at_once = false;
+  };
+  ViewTrust& TrustOf(const ExecutorView& view) {
+    return view.report().is_close ? close_trust_ : others_trust_;
+  }
+  Choice ChooseExecutor(const Job& job, const Task& task, RoomPlacement::Query query);
+  void Order(Job& job, std::uint32_t step, std::uint32_t index, StartRank rank,
+             const Choice& choice);
   void OnRunOver(const Agent& agent, const RunId& id, RunOutcome outcome, Duration elapsed);
   void OnTaskOver(Job& job, const RunId& id, RunOutcome outcome);
   static bool MayHaveRun(const Job& job) { return job.worked_on || job.ordered > 0; }
@@ -247,6 +263,9 @@
   const WaitPolicy wait_policy_;
   const RoomPlacement placement_;
   std::minstd_rand placement_random_;
+  // Of close executors, and of the others.
+  ViewTrust close_trust_;
+  ViewTrust others_trust_;
   RunTimeEstimator estimator_;
   ExecutorHealth health_;
   std::unordered_map<std::string, Job> jobs_;
@@ -257,9 +276,17 @@
   std::vector<ExecutorView*> views_;
   // RoomPlacement::MedianPace of views_, as of the last placement.
   double median_pace_ = 1;
-  // Starts of the job that is being placed, by step and agent, so that a step's tasks share an
-  // order.
-  std::map<std::pair<std::uint32_t, std::string>, StartTasks> gathering_;
+  // Starts of the job that is being placed, so that a step's tasks on one agent share an order.
+  struct OrderKey {
+    std::uint32_t step = 0;
+    std::string agent_id;
+    bool at_once = false;
+    bool operator<(const OrderKey& other) const {
+      return std::tie(step, agent_id, at_once) <
+             std::tie(other.step, other.agent_id, other.at_once);
+    }
+  };
+  std::map<OrderKey, StartTasks> gathering_;
   std::uint64_t next_order_ = 1;
   std::uint64_t next_job_number_ = 1;
   // Set when the process is to end.
--- /dev/null
+++ b/src/core/report_audience.cc
@@ -0,0 +1,50 @@
+// Rendezvous hashing of entries.
+#include "core/report_audience.h"
+
+#include <algorithm>
+#include <utility>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace zinniamux::core {
+namespace {
+
+std::uint64_t HashOf(std::string_view text, std::uint64_t seed) {
+  return XXH64(text.data(), text.size(), seed);
+}
+
+}  // namespace
+
+ReportAudience::ReportAudience(const Options& options, std::string_view agent_id)
+    : options_(options), seed_(HashOf(agent_id, 0)) {}
+
+bool ReportAudience::Add(const std::string& entry_id) {
+  const std::uint64_t hash = HashOf(entry_id, seed_);
+  const auto [begin, end] = entries_.equal_range(hash);
+  const bool known = std::any_of(begin, end, [&](const auto& e) { return e.second == entry_id; });
+  if (known) return false;
+  entries_.emplace(hash, entry_id);
+  return Choose();
+}
+
+bool ReportAudience::Remove(const std::string& entry_id) {
+  const auto [begin, end] = entries_.equal_range(HashOf(entry_id, seed_));
+  const auto found = std::find_if(begin, end, [&](const auto& e) { return e.second == entry_id; });
+  if (found == end) return false;
+  entries_.erase(found);
+  return Choose();
+}
+
+bool ReportAudience::Choose() {
+  std::set<std::string> chosen;
+  for (auto next = entries_.rbegin(); next != entries_.rend(); ++next) {
+    if (chosen.size() >= options_.close_entries) break;
+    chosen.insert(next->second);
+  }
+  if (chosen == close_) return false;
+  close_ = std::move(chosen);
+  return true;
+}
+
+}  // namespace zinniamux::core
--- a/src/core/room_placement.cc
+++ b/src/core/room_placement.cc
@@ -42,13 +42,35 @@
   return used < capacity * trusted_share;
 }
 
-ExecutorView* RoomPlacement::Choose(std::span<ExecutorView* const> executors,
-                                    const Query& query) const {
+bool RoomPlacement::IsPreferred(const ExecutorView& executor, const Query& query) {
+  const std::string& rack = query.step->preferred_rack;
+  return executor.report().is_close || (!rack.empty() && executor.HasLabel(rack));
+}
+
+bool RoomPlacement::HasClose(std::span<ExecutorView* const> executors, const Query& query) const {
+  return std::any_of(executors.begin(), executors.end(), [&](const ExecutorView* executor) {
+    return executor->report().is_close && executor->takes_work() &&
+           query.step->need.Fits(executor->report().capacity) && IsCandidate(*executor, query);
+  });
+}
+
+ExecutorView* RoomPlacement::Choose(std::span<ExecutorView* const> executors, const Query& query,
+                                    std::minstd_rand& random) const {
   ExecutorView* best = nullptr;
   double best_score = 0;
+  ExecutorView* drawn = nullptr;
+  double drawn_from = 0;
   for (ExecutorView* executor : executors) {
     if (!executor->takes_work()) continue;
+    if (!(executor->report().is_close ? query.tries_close : query.tries_others)) continue;
     if (executor->WaitFor(query.step->need, query.rank) > Duration(0)) continue;
+    if (!IsPreferred(*executor, query)) {
+      if (best != nullptr || !IsCandidate(*executor, query)) continue;
+      const auto room = static_cast<double>(executor->free().cpu_milli);
+      drawn_from += room;
+      if (std::uniform_real_distribution<>(0, drawn_from)(random) <= room) drawn = executor;
+      continue;
+    }
     const double score = Score(*executor, query);
     // What costs more to find out is asked of candidates only.
     if (best != nullptr && score <= best_score) continue;
@@ -56,7 +78,7 @@
     best = executor;
     best_score = score;
   }
-  return best;
+  return best != nullptr ? best : drawn;
 }
 
 ExecutorView* RoomPlacement::ChooseSoonest(std::span<ExecutorView* const> executors,
@@ -65,9 +87,13 @@
   ExecutorView* best = nullptr;
   double best_score = 0;
   std::uniform_real_distribution<> age(0, std::chrono::duration<double>(options_.view_age).count());
+  const bool only_close = HasClose(executors, query);
+  Resources need = query.step->need;
+  need.cpu_milli += query.headroom_cpu_milli;
   for (ExecutorView* executor : executors) {
+    if (only_close && !executor->report().is_close) continue;
     if (!executor->takes_work() || !query.step->need.Fits(executor->report().capacity)) continue;
-    const Duration wait = executor->WaitFor(query.step->need, query.rank);
+    const Duration wait = executor->WaitFor(need, query.rank);
     if (wait > limit) continue;
     const double score = std::chrono::duration<double>(wait).count() + age(random);
     if (best != nullptr && score >= best_score) continue;
@@ -81,7 +107,9 @@
 Duration RoomPlacement::LeastWait(std::span<ExecutorView* const> executors,
                                   const Query& query) const {
   Duration least = Duration::max();
+  const bool only_close = HasClose(executors, query);
   for (const ExecutorView* executor : executors) {
+    if (only_close && !executor->report().is_close) continue;
     if (!executor->takes_work() || !query.step->need.Fits(executor->report().capacity)) continue;
     const Duration wait = executor->WaitFor(query.step->need, query.rank);
     if (wait < least && IsCandidate(*executor, query)) least = wait;
--- a/src/core/run.h
+++ b/src/core/run.h
@@ -77,6 +77,8 @@
   std::chrono::milliseconds estimate{0};
   // The run does not start after this time.
   TimePoint expires;
+  // Without room for it, the run is refused at once instead of waiting until it expires.
+  bool at_once = false;
   StartRank rank = StartRank::kNormal;
   // May use the room that is kept for urgent runs.
   bool urgent = false;
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -132,6 +132,10 @@
     return;
   }
   StartWaiting();
+  if (!order.at_once) return;
+  if (auto waiting = queue_.Take(owner, order.id)) {
+    RefuseWaiting({*std::move(waiting)}, RunOutcome::kNoRoom);
+  }
 }
 
 void RunSupervisor::StartWaiting() {
--- a/src/zinniamuxd/entry_link.cc
+++ b/src/zinniamuxd/entry_link.cc
@@ -124,7 +124,9 @@
   if (!connection_) return;
   const core::TimePoint now = clock_.now();
   if (now - heard_at_ > options_.silence_limit) return OnClosed("silent");
-  if (now - sent_at_ >= options_.heartbeat) Send();
+  if (now - sent_at_ < options_.heartbeat) return;
+  handlers_.on_heartbeat(*this, outgoing_);
+  Send();
 }
 
 }  // namespace zinniamux::daemon
--- a/src/zinniamuxd/entry_link.h
+++ b/src/zinniamuxd/entry_link.h
@@ -37,6 +37,8 @@
   struct Handlers {
     // Fills the introduction and the first report.
     std::function<void(const EntryLink& link, runs::AgentFrame& frame)> introduce;
+    // Adds to a heartbeat.
+    std::function<void(const EntryLink& link, runs::AgentFrame& frame)> on_heartbeat;
     std::function<void(const std::string& owner, const runs::EntryFrame& frame)> on_frame;
     // The process that had this name is gone for certain.
     std::function<void(const std::string& owner)> on_owner_gone;
--- a/src/zinniamuxd/run_codec.cc
+++ b/src/zinniamuxd/run_codec.cc
@@ -44,6 +44,7 @@
   ToMessage(report.capacity, *message.mutable_capacity());
   ToMessage(report.free, *message.mutable_free());
   for (const std::string& label : report.labels) message.add_labels(label);
+  message.set_is_close(report.is_close);
   message.set_orders_seen(report.orders_seen);
   message.set_pace_permille(static_cast<std::uint32_t>(report.pace * kPermille));
   message.set_waiting_urgent_cpu_milli(report.waiting.urgent_cpu_milli);
@@ -60,6 +61,7 @@
           .capacity = FromMessage(message.capacity()),
           .free = FromMessage(message.free()),
           .labels = {message.labels().begin(), message.labels().end()},
+          .is_close = message.is_close(),
           .orders_seen = message.orders_seen(),
           .pace = message.pace_permille() / kPermille,
           .waiting = {.urgent_cpu_milli = message.waiting_urgent_cpu_milli(),
@@ -78,6 +80,7 @@
   ToMessage(start.need, *message.mutable_need());
   message.set_estimate_ms(static_cast<std::uint32_t>(start.estimate.count()));
   message.set_expires_clock_ms(ClockMilliseconds(start.expires + clock_offset));
+  message.set_at_once(start.at_once);
   message.set_rank(static_cast<std::uint32_t>(start.rank));
   message.set_urgent(start.urgent);
   for (const core::StartTasks::Start& each : start.starts) {
@@ -104,6 +107,7 @@
                       .need = FromMessage(message.need()),
                       .estimate = std::chrono::milliseconds(message.estimate_ms()),
                       .expires = expires,
+                      .at_once = message.at_once(),
                       .rank = rank,
                       .urgent = message.urgent()});
   }
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -34,9 +34,6 @@
 constexpr milliseconds kFirstReadPeriod{300};
 // A link to an entry whose row is gone is given up after this time without a connection.
 constexpr std::chrono::seconds kForgetEntry{30};
-// Between two reports to an entry that nothing else is sent to, for each entry: bounds the reports
-// of one supervisor to 250 a second, however many entries there are.
-constexpr milliseconds kReportPause{4};
 // Left of the grace when the process ends whatever still runs.
 constexpr milliseconds kGraceReserve{500};
 // Starts and stops share these connections with a hold call.
@@ -76,7 +73,8 @@
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       timer_(loop_),
       supervisor_timer_(loop_),
-      report_timer_(loop_) {}
+      report_timer_(loop_),
+      audience_(core::ReportAudience::Options(), settings.id) {}
 
 core::Result<void> SupervisorDaemon::Listen() {
   auto local = LoopHttpServer::Start(
@@ -187,18 +185,23 @@
         known->second->address().rpc_address == entry->row.entry.rpc_address) {
       continue;
     }
-    if (known != links_.end()) known->second->Close();
+    if (known != links_.end()) Forget(*known->second);
     AddLink(entry->row.entry);
   }
   std::erase_if(links_, [&](const auto& item) {
     const EntryLink& link = *item.second;
     if (present.contains(item.first) || link.connected()) return false;
     if (clock_.now() - link.last_connected() < kForgetEntry) return false;
-    item.second->Close();
+    Forget(*item.second);
     return true;
   });
 }
 
+void SupervisorDaemon::Forget(EntryLink& link) {
+  link.Close();
+  if (audience_.Remove(link.address().entry_id)) ReportLater(true);
+}
+
 void SupervisorDaemon::AddLink(const core::EntryAddress& address) {
   const std::string& id = address.entry_id;
   auto link = std::make_shared<EntryLink>(
@@ -206,6 +209,10 @@
       EntryLink::Handlers{
           .introduce = [this](const EntryLink& opened,
                               runs::AgentFrame& frame) { Introduce(opened, frame); },
+          .on_heartbeat =
+              [this](const EntryLink& beating, runs::AgentFrame& frame) {
+                FillReport(beating, *frame.mutable_report());
+              },
           .on_frame =
               [this, id](const std::string& /*owner*/, const runs::EntryFrame& frame) {
                 const auto found = links_.find(id);
@@ -222,12 +229,15 @@
                 log_.Write(connected ? LogLevel::kInfo : LogLevel::kWarning,
                            connected ? "dispatcher_connected" : "dispatcher_disconnected",
                            {{"dispatcher", entry}, {"reason", reason}});
+                if (!connected && audience_.Remove(entry)) ReportLater(true);
               }});
   links_[id] = link;
   link->Start();
 }
 
-void SupervisorDaemon::Introduce(const EntryLink& link, runs::AgentFrame& frame) const {
+void SupervisorDaemon::Introduce(const EntryLink& link, runs::AgentFrame& frame) {
+  // Another entry may be close no more.
+  if (audience_.Add(link.address().entry_id)) ReportLater(true);
   runs::AgentHello& hello = *frame.mutable_hello();
   hello.set_agent_id(settings_.id);
   hello.set_incarnation(incarnation_);
@@ -260,7 +270,10 @@
     seen = std::max(seen, message.order());
   }
   for (const runs::RunRef& stop : frame.stops()) supervisor_.OnStopOrder(owner, FromMessage(stop));
-  if (frame.starts_size() > 0) FillReport(link, *link.outgoing().mutable_report());
+  if (frame.starts_size() > 0) {
+    FillReport(link, *link.outgoing().mutable_report());
+    ReportLater(false);
+  }
   CarryOut();
 }
 
@@ -274,7 +287,8 @@
 // --- Actions
 
 void SupervisorDaemon::CarryOut() {
-  bool report = false;
+  bool room_changed = false;
+  bool report_to_all = false;
   for (core::SupervisorAction& action : supervisor_.TakeActions()) {
     if (const auto* start = std::get_if<core::CallStart>(&action)) {
       Call(*start);
@@ -283,7 +297,7 @@
     } else if (const auto* hold = std::get_if<core::CallHold>(&action)) {
       Call(*hold);
     } else if (const auto* update = std::get_if<core::RunUpdate>(&action)) {
-      report = true;
+      room_changed = true;
       metrics_.Add("runs_ended_total", 1, {{"outcome", NameOf(update->outcome)}});
       EntryLink* link = LinkOf(update->owner);
       if (link == nullptr) continue;
@@ -293,10 +307,10 @@
       message.set_elapsed_ms(static_cast<std::uint32_t>(
           std::chrono::duration_cast<milliseconds>(update->elapsed).count()));
     } else {
-      report = true;
+      report_to_all = true;
     }
   }
-  if (report) Report();
+  if (room_changed || report_to_all) Report(report_to_all);
   for (auto& [id, link] : links_) link->Flush();
   const TimePoint next = supervisor_.next_timer();
   if (next == TimePoint::max()) return;
@@ -376,6 +390,7 @@
     report.capacity = executor->capacity;
     report.labels = executor->labels;
   }
+  report.is_close = audience_.IsClose(link.address().entry_id);
   report.accepting = supervisor_.accepting();
   report.free = supervisor_.free_room();
   report.pace = supervisor_.pace();
@@ -388,30 +403,35 @@
   ToMessage(report, message);
 }
 
-void SupervisorDaemon::Report() {
+void SupervisorDaemon::Report(bool to_all) {
   for (auto& [id, link] : links_) {
     if (link->connected() && link->has_outgoing()) {
       FillReport(*link, *link->outgoing().mutable_report());
     }
   }
-  ReportLater();
+  ReportLater(to_all);
 }
 
-void SupervisorDaemon::ReportLater() {
-  if (report_waits_ || links_.empty()) return;
+void SupervisorDaemon::ReportLater(bool to_all) {
+  report_to_all_ = report_to_all_ || to_all;
+  if (report_waits_) return;
   report_waits_ = true;
-  report_timer_.expires_after(kReportPause * static_cast<int>(links_.size()));
+  report_timer_.expires_after(audience_.pause());
   report_timer_.async_wait([this](const asio::error_code& error) {
     report_waits_ = false;
-    if (error) return;
-    for (auto& [id, link] : links_) {
-      if (!link->connected()) continue;
-      FillReport(*link, *link->outgoing().mutable_report());
-      link->Flush();
-    }
+    if (!error) SendReports();
   });
 }
 
+void SupervisorDaemon::SendReports() {
+  const bool to_all = std::exchange(report_to_all_, false);
+  for (auto& [id, link] : links_) {
+    if (!link->connected() || (!to_all && !audience_.IsClose(id))) continue;
+    FillReport(*link, *link->outgoing().mutable_report());
+    link->Flush();
+  }
+}
+
 // --- Time and signals
 
 void SupervisorDaemon::StartTimer() {
--- a/src/zinniamuxd/supervisor_daemon.h
+++ b/src/zinniamuxd/supervisor_daemon.h
@@ -17,6 +17,7 @@
 #include "adapters/metrics.h"
 #include "adapters/settings.h"
 #include "core/clock.h"
+#include "core/report_audience.h"
 #include "core/run_supervisor.h"
 #include "platform/store_client.h"
 #include "zinniamuxd/entry_link.h"
@@ -40,7 +41,8 @@
   void ReadEntries();
   void OnEntries(const core::Result<std::vector<core::TableRow>>& rows);
   void AddLink(const core::EntryAddress& address);
-  void Introduce(const EntryLink& link, runs::AgentFrame& frame) const;
+  void Introduce(const EntryLink& link, runs::AgentFrame& frame);
+  void Forget(EntryLink& link);
   void OnEntryFrame(EntryLink& link, const runs::EntryFrame& frame);
 
   // Carries out what the supervisor decided.
@@ -51,9 +53,11 @@
   void SendToExecutor(std::string_view path, const std::string& executor_id, std::string body,
                       std::chrono::milliseconds timeout,
                       std::function<void(const adapters::HttpResult&)> on_result);
-  // Reports to entries with something else to send go out with it, the others are paced.
-  void Report();
-  void ReportLater();
+  // Reports to entries with something else to send go out with it; the others are paced, and go to
+  // close entries unless `to_all` is set.
+  void Report(bool to_all);
+  void ReportLater(bool to_all);
+  void SendReports();
   void FillReport(const EntryLink& link, runs::ExecutorReport& message) const;
   EntryLink* LinkOf(const std::string& owner);
 
@@ -84,7 +88,10 @@
   asio::steady_timer timer_;
   asio::steady_timer supervisor_timer_;
   asio::steady_timer report_timer_;
+  core::ReportAudience audience_;
   bool report_waits_ = false;
+  // The report that waits is for every entry.
+  bool report_to_all_ = false;
   core::TimePoint next_read_at_;
   bool reading_ = false;
   bool store_answers_ = true;
--- a/tests/property/lease_world_property_test.cc
+++ b/tests/property/lease_world_property_test.cc
@@ -161,7 +161,7 @@
   LeaseWorld world({.seed = 13,
                     .dispatchers = kDispatchers,
                     .executor_cpu_milli = std::vector<std::int64_t>(33, 32'000),
-                    .report_pause = milliseconds(32)});
+                    .audience = {.close_entries = kDispatchers}});
   std::size_t tasks = 0;
   for (auto& job : CounterTrace({.seed = 13,
                    .begin = kWarmUp,
--- a/tests/support/job_traces.cc
+++ b/tests/support/job_traces.cc
@@ -23,13 +23,12 @@
 constexpr Kind kKinds[] = {{"stock", true, 34.4, 60, 8, 32},
                            {"layout", false, 6.25, 900, 4, 16},
                            {"price", false, 100, 200, 2, 8}};
-constexpr std::int64_t kCpuMilli = 3100;
 constexpr std::int64_t kMemoryMb = 64;
 constexpr double kStretch = 1.6;
 constexpr milliseconds kSlack{60};
 constexpr std::uint32_t kAttempts = 3;
 
-SimulatedJob DrawJob(const Kind& kind, std::mt19937_64& random) {
+SimulatedJob DrawJob(const Kind& kind, std::int64_t cpu_milli, std::mt19937_64& random) {
   // The logarithms of sizes, times and estimates spread by 0.4, those of a job's tasks by 0.15.
   std::lognormal_distribution<> spread(0, 0.4);
   std::lognormal_distribution<> uneven(0, 0.15);
@@ -45,7 +44,7 @@
   job.request = {.queue = kind.name,
                  .service = "service",
                  .steps = {{.count = count,
-                            .need = {.cpu_milli = kCpuMilli, .memory_mb = kMemoryMb},
+                            .need = {.cpu_milli = cpu_milli, .memory_mb = kMemoryMb},
                             .estimate = estimate}},
                  .urgent = kind.urgent,
                  .attempts = kAttempts,
@@ -65,7 +64,7 @@
     std::exponential_distribution<> gap(kind.per_second * options.load);
     double seconds = gap(random);
     while (seconds < std::chrono::duration<double>(options.length).count()) {
-      SimulatedJob job = DrawJob(kind, random);
+      SimulatedJob job = DrawJob(kind, options.task_cpu_milli, random);
       job.request.id = kind.name + std::to_string(trace.size());
       job.arrives = options.begin + Duration(static_cast<std::int64_t>(seconds * 1e6));
       job.dispatcher = random() % options.dispatchers;
--- a/tests/support/job_traces.h
+++ b/tests/support/job_traces.h
@@ -19,6 +19,8 @@
   core::Duration length{0};
   double load = 1;
   std::size_t dispatchers = 3;
+  // Processor need of one task; the need at load 1 grows with it.
+  std::int64_t task_cpu_milli = 3100;
 };
 
 std::vector<SimulatedJob> CounterTrace(const TraceOptions& options);
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -20,6 +20,8 @@
 constexpr milliseconds kAnnouncePeriod{1500};
 constexpr double kShareDoneAtOnce = 0.5;
 
+std::string NameOf(std::size_t dispatcher) { return "dispatcher-" + std::to_string(dispatcher); }
+
 }  // namespace
 
 struct LeaseWorld::Link {
@@ -40,6 +42,7 @@
 
 struct LeaseWorld::Supervisor {
   std::unique_ptr<core::RunSupervisor> core;
+  std::unique_ptr<core::ReportAudience> audience;
   std::uint64_t incarnation = 0;
   TimePoint frozen_until;
   bool report_waits = false;
@@ -70,7 +73,7 @@
   for (std::size_t i = 0; i < options_.dispatchers; ++i) {
     dispatchers_.push_back(std::make_unique<Dispatcher>());
     core::JobScheduler::Options scheduler = options_.scheduler;
-    scheduler.availability_zone = "zone-" + std::to_string(i % 3);
+    scheduler.availability_zone = "zone-" + std::to_string(i % options_.zones);
     scheduler.placement_seed = static_cast<std::uint32_t>(i + 1);
     dispatchers_.back()->scheduler = std::make_unique<core::JobScheduler>(scheduler, clock_);
   }
@@ -141,6 +144,7 @@
       if (link.dispatcher_heard < limit && !frozen) {
         link.connected = false;
         ++link.generation;
+        if (supervisors_[s]->core) supervisors_[s]->audience->Remove(NameOf(d));
         dispatchers_[d]->scheduler->OnAgentDetached("agent-" + std::to_string(s));
         continue;
       }
@@ -149,7 +153,7 @@
       if (frozen || link.cut_until > clock_.now()) continue;
       Deliver(supervisors_[s]->frozen_until, options_.link_delay, [this, d, s, generation] {
         if (LinkOf(d, s).generation != generation || !supervisors_[s]->core) return;
-        supervisors_[s]->core->OnOwnerHeard("dispatcher-" + std::to_string(d));
+        supervisors_[s]->core->OnOwnerHeard(NameOf(d));
       });
     }
   }
@@ -172,12 +176,12 @@
   ++link.generation;
   link.orders_seen = 0;
   link.dispatcher_heard = clock_.now();
-  const std::vector<core::RunId> held =
-      agent.core->RunsOf("dispatcher-" + std::to_string(dispatcher));
-  const std::string zone = "zone-" + std::to_string(supervisor % 3);
+  const std::vector<core::RunId> held = agent.core->RunsOf(NameOf(dispatcher));
+  const std::string zone = "zone-" + std::to_string(supervisor % options_.zones);
   dispatchers_[dispatcher]->scheduler->OnAgentAttached("agent-" + std::to_string(supervisor), zone,
                                                        agent.incarnation, held);
-  SendReport(supervisor, dispatcher);
+  agent.audience->Add(NameOf(dispatcher));
+  SendReports(supervisor);
 }
 
 core::ExecutorReport LeaseWorld::ReportOf(std::size_t supervisor, std::size_t dispatcher) const {
@@ -195,6 +199,7 @@
   report.kept_cpu_milli = core.kept_cpu_milli();
   report.release_rate = core.release_rate(true);
   report.lesser_release_rate = core.release_rate(false);
+  report.is_close = supervisors_[supervisor]->audience->IsClose(NameOf(dispatcher));
   report.orders_seen = links_[dispatcher * supervisors_.size() + supervisor].orders_seen;
   return report;
 }
@@ -226,6 +231,8 @@
   core::RunSupervisor::Options options;
   options.fencing_token = supervisor.incarnation;
   supervisor.core = std::make_unique<core::RunSupervisor>(options, clock_);
+  supervisor.audience =
+      std::make_unique<core::ReportAudience>(options_.audience, "agent-" + std::to_string(index));
 }
 
 void LeaseWorld::Announce(std::size_t executor) {
@@ -237,6 +244,7 @@
 }
 
 void LeaseWorld::CarryOutSupervisor(std::size_t index) {
+  bool room_changed = false;
   bool report = false;
   std::set<std::size_t> informed;
   for (core::SupervisorAction& action : supervisors_[index]->core->TakeActions()) {
@@ -247,7 +255,7 @@
     } else if (const auto* hold = std::get_if<core::CallHold>(&action)) {
       CallExecutor(index, *hold);
     } else if (const auto* update = std::get_if<core::RunUpdate>(&action)) {
-      report = true;
+      room_changed = true;
       if (!HasStarted(update->outcome)) ++refused_starts_;
       const std::size_t d = std::stoul(update->owner.substr(update->owner.rfind('-') + 1));
       const std::uint64_t generation = LinkOf(d, index).generation;
@@ -265,16 +273,22 @@
   }
   for (const std::size_t d : informed) SendReport(index, d);
   if (report) SendReports(index);
+  if (room_changed) SendReportsToClose(index);
 }
 
 void LeaseWorld::SendReports(std::size_t supervisor) {
-  const auto send = [this, supervisor] {
-    supervisors_[supervisor]->report_waits = false;
-    for (std::size_t d = 0; d < dispatchers_.size(); ++d) SendReport(supervisor, d);
-  };
-  if (options_.report_pause == Duration(0)) return send();
+  for (std::size_t d = 0; d < dispatchers_.size(); ++d) SendReport(supervisor, d);
+}
+
+void LeaseWorld::SendReportsToClose(std::size_t supervisor) {
   if (std::exchange(supervisors_[supervisor]->report_waits, true)) return;
-  After(options_.report_pause, send);
+  After(supervisors_[supervisor]->audience->pause(), [this, supervisor] {
+    supervisors_[supervisor]->report_waits = false;
+    if (!supervisors_[supervisor]->core) return;
+    for (std::size_t d = 0; d < dispatchers_.size(); ++d) {
+      if (supervisors_[supervisor]->audience->IsClose(NameOf(d))) SendReport(supervisor, d);
+    }
+  });
 }
 
 bool LeaseWorld::LosesAnswer() {
@@ -388,7 +402,7 @@
             [this, index, s, generation = link.generation, action = std::move(action)] {
               Supervisor& to = *supervisors_[s];
               if (LinkOf(index, s).generation != generation || !to.core) return;
-              const std::string owner = "dispatcher-" + std::to_string(index);
+              const std::string owner = NameOf(index);
               if (const auto* stop = std::get_if<core::StopTask>(&action)) {
                 to.core->OnStopOrder(owner, stop->id);
               }
@@ -402,11 +416,13 @@
                                            .need = start->need,
                                            .estimate = start->estimate,
                                            .expires = start->expires,
+                                           .at_once = start->at_once,
                                            .rank = start->rank,
                                            .urgent = start->urgent});
                 }
                 LinkOf(index, s).orders_seen = start->order;
                 SendReport(s, index);
+                SendReportsToClose(s);
               }
               CarryOutSupervisor(s);
             });
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -15,6 +15,7 @@
 
 #include "core/clock.h"
 #include "core/job_scheduler.h"
+#include "core/report_audience.h"
 #include "core/run_supervisor.h"
 #include "support/simulated_executor.h"
 
@@ -43,11 +44,12 @@
   struct Options {
     std::uint64_t seed = 1;
     std::size_t dispatchers = 3;
+    std::size_t zones = 3;
     std::vector<std::int64_t> executor_cpu_milli = std::vector<std::int64_t>(11, 32'000);
     core::Duration link_delay = std::chrono::microseconds(600);
     core::Duration executor_delay = std::chrono::microseconds(200);
-    // Between two reports of a supervisor to dispatchers that nothing else is sent to.
-    core::Duration report_pause{0};
+    // Which dispatchers get a report of every change, and how often.
+    core::ReportAudience::Options audience;
     // Part of the calls to executors without an answer; they are carried out late or at once.
     double lost_answers = 0;
     core::JobScheduler::Options scheduler;
@@ -106,6 +108,7 @@
   core::ExecutorReport ReportOf(std::size_t supervisor, std::size_t dispatcher) const;
   void SendReport(std::size_t supervisor, std::size_t dispatcher);
   void SendReports(std::size_t supervisor);
+  void SendReportsToClose(std::size_t supervisor);
   void CarryOutSupervisor(std::size_t index);
   void CarryOutDispatcher(std::size_t index);
   void CallExecutor(std::size_t index, const core::CallStart& call);
--- a/tests/unit/room_placement_test.cc
+++ b/tests/unit/room_placement_test.cc
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,7 @@
                     .capacity = {.cpu_milli = 10'000, .memory_mb = 100},
                     .free = {.cpu_milli = free, .memory_mb = 100},
                     .labels = std::move(labels),
+                    .is_close = true,
                     .pace = pace});
     views.push_back(view.get());
     owned.push_back(std::move(view));
@@ -42,11 +44,13 @@
 
   std::string Choose(const JobStep& step) {
     const RoomPlacement placement({.availability_zone = "here"});
-    const ExecutorView* view =
-        placement.Choose(views, {.service = "service",
-                                 .step = &step,
-                                 .median_pace = RoomPlacement::MedianPace(views),
-                                 .allows = {}});
+    std::minstd_rand random;
+    const ExecutorView* view = placement.Choose(views,
+                                                {.service = "service",
+                                                 .step = &step,
+                                                 .median_pace = RoomPlacement::MedianPace(views),
+                                                 .allows = {}},
+                                                random);
     return view == nullptr ? "" : view->agent_id();
   }
 
