--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -455,3 +455,34 @@
   fixture.scheduler.OnTimer();
   cr_assert_not(fixture.scheduler.Remembered("job").has_value());
 }
+
+// Load pattern of old views: an executor is full, though its last report shows room. Guards against
+// a task that waits there, and against one that tries the same executor again.
+Test(job_scheduler, places_anew_what_found_no_room) {
+  Fixture fixture({"a", "b", "c"});
+  fixture.Submit(fixture.Job("job", 1));
+  const StartTasks first = fixture.starts.at(0);
+  cr_assert(first.at_once);
+  fixture.scheduler.OnRunUpdate(first.agent_id, {.task = {.job_id = "job", .index = 0}, .run = 1},
+                                RunOutcome::kNoRoom, milliseconds(0));
+  fixture.ReportFull(first.agent_id, {}, 0);
+  fixture.Take();
+  cr_assert_eq(fixture.starts.size(), 2);
+  cr_assert_neq(fixture.starts.at(1).agent_id, first.agent_id);
+  cr_assert(fixture.answers.empty());
+}
+
+// Load pattern of contention: whatever the views show, others are faster. Guards against a task
+// that is refused by one executor after the other until its caller leaves.
+Test(job_scheduler, waits_for_room_after_some_refusals) {
+  Fixture fixture({"a"});
+  fixture.Submit(fixture.Job("job", 1, true));
+  int refusals = 0;
+  while (fixture.starts.at(0).at_once) {
+    fixture.EndAll(RunOutcome::kNoRoom);
+    cr_assert_eq(fixture.starts.size(), 1);
+    cr_assert_leq(++refusals, 6);
+  }
+  cr_assert_geq(refusals, 3);
+  cr_assert(fixture.answers.empty());
+}
--- a/tests/unit/room_placement_test.cc
+++ b/tests/unit/room_placement_test.cc
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using zinniamux::core::Duration;
 using zinniamux::core::ExecutorView;
 using zinniamux::core::JobRequest;
 using zinniamux::core::JobStep;
@@ -27,7 +29,7 @@
 
 struct Pool {
   void Add(const std::string& id, const std::string& zone, std::int64_t free, double pace = 1,
-           std::vector<std::string> labels = {}) {
+           std::vector<std::string> labels = {}, bool is_close = true) {
     auto view = std::make_unique<ExecutorView>(id, zone);
     view->set_attached(true);
     view->OnReport({.executor_id = id,
@@ -36,24 +38,32 @@
                     .capacity = {.cpu_milli = 10'000, .memory_mb = 100},
                     .free = {.cpu_milli = free, .memory_mb = 100},
                     .labels = std::move(labels),
-                    .is_close = true,
+                    .is_close = is_close,
                     .pace = pace});
     views.push_back(view.get());
     owned.push_back(std::move(view));
   }
 
-  std::string Choose(const JobStep& step) {
-    const RoomPlacement placement({.availability_zone = "here"});
-    std::minstd_rand random;
-    const ExecutorView* view = placement.Choose(views,
-                                                {.service = "service",
-                                                 .step = &step,
-                                                 .median_pace = RoomPlacement::MedianPace(views),
-                                                 .allows = {}},
-                                                random);
+  RoomPlacement::Query Query(const JobStep& step) const {
+    return {.service = "service",
+            .step = &step,
+            .median_pace = RoomPlacement::MedianPace(views),
+            .allows = {}};
+  }
+
+  std::string Choose(const RoomPlacement::Query& query) {
+    const ExecutorView* view = placement.Choose(views, query, random);
+    return view == nullptr ? "" : view->agent_id();
+  }
+  std::string Choose(const JobStep& step) { return Choose(Query(step)); }
+
+  std::string ChooseSoonest(const RoomPlacement::Query& query, Duration limit) {
+    const ExecutorView* view = placement.ChooseSoonest(views, query, limit, random);
     return view == nullptr ? "" : view->agent_id();
   }
 
+  const RoomPlacement placement{{.availability_zone = "here"}};
+  std::minstd_rand random;
   std::vector<std::unique_ptr<ExecutorView>> owned;
   std::vector<ExecutorView*> views;
 };
@@ -108,6 +118,59 @@
   cr_assert_eq(pool.Choose(step), "labelled");
 }
 
+// Load pattern of a rush to one key or zone: the close executors are full and others idle. Guards
+// against work that stays where it is asked for, against orders by old views while close executors
+// have room, and against entries that all order on the same executor of their old views.
+Test(room_placement, goes_to_others_when_close_executors_are_full) {
+  Pool pool;
+  pool.Add("close", "here", 1000);
+  pool.Add("other-1", "there", 10'000, 1, {}, false);
+  pool.Add("other-2", "there", 9000, 1, {}, false);
+  cr_assert_eq(pool.Choose(kStep), "close");
+  pool.views.front()->OnOrder(1, {.cpu_milli = 1000});
+  std::set<std::string> chosen;
+  for (int i = 0; i < 50; ++i) chosen.insert(pool.Choose(kStep));
+  cr_assert_eq(chosen.size(), 2);
+  cr_assert_not(chosen.contains("close"));
+  RoomPlacement::Query query = pool.Query(kStep);
+  query.tries_others = false;
+  cr_assert_eq(pool.Choose(query), "");
+}
+
+// Guards against views that are not trusted any more and are placed by all the same.
+Test(room_placement, leaves_out_close_executors_that_it_is_not_to_try) {
+  Pool pool;
+  pool.Add("close", "here", 10'000);
+  RoomPlacement::Query query = pool.Query(kStep);
+  query.tries_close = false;
+  cr_assert_eq(pool.Choose(query), "");
+  cr_assert_eq(pool.ChooseSoonest(query, milliseconds(1)), "close");
+}
+
+// Guards against orders that wait where the wait is only guessed, against refusals because of old
+// views, and against jobs that no close executor can run and that are given up therefore.
+Test(room_placement, waits_at_close_executors_if_they_can_run_the_task) {
+  Pool pool;
+  pool.Add("close", "here", 0);
+  pool.Add("other", "there", 10'000, 1, {"b"}, false);
+  cr_assert_eq(pool.ChooseSoonest(pool.Query(kStep), seconds(1)), "");
+  cr_assert(pool.placement.LeastWait(pool.views, pool.Query(kStep)) == Duration::max());
+  JobStep labelled = kStep;
+  labelled.required_label = "b";
+  cr_assert_eq(pool.ChooseSoonest(pool.Query(labelled), seconds(1)), "other");
+  cr_assert_eq(pool.placement.LeastWait(pool.views, pool.Query(labelled)).count(), 0);
+}
+
+// Guards against an order of the least rank for the last room that others are about to take.
+Test(room_placement, leaves_headroom) {
+  Pool pool;
+  pool.Add("close", "here", 1500);
+  RoomPlacement::Query query = pool.Query(kStep);
+  cr_assert_eq(pool.ChooseSoonest(query, milliseconds(1)), "close");
+  query.headroom_cpu_milli = 1000;
+  cr_assert_eq(pool.ChooseSoonest(query, milliseconds(1)), "");
+}
+
 // Guards against one outlier that makes a sound executor look slow, and against a slow one that
 // needs many runs to be seen.
 Test(pace_meter, needs_a_few_runs_that_agree) {
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -61,11 +61,12 @@
 
   void Take() { taken = supervisor.TakeActions(); }
 
-  void Order(std::uint32_t index, std::int64_t cpu_milli = 1000) {
+  void Order(std::uint32_t index, std::int64_t cpu_milli = 1000, bool at_once = false) {
     supervisor.OnOrder(kOwner, {.id = Run(index),
                                 .need = {.cpu_milli = cpu_milli, .memory_mb = 10},
                                 .estimate = milliseconds(100),
-                                .expires = clock.now() + milliseconds(400)});
+                                .expires = clock.now() + milliseconds(400),
+                                .at_once = at_once});
     Take();
   }
 
@@ -385,3 +386,21 @@
                       .ended = {{.number = 1, .id = Run(1), .outcome = RunOutcome::kDone}}});
   cr_assert(fixture.Of<RunUpdate>().at(0).outcome == RunOutcome::kDone);
 }
+
+// Guards against an order that expects room and waits without it while other executors have some,
+// and against one that is refused beside room.
+Test(run_supervisor, refuses_an_order_that_expects_room_at_once) {
+  Fixture fixture;
+  fixture.Order(1, 3000, true);
+  cr_assert_eq(fixture.Of<CallStart>().size(), 1);
+  fixture.Order(2, 2000, true);
+  cr_assert(fixture.Of<CallStart>().empty());
+  cr_assert_eq(fixture.Of<RunUpdate>().size(), 1);
+  cr_assert(fixture.Of<RunUpdate>().at(0).outcome == RunOutcome::kNoRoom);
+  cr_assert_eq(fixture.supervisor.waiting_count(), 0);
+  fixture.Order(3, 2000);
+  cr_assert_eq(fixture.supervisor.waiting_count(), 1);
+  fixture.Order(4, 1000, true);
+  cr_assert(fixture.Of<RunUpdate>().empty(), "equal ranks may use room that is left over");
+  cr_assert_eq(fixture.Of<CallStart>().size(), 1);
+}
