supervisor: an end shows although the answer to a hold call is lost

Now hold calls wait 40 ms; a second one goes out when an answer is overdue; after a lost answer two are under way for 3 s; starts are revoked after eight usual answer times, 30 ms at least. An executor counts as silent only 200 ms after its last answer, as three short calls may be lost in a row.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -24,7 +24,7 @@
       ForgetExecutor(RunOutcome::kBroken);
     } else if (!same_life) {
       BeginLifetime(status.born_ms);
-      hold_.reset();
+      holds_.clear();
     }
   }
   const bool is_new = !executor_;
@@ -56,7 +56,7 @@
   // shows which runs are there; the others ended with the earlier lifetime.
   executor_->born_ms = born_ms;
   executor_->sequence = 0;
-  last_seen_ = acknowledged_ = sending_seen_ = 0;
+  last_seen_ = acknowledged_ = 0;
   unknown_stops_.clear();
   // What the earlier lifetime has run is not known any more.
   for (auto& [id, run] : runs_) {
@@ -76,9 +76,9 @@
   // What ran there ended with that lifetime.
   for (auto run = runs_.begin(); run != runs_.end();) run = Finish(run, outcome);
   unknown_stops_.clear();
-  hold_.reset();
+  holds_.clear();
   unanswered_ = 0;
-  last_seen_ = acknowledged_ = sending_seen_ = 0;
+  last_seen_ = acknowledged_ = 0;
   next_hold_at_ = {};
   pace_ = PaceMeter();
   executor_.reset();
@@ -176,18 +176,18 @@
 void RunSupervisor::SendStart(Run& run) {
   run.state = State::kStarting;
   run.state_at = clock_.now();
-  actions_.emplace_back(CallStart{.id = run.order.id,
-                                  .spec = run.order.spec,
-                                  .executor_id = executor_->id,
-                                  .lease_until = RenewLease(),
-                                  .fencing_token = fencing_token_,
-                                  .answer_limit = StartLimit()});
+  actions_.emplace_back(
+      CallStart{.id = run.order.id,
+                .spec = run.order.spec,
+                .executor_id = executor_->id,
+                .lease_until = RenewLease(),
+                .fencing_token = fencing_token_,
+                .answer_limit = UsualLimit(options_.least_start_limit, options_.most_start_limit)});
 }
 
-milliseconds RunSupervisor::StartLimit() const {
-  const std::chrono::duration<double> limit(answer_seconds_ * options_.start_limit_factor);
-  return std::clamp(std::chrono::duration_cast<milliseconds>(limit), options_.least_start_limit,
-                    options_.most_start_limit);
+milliseconds RunSupervisor::UsualLimit(milliseconds least, milliseconds most) const {
+  const std::chrono::duration<double> limit(answer_seconds_ * options_.usual_answer_factor);
+  return std::clamp(std::chrono::duration_cast<milliseconds>(limit), least, most);
 }
 
 void RunSupervisor::OnStopOrder(const std::string& owner, const RunId& id) {
@@ -353,22 +353,25 @@
 }
 
 void RunSupervisor::OnHoldAnswer(std::uint64_t number, const std::optional<HoldAnswer>& answer) {
-  if (!hold_ || hold_->number != number || !executor_) return;
-  const TimePoint sent_at = hold_->sent_at;
-  hold_.reset();
+  const auto found = holds_.find(number);
+  if (found == holds_.end() || !executor_) return;
+  const Hold hold = found->second;
+  holds_.erase(found);
   NoteAnswered(answer.has_value());
   if (!answer) {
-    // The next call follows at once if runs need it; OnTimer paces calls to a silent executor.
-    next_hold_at_ = clock_.now() + options_.stop_retry;
+    // Calls to a silent executor are paced.
+    if (unanswered_ > kMaxUnanswered) next_hold_at_ = clock_.now() + options_.stop_retry;
     StartWaiting();
     return MaybeHold();
   }
+  if (number < last_answered_hold_) return MaybeHold();
+  last_answered_hold_ = number;
   if (answer->born_ms != 0 && answer->born_ms < executor_->born_ms) return MaybeHold();
   if (answer->born_ms > executor_->born_ms) BeginLifetime(answer->born_ms);
   NoteClock(answer->clock);
-  acknowledged_ = std::max(acknowledged_, sending_seen_);
+  acknowledged_ = std::max(acknowledged_, hold.last_seen);
   for (const EndedRun& ended : answer->ended) NoteEnd(ended);
-  NoteRunning(answer->running, sent_at);
+  NoteRunning(answer->running, hold.sent_at);
   NotePace();
   if (needs_first_look_) {
     needs_first_look_ = false;
@@ -388,9 +391,28 @@
 }
 
 bool RunSupervisor::NeedsQuickLook() const {
-  return !hold_->quick && std::any_of(runs_.begin(), runs_.end(), [this](const auto& entry) {
-    return entry.second.state == State::kStopped && entry.second.state_at >= hold_->sent_at;
+  TimePoint last_quick = TimePoint::min();
+  std::size_t quick_holds = 0;
+  for (const auto& [number, hold] : holds_) {
+    if (!hold.quick) continue;
+    ++quick_holds;
+    if (hold.overdue_at > clock_.now()) last_quick = std::max(last_quick, hold.sent_at);
+  }
+  if (quick_holds >= options_.max_quick_holds) return false;
+  return std::any_of(runs_.begin(), runs_.end(), [last_quick](const auto& entry) {
+    return entry.second.state == State::kStopped && entry.second.state_at > last_quick;
+  });
+}
+
+bool RunSupervisor::HasEnoughHolds() const {
+  if (holds_.size() >= options_.max_holds) return true;
+  const TimePoint now = clock_.now();
+  const auto in_time = std::count_if(holds_.begin(), holds_.end(), [now](const auto& entry) {
+    return entry.second.overdue_at > now;
   });
+  const bool answers_get_lost =
+      last_lost_at_ != TimePoint() && now - last_lost_at_ < options_.doubled_holds;
+  return in_time >= (answers_get_lost ? 2 : 1);
 }
 
 bool RunSupervisor::NeedsLook() const {
@@ -407,7 +429,17 @@
 
 void RunSupervisor::NoteAnswered(bool answered) {
   const bool was_accepting = accepting();
-  unanswered_ = answered ? 0 : unanswered_ + 1;
+  const TimePoint now = clock_.now();
+  if (answered) {
+    unanswered_ = 0;
+    last_answer_at_ = now;
+  } else {
+    last_lost_at_ = now;
+    ++unanswered_;
+    if (now - last_answer_at_ < options_.least_silence) {
+      unanswered_ = std::min(unanswered_, kMaxUnanswered);
+    }
+  }
   if (was_accepting != accepting()) actions_.emplace_back(ReportChanged{});
 }
 
@@ -429,7 +461,12 @@
 
 void RunSupervisor::MaybeHold() {
   if (!executor_ || !NeedsLook() || clock_.now() < next_hold_at_) return;
-  if (hold_ && !NeedsQuickLook()) return;
+  if (NeedsQuickLook()) SendHold();
+  while (!HasEnoughHolds()) SendHold();
+}
+
+void RunSupervisor::SendHold() {
+  const TimePoint now = clock_.now();
   const bool has_running = std::any_of(runs_.begin(), runs_.end(), [](const auto& entry) {
     return entry.second.state == State::kRunning || entry.second.state == State::kStarting;
   });
@@ -440,9 +477,7 @@
     settles = true;
     awaits_stop = awaits_stop || run.seen_running;
   }
-  hold_ = Hold{.number = next_hold_++, .sent_at = clock_.now(), .quick = settles};
-  sending_seen_ = last_seen_;
-  CallHold call{.number = hold_->number,
+  CallHold call{.number = next_hold_++,
                 .executor_id = executor_->id,
                 .fencing_token = fencing_token_,
                 .last_seen = last_seen_};
@@ -450,6 +485,11 @@
   if (has_running && !needs_first_look_) call.wait = options_.hold_wait;
   // A stopped run ends soon. One that never started has no end; the look itself settles it.
   if (settles) call.wait = awaits_stop ? options_.stop_time : milliseconds(0);
+  const milliseconds limit = UsualLimit(options_.least_hold_limit, options_.most_hold_limit);
+  holds_[call.number] = {.sent_at = now,
+                         .overdue_at = now + call.wait + limit,
+                         .last_seen = last_seen_,
+                         .quick = settles};
   actions_.emplace_back(std::move(call));
 }
 
@@ -495,7 +535,12 @@
   }
   for (const auto& [id, at] : unknown_stops_) next = std::min(next, at);
   if (!runs_.empty() && unanswered_ > kMaxUnanswered) next = std::min(next, lease_over_at_);
-  if (executor_ && !hold_ && NeedsLook()) next = std::min(next, next_hold_at_);
+  if (!executor_ || !NeedsLook()) return next;
+  if (!HasEnoughHolds()) return std::min(next, next_hold_at_);
+  if (holds_.size() >= options_.max_holds) return next;
+  for (const auto& [number, hold] : holds_) {
+    if (hold.overdue_at > clock_.now()) next = std::min(next, hold.overdue_at);
+  }
   return next;
 }
 
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -124,19 +124,30 @@
   struct Options {
     // Longest lease that executors grant; `max_hold_ms` of the deployment.
     std::chrono::milliseconds lease{1000};
-    // How long a hold call waits for an end. Two lost calls in a row must fit into the lease.
-    std::chrono::milliseconds hold_wait{250};
-    // A hold call without an answer is given up after its wait and this time.
+    // How long a hold call waits for an end. Ends stay hidden for so long if its answer is lost.
+    std::chrono::milliseconds hold_wait{40};
+    // A hold or stop call without an answer is given up after its wait and this time.
     std::chrono::milliseconds answer_limit{200};
-    // A start without an answer is revoked after this many times the usual time of an answer,
-    // within these bounds. Objectives leave about 100 ms beside a task of 60 ms; a slow VM takes
-    // longer.
-    int start_limit_factor = 8;
-    std::chrono::milliseconds least_start_limit{60};
+    // A start without an answer is revoked, and another hold call is made beside one without an
+    // answer, after this many times the usual time of an answer, within these bounds. Objectives
+    // leave about 100 ms beside a task of 60 ms; a slow VM takes longer.
+    int usual_answer_factor = 8;
+    std::chrono::milliseconds least_start_limit{30};
     std::chrono::milliseconds most_start_limit{250};
+    std::chrono::milliseconds least_hold_limit{15};
+    std::chrono::milliseconds most_hold_limit{100};
+    // After a lost answer two hold calls are under way for this long, so that an end shows unless
+    // both answers are lost. Services whose answers get lost do so for seconds.
+    std::chrono::milliseconds doubled_holds{3000};
+    // Hold calls under way, with those whose answers are overdue. Quick ones are beside them, so
+    // that calls to a silent executor do not hold up the end of stopped runs.
+    std::size_t max_holds = 4;
+    std::size_t max_quick_holds = 2;
+    // The executor counts as silent only this long after its last answer.
+    std::chrono::milliseconds least_silence{200};
     // A call without an answer may be carried out this much later.
     std::chrono::milliseconds late_orders{13'000};
-    std::chrono::milliseconds stop_retry{100};
+    std::chrono::milliseconds stop_retry{40};
     // Unanswered stops for this long end the renewal of the lease.
     std::chrono::milliseconds stop_limit{300};
     // Executors end what they are told to stop within this time.
@@ -226,8 +237,10 @@
   using Runs = std::map<RunId, Run>;
 
   struct Hold {
-    std::uint64_t number = 0;
     TimePoint sent_at;
+    // Its answer is late from then on.
+    TimePoint overdue_at;
+    std::uint64_t last_seen = 0;
     // It settles stopped runs and is answered soon.
     bool quick = false;
   };
@@ -250,14 +263,19 @@
   // Settles the runs that a look at the executor, sent at `sent_at`, did not show.
   void SettleMissing(const std::set<RunId>& seen, TimePoint sent_at);
   void MaybeHold();
+  void SendHold();
   bool NeedsLook() const;
-  // A stopped run waits for a look, and the one under way is a long one that was sent before.
+  // A stopped run waits for a look, and no quick one was sent since it was stopped.
   bool NeedsQuickLook() const;
+  // As many hold calls are under way as there should be.
+  bool HasEnoughHolds() const;
   bool MayRenew() const;
   ExecutorTime ExecutorNow() const;
   void NoteClock(ExecutorTime clock);
   ExecutorTime RenewLease();
-  std::chrono::milliseconds StartLimit() const;
+  // The usual time of an answer times the factor, within the bounds.
+  std::chrono::milliseconds UsualLimit(std::chrono::milliseconds least,
+                                       std::chrono::milliseconds most) const;
   void NoteAnswered(bool answered);
   // Ends all runs once their lease has run out without an answer of the executor.
   void EndLapsedRuns();
@@ -280,19 +298,23 @@
   std::int64_t urgent_used_milli_ = 0;
   UrgentReserve reserve_;
   std::map<std::string, TimePoint> owner_heard_;
-  std::optional<Hold> hold_;
+  // Hold calls under way, by number.
+  std::map<std::uint64_t, Hold> holds_;
   std::uint64_t next_hold_ = 1;
+  // Answers to earlier hold calls than the last one that was answered show an older state.
+  std::uint64_t last_answered_hold_ = 0;
   // The highest end that was taken note of, and the highest one that the executor knows of.
   std::uint64_t last_seen_ = 0;
   std::uint64_t acknowledged_ = 0;
-  std::uint64_t sending_seen_ = 0;
   TimePoint next_hold_at_;
   // The last lease that was asked for has run out by then, also on a clock that is 2 % slow.
   TimePoint lease_over_at_;
   // Calls without an answer since the last one that was answered.
   int unanswered_ = 0;
-  // Mean time of answers to starts, in seconds.
-  double answer_seconds_ = 0;
+  TimePoint last_answer_at_;
+  TimePoint last_lost_at_;
+  // Mean time of answers to starts, in seconds. Before the first one, that of a VM under load.
+  double answer_seconds_ = 0.0075;
   // The pace in the last report.
   double reported_pace_ = 0;
   // Set until a look has shown which runs an earlier agent left behind.
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -47,9 +47,9 @@
   options.stop_time = bounds.stop_time;
   options.fencing_token = fencing_token;
   // A caller without an answer repeats its job after `retransmit`. Runs of its first sending have
-  // ended by then: the rest is for the stop order, one retry of it, and the executor's time to
-  // stop.
-  const milliseconds reserve = options.stop_retry * 3 + options.stop_time * 2;
+  // ended by then: the rest is for stop orders until the lease is renewed no more, and for the
+  // executor's time to stop.
+  const milliseconds reserve = options.stop_limit + options.stop_time * 2;
   options.owner_silence = std::max(bounds.retransmit - reserve, milliseconds(500));
   return options;
 }
--- a/tests/property/lease_world_property_test.cc
+++ b/tests/property/lease_world_property_test.cc
@@ -185,6 +185,21 @@
   cr_assert_geq(stock.in_time_share(), 0.9, "stock %f", stock.in_time_share());
 }
 
+// Load pattern of lost answers: for seconds, 5 % of the calls to executors are not answered and are
+// carried out late. Guards against ends of runs that stay hidden behind a lost answer, while their
+// room counts as taken, and against starts that are revoked too late for their objective: with hold
+// calls of 250 ms, one at a time, 18 % of the shortest jobs were in time.
+Test(lease_world, serves_while_answers_get_lost) {
+  LeaseWorld world({.seed = 19, .lost_answers = 0.05});
+  AddTrace(world, 19, 0.8, kWarmUp, seconds(10));
+  world.Run(seconds(35));
+  AssertSound(world);
+  for (const char* kind : {"stock", "layout", "price"}) {
+    const KindCount count = CountKind(world, kind);
+    cr_assert_geq(count.in_time_share(), 0.95, "%s: %f", kind, count.in_time_share());
+  }
+}
+
 // Load pattern of slow executors: two of eleven take seven times as long for 8 s and then recover.
 // Guards against runs that stay there, and against executors that are left idle after they have
 // recovered.
