dispatcher, supervisor: configurations are asked for, not sent to everybody

Cause: each dispatcher sent each new configuration to each supervisor that had not reported it yet, up to 5,600 copies a version at 35 x 160, and each supervisor sent its own to each dispatcher that started.

Now versions are told with heartbeats and bodies go out on request, from the peer with the highest hash of both names.

--- a/src/core/report_audience.cc
+++ b/src/core/report_audience.cc
@@ -4,23 +4,15 @@
 #include <algorithm>
 #include <utility>
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
+#include "core/name_hash.h"
 
 namespace zinniamux::core {
-namespace {
-
-std::uint64_t HashOf(std::string_view text, std::uint64_t seed) {
-  return XXH64(text.data(), text.size(), seed);
-}
-
-}  // namespace
 
 ReportAudience::ReportAudience(const Options& options, std::string_view agent_id)
-    : options_(options), seed_(HashOf(agent_id, 0)) {}
+    : options_(options), seed_(NameHash(agent_id)) {}
 
 bool ReportAudience::Add(const std::string& entry_id) {
-  const std::uint64_t hash = HashOf(entry_id, seed_);
+  const std::uint64_t hash = NameHash(entry_id, seed_);
   const auto [begin, end] = entries_.equal_range(hash);
   const bool known = std::any_of(begin, end, [&](const auto& e) { return e.second == entry_id; });
   if (known) return false;
@@ -29,7 +21,7 @@
 }
 
 bool ReportAudience::Remove(const std::string& entry_id) {
-  const auto [begin, end] = entries_.equal_range(HashOf(entry_id, seed_));
+  const auto [begin, end] = entries_.equal_range(NameHash(entry_id, seed_));
   const auto found = std::find_if(begin, end, [&](const auto& e) { return e.second == entry_id; });
   if (found == end) return false;
   entries_.erase(found);
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -74,7 +74,8 @@
       timer_(loop_),
       supervisor_timer_(loop_),
       report_timer_(loop_),
-      audience_(core::ReportAudience::Options(), settings.id) {}
+      audience_(core::ReportAudience::Options(), settings.id),
+      exchange_(core::ConfigurationExchange::Options(), settings.id) {}
 
 core::Result<void> SupervisorDaemon::Listen() {
   auto local = LoopHttpServer::Start(
@@ -199,9 +200,18 @@
 
 void SupervisorDaemon::Forget(EntryLink& link) {
   link.Close();
+  exchange_.OnPeerGone(link.address().entry_id);
   if (audience_.Remove(link.address().entry_id)) ReportLater(true);
 }
 
+void SupervisorDaemon::AskForConfiguration() {
+  const std::optional<std::string> entry = exchange_.PeerToAsk(clock_.now());
+  if (!entry) return;
+  EntryLink& link = *links_.at(*entry);
+  link.outgoing().set_wants_config(true);
+  link.Flush();
+}
+
 void SupervisorDaemon::AddLink(const core::EntryAddress& address) {
   const std::string& id = address.entry_id;
   auto link = std::make_shared<EntryLink>(
@@ -212,6 +222,7 @@
           .on_heartbeat =
               [this](const EntryLink& beating, runs::AgentFrame& frame) {
                 FillReport(beating, *frame.mutable_report());
+                frame.set_config_version(exchange_.version());
               },
           .on_frame =
               [this, id](const std::string& /*owner*/, const runs::EntryFrame& frame) {
@@ -229,7 +240,9 @@
                 log_.Write(connected ? LogLevel::kInfo : LogLevel::kWarning,
                            connected ? "dispatcher_connected" : "dispatcher_disconnected",
                            {{"dispatcher", entry}, {"reason", reason}});
-                if (!connected && audience_.Remove(entry)) ReportLater(true);
+                if (connected) return;
+                exchange_.OnPeerGone(entry);
+                if (audience_.Remove(entry)) ReportLater(true);
               }});
   links_[id] = link;
   link->Start();
@@ -247,7 +260,7 @@
   }
   // Updates that waited for the connection follow in the same frame; their runs count as held.
   for (const runs::RunUpdate& update : frame.updates()) *hello.add_held_runs() = update.run();
-  frame.set_config_version(config_version_);
+  frame.set_config_version(exchange_.version());
   FillReport(link, *frame.mutable_report());
 }
 
@@ -255,14 +268,11 @@
   const std::string owner = link.owner();
   if (owner.empty()) return;
   supervisor_.OnOwnerHeard(owner);
-  if (!frame.config_body().empty() && frame.config_version() > config_version_) {
-    config_version_ = frame.config_version();
-    config_body_ = frame.config_body();
-  }
-  if (frame.has_welcome() && frame.config_version() < config_version_) {
-    // An entry that has started while the store is away.
-    link.outgoing().set_config_version(config_version_);
-    link.outgoing().set_config_body(config_body_);
+  exchange_.OnPeerVersion(link.address().entry_id, frame.config_version(), clock_.now());
+  exchange_.Take(frame.config_version(), frame.config_body());
+  if (frame.wants_config()) {
+    link.outgoing().set_config_version(exchange_.version());
+    link.outgoing().set_config_body(exchange_.body());
   }
   for (const runs::StartOrder& message : frame.starts()) {
     for (const core::RunOrder& order : FromMessage(message)) supervisor_.OnOrder(owner, order);
@@ -445,6 +455,7 @@
   supervisor_.OnTimer();
   CarryOut();
   for (auto& [id, link] : links_) link->OnTimer();
+  AskForConfiguration();
   if (!reading_ && clock_.now() >= next_read_at_) ReadEntries();
   if (MayEnd()) return loop_.stop();
   StartTimer();
--- a/src/zinniamuxd/supervisor_daemon.h
+++ b/src/zinniamuxd/supervisor_daemon.h
@@ -17,6 +17,7 @@
 #include "adapters/metrics.h"
 #include "adapters/settings.h"
 #include "core/clock.h"
+#include "core/configuration_exchange.h"
 #include "core/report_audience.h"
 #include "core/run_supervisor.h"
 #include "platform/store_client.h"
@@ -43,6 +44,8 @@
   void AddLink(const core::EntryAddress& address);
   void Introduce(const EntryLink& link, runs::AgentFrame& frame);
   void Forget(EntryLink& link);
+  // Asks an entry that holds a newer configuration than this supervisor.
+  void AskForConfiguration();
   void OnEntryFrame(EntryLink& link, const runs::EntryFrame& frame);
 
   // Carries out what the supervisor decided.
@@ -95,8 +98,7 @@
   core::TimePoint next_read_at_;
   bool reading_ = false;
   bool store_answers_ = true;
-  std::uint64_t config_version_ = 0;
-  std::string config_body_;
+  core::ConfigurationExchange exchange_;
   core::TimePoint leaving_since_;
 };
 
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -10,13 +10,21 @@
 
 using core::Duration;
 
+namespace {
+
+// Entries read the store; they need a supervisor's configuration at once only if that fails.
+constexpr std::chrono::milliseconds kConfigurationDelay{100};
+
+}  // namespace
+
 SupervisorRegistry::SupervisorRegistry(asio::io_context& loop, Options options,
                                        const core::Clock& clock, Handlers handlers)
     : loop_(loop),
       options_(std::move(options)),
       clock_(clock),
       handlers_(std::move(handlers)),
-      acceptor_(loop) {}
+      acceptor_(loop),
+      exchange_({.delay = kConfigurationDelay}, options_.entry_id) {}
 
 SupervisorRegistry::~SupervisorRegistry() {
   for (const auto& peer : peers_) peer->connection->Close();
@@ -76,7 +84,13 @@
                         std::chrono::milliseconds(update.elapsed_ms()));
   }
   if (frame.has_report()) handlers_.on_report(peer->agent_id, FromMessage(frame.report()));
-  peer->config_version = std::max(peer->config_version, frame.config_version());
+  if (frame.config_version() > 0) {
+    exchange_.OnPeerVersion(peer->agent_id, frame.config_version(), clock_.now());
+  }
+  if (frame.wants_config()) {
+    peer->outgoing.set_config_body(exchange_.body());
+    peer->has_outgoing = true;
+  }
   if (!frame.config_body().empty()) {
     handlers_.on_configuration(frame.config_version(), frame.config_body());
   }
@@ -108,6 +122,7 @@
   const auto named = by_agent_.find(peer->agent_id);
   if (named == by_agent_.end() || named->second != peer) return;
   by_agent_.erase(named);
+  exchange_.OnPeerGone(peer->agent_id);
   handlers_.on_detached(peer->agent_id, reason);
 }
 
@@ -137,22 +152,18 @@
 void SupervisorRegistry::Send(Peer& peer) {
   peer.sent_at = clock_.now();
   peer.has_outgoing = false;
-  // Without a body this only says which version is known here.
-  peer.outgoing.set_config_version(config_version_);
+  peer.outgoing.set_config_version(exchange_.version());
   const std::string bytes = peer.outgoing.SerializeAsString();
   peer.outgoing.Clear();
   peer.connection->Send(bytes);
 }
 
-void SupervisorRegistry::ShareConfiguration(std::uint64_t version, std::string body) {
-  config_version_ = version;
-  config_body_ = std::move(body);
-}
-
-void SupervisorRegistry::OfferConfiguration(Peer& peer) {
-  if (peer.config_version >= config_version_ || config_body_.empty()) return;
-  peer.config_version = config_version_;
-  peer.outgoing.set_config_body(config_body_);
+void SupervisorRegistry::AskForConfiguration() {
+  const std::optional<std::string> agent = exchange_.PeerToAsk(clock_.now());
+  if (!agent) return;
+  Peer& peer = *by_agent_.at(*agent);
+  peer.outgoing.set_wants_config(true);
+  Send(peer);
 }
 
 void SupervisorRegistry::OnTimer() {
@@ -164,9 +175,9 @@
       continue;
     }
     if (peer->agent_id.empty() || now - peer->sent_at < options_.heartbeat) continue;
-    OfferConfiguration(*peer);
     Send(*peer);
   }
+  AskForConfiguration();
 }
 
 }  // namespace zinniamux::daemon
--- a/src/zinniamuxd/supervisor_registry.h
+++ b/src/zinniamuxd/supervisor_registry.h
@@ -14,6 +14,7 @@
 
 #include "adapters/listen_address.h"
 #include "core/clock.h"
+#include "core/configuration_exchange.h"
 #include "core/error_kind.h"
 #include "core/executor_view.h"
 #include "core/job_scheduler.h"
@@ -60,8 +61,10 @@
   void Add(const core::StartTasks& start);
   void Add(const core::StopTask& stop);
   void Flush();
-  // Passes the configuration on, so that entries that cannot read it get it from supervisors.
-  void ShareConfiguration(std::uint64_t version, std::string body);
+  // Lets supervisors have the configuration, for entries that cannot read it from the store.
+  void ShareConfiguration(std::uint64_t version, std::string body) {
+    exchange_.Take(version, std::move(body));
+  }
   void OnTimer();
   std::size_t connections() const { return peers_.size(); }
 
@@ -73,7 +76,6 @@
     core::TimePoint sent_at;
     // The agent's clock minus this one; at most the true difference, because messages take time.
     core::Duration clock_offset = core::Duration::min();
-    std::uint64_t config_version = 0;
     runs::EntryFrame outgoing;
     bool has_outgoing = false;
   };
@@ -84,7 +86,8 @@
   void OnHello(const std::shared_ptr<Peer>& peer, const runs::AgentHello& hello);
   void Drop(const std::shared_ptr<Peer>& peer, const std::string& reason);
   void Send(Peer& peer);
-  void OfferConfiguration(Peer& peer);
+  // Asks a supervisor that holds a newer configuration than this entry.
+  void AskForConfiguration();
 
   asio::io_context& loop_;
   const Options options_;
@@ -94,8 +97,7 @@
   std::vector<std::shared_ptr<Peer>> peers_;
   // Peers that have introduced themselves. Invariant: each is in peers_.
   std::map<std::string, std::shared_ptr<Peer>> by_agent_;
-  std::uint64_t config_version_ = 0;
-  std::string config_body_;
+  core::ConfigurationExchange exchange_;
 };
 
 }  // namespace zinniamux::daemon
--- /dev/null
+++ b/tests/unit/configuration_exchange_test.cc
@@ -0,0 +1,73 @@
+// ConfigurationExchange: who is asked for a newer configuration, and when.
+#include "core/configuration_exchange.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <string>
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using zinniamux::core::ConfigurationExchange;
+using zinniamux::core::TimePoint;
+
+constexpr TimePoint kNow{seconds(100)};
+
+ConfigurationExchange Exchange(const std::string& self) {
+  return {{.delay = milliseconds(300), .pause = milliseconds(300)}, self};
+}
+
+}  // namespace
+
+// Guards against configurations that go back, and against a version without its text.
+Test(configuration_exchange, takes_newer_versions_only) {
+  ConfigurationExchange exchange = Exchange("self");
+  cr_assert(exchange.Take(5, "five"));
+  cr_assert_not(exchange.Take(4, "four"));
+  cr_assert_not(exchange.Take(5, "other"));
+  cr_assert_not(exchange.Take(6, ""));
+  cr_assert_eq(exchange.version(), 5);
+  cr_assert_eq(exchange.body(), "five");
+}
+
+// Guards against requests while the store brings the configuration anyway, and against a process
+// that never gets one because the first peer it asked does not answer.
+Test(configuration_exchange, asks_after_a_delay_and_again) {
+  ConfigurationExchange exchange = Exchange("self");
+  exchange.OnPeerVersion("a", 3, kNow);
+  cr_assert_not(exchange.PeerToAsk(kNow + milliseconds(299)));
+  cr_assert_eq(exchange.PeerToAsk(kNow + milliseconds(300)).value_or(""), "a");
+  cr_assert_not(exchange.PeerToAsk(kNow + milliseconds(301)));
+  cr_assert_eq(exchange.PeerToAsk(kNow + milliseconds(600)).value_or(""), "a");
+  exchange.OnPeerGone("a");
+  exchange.OnPeerVersion("b", 2, kNow + milliseconds(700));
+  cr_assert_eq(exchange.PeerToAsk(kNow + milliseconds(1000)).value_or(""), "b");
+  exchange.Take(2, "two");
+  cr_assert_not(exchange.PeerToAsk(kNow + seconds(9)));
+  exchange.OnPeerVersion("b", 2, kNow + seconds(9));
+  cr_assert_not(exchange.PeerToAsk(kNow + seconds(10)));
+}
+
+// Guards against an older version than the peers hold.
+Test(configuration_exchange, asks_for_the_newest) {
+  ConfigurationExchange exchange = Exchange("self");
+  for (int i = 0; i < 10; ++i) exchange.OnPeerVersion("old-" + std::to_string(i), 3, kNow);
+  exchange.OnPeerVersion("new", 4, kNow);
+  cr_assert_eq(exchange.PeerToAsk(kNow + seconds(1)).value_or(""), "new");
+}
+
+// Load pattern of a change in a large deployment: 160 supervisors need it from 35 dispatchers.
+// Guards against a small VM that sends a copy to each of them.
+Test(configuration_exchange, spreads_the_requests) {
+  std::map<std::string, int> asked;
+  for (int agent = 0; agent < 160; ++agent) {
+    ConfigurationExchange exchange = Exchange("agent-" + std::to_string(agent));
+    for (int entry = 0; entry < 35; ++entry) {
+      exchange.OnPeerVersion("entry-" + std::to_string(entry), 7, kNow);
+    }
+    ++asked[exchange.PeerToAsk(kNow + seconds(1)).value_or("")];
+  }
+  for (const auto& [entry, count] : asked) cr_assert_leq(count, 16, "%s", entry.c_str());
+}
