dispatcher: after its start it waits for executors and the configuration instead of refusing

Cause: after the loss of all VMs callers are back before supervisors have connected.

Now jobs that come in the first second after the start wait until they would be late, and requests wait up to 300 ms for the first configuration.

--- a/src/core/job_request.h
+++ b/src/core/job_request.h
@@ -45,6 +45,8 @@
   // The answer is in time within stretch * longest chain of run times + slack.
   double stretch = 1;
   std::chrono::milliseconds slack{0};
+  // When it came to this entry; unset if it is handed on at once.
+  TimePoint arrived;
   // The caller stops waiting.
   TimePoint deadline;
 };
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -13,6 +13,7 @@
 JobScheduler::JobScheduler(const Options& options, const Clock& clock)
     : options_(options),
       clock_(clock),
+      started_(clock.now()),
       wait_policy_(options.wait),
       placement_({.availability_zone = options.availability_zone}),
       placement_random_(options.placement_seed) {}
@@ -61,6 +62,7 @@
   if (request.deadline < clock_.now() + ChainOf(request) / kReachableDivisor) {
     return JobReason::kDeadline;
   }
+  if (IsStarting()) return std::nullopt;
   if (!HasExecutors(request.service)) return JobReason::kNoExecutors;
   if (!CanEverRun(request)) return JobReason::kNeverRunnable;
   return std::nullopt;
@@ -79,7 +81,7 @@
 void JobScheduler::Accept(JobRequest request) {
   const std::string id = request.id;
   Job& job = jobs_[id];
-  job.received = clock_.now();
+  job.received = request.arrived == TimePoint() ? clock_.now() : request.arrived;
   const Duration chain = ChainOf(request);
   job.start_by = wait_policy_.StartBy(request, chain, job.received);
   job.order_wait = wait_policy_.OrderWait(request, chain);
@@ -187,7 +189,7 @@
     PlaceJob(job);
     if (job.ready == 0) {
       Dequeue(job);
-    } else if (!MayHaveRun(job)) {
+    } else if (!MayHaveRun(job) && !IsStarting()) {
       // If no executor will have room in time, waiting would only take room from others.
       const std::optional<Duration> wait = ExpectedWait(job);
       if (!wait || clock_.now() + *wait > job.start_by) GiveUp(job, JobReason::kOverloaded);
@@ -538,7 +540,9 @@
   }
   for (const std::string& id : late) {
     Job& job = jobs_.at(id);
-    GiveUp(job, MayHaveRun(job) ? JobReason::kDeadline : JobReason::kOverloaded);
+    const bool overloaded = HasExecutors(job.request.service);
+    const JobReason refusal = overloaded ? JobReason::kOverloaded : JobReason::kNoExecutors;
+    GiveUp(job, MayHaveRun(job) ? JobReason::kDeadline : refusal);
   }
   for (const ExecutorHealth::Change& change : health_.OnTimer(now)) {
     actions_.emplace_back(ExecutorJudged{change});
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -108,6 +108,10 @@
     // Orders of one task that are refused for want of room, before the next one waits. Views of
     // executors that are not close are right more often than not while there is room.
     std::uint32_t max_missed_room = 6;
+    // After its start an entry knows few executors or none. For so long, jobs wait until they would
+    // be late instead of being refused for want of executors. Supervisors connect within tenths of
+    // a second, also after the loss of all VMs.
+    std::chrono::milliseconds starting{1000};
     // A run is moved off an executor whose pace is this many times the median.
     double move_ratio = 3.0;
   };
@@ -255,11 +259,13 @@
   void Remember(const JobReply& answer);
   void ForgetOldAnswers();
   void LoseRuns(const Agent& agent, const std::set<RunId>& lost);
+  bool IsStarting() const { return clock_.now() < started_ + options_.starting; }
   bool HasExecutors(const std::string& service) const;
   bool CanEverRun(const JobRequest& request) const;
 
   const Options options_;
   const Clock& clock_;
+  const TimePoint started_;
   const WaitPolicy wait_policy_;
   const RoomPlacement placement_;
   std::minstd_rand placement_random_;
--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -19,6 +19,10 @@
 constexpr milliseconds kShortRetry{1000};
 // A caller that does not say how long it waits, on a queue without a time limit.
 constexpr milliseconds kDefaultPatience{30'000};
+// The store answers within tens of milliseconds, so a process that has just started has its
+// configuration by then, or will not have it soon.
+constexpr milliseconds kEarlyWait{300};
+constexpr std::size_t kMaxEarly = 500;
 
 double Milliseconds(core::Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
@@ -29,6 +33,7 @@
 bool CallerGateway::SetConfiguration(core::QueueConfiguration configuration) {
   if (configuration_ && configuration.version <= configuration_->version) return false;
   configuration_ = std::move(configuration);
+  for (CallerRequest& request : std::exchange(early_, {})) Handle(std::move(request));
   return true;
 }
 
@@ -51,10 +56,30 @@
 
 void CallerGateway::OnRequest(ConnectionId connection, const adapters::HttpRequest& request,
                               HttpResponder responder) {
-  if (!configuration_) {
-    return ReplyAndLog(responder, platform::ComposeRefusal("not_ready", kShortRetry),
-                       "request_refused", request.path, "no configuration yet");
+  CallerRequest taken{.connection = connection,
+                      .request = request,
+                      .responder = std::move(responder),
+                      .arrived = clock_.now()};
+  if (configuration_) return Handle(std::move(taken));
+  if (early_.size() >= kMaxEarly) return RefuseEarly(taken);
+  early_.push_back(std::move(taken));
+}
+
+void CallerGateway::OnTimer() {
+  while (!early_.empty() && early_.front().arrived + kEarlyWait <= clock_.now()) {
+    RefuseEarly(early_.front());
+    early_.pop_front();
   }
+}
+
+void CallerGateway::RefuseEarly(const CallerRequest& request) {
+  ReplyAndLog(request.responder, platform::ComposeRefusal("not_ready", kShortRetry),
+              "request_refused", request.request.path, "no configuration yet");
+}
+
+void CallerGateway::Handle(CallerRequest taken) {
+  const adapters::HttpRequest& request = taken.request;
+  const HttpResponder& responder = taken.responder;
   const std::string host = adapters::HeaderValue(request.headers, "Host");
   const core::QueueRule* queue = configuration_->Find(host, request.path);
   if (queue == nullptr) {
@@ -67,7 +92,7 @@
                        "request_invalid", request.path, "no job id");
   }
   if (request.method == "POST") {
-    return Submit(connection, *id, *queue, request, std::move(responder));
+    return Submit(*id, *queue, std::move(taken));
   }
   if (request.method == "GET" && id->empty()) {
     return Reply(responder, platform::ComposeCount(scheduler_.PendingOf(queue->name)));
@@ -78,9 +103,10 @@
               *id, "unknown method");
 }
 
-void CallerGateway::Submit(ConnectionId connection, const std::string& id,
-                           const core::QueueRule& queue, const adapters::HttpRequest& request,
-                           HttpResponder responder) {
+void CallerGateway::Submit(const std::string& id, const core::QueueRule& queue,
+                           CallerRequest taken) {
+  const adapters::HttpRequest& request = taken.request;
+  const HttpResponder& responder = taken.responder;
   core::Result<platform::SubmittedJob> job = platform::ParseJob(request.body);
   if (!job) {
     return ReplyAndLog(responder, platform::ComposeInvalid(job.error().message), "request_invalid",
@@ -103,9 +129,10 @@
   submitted.attempts = queue.attempts;
   submitted.stretch = queue.stretch;
   submitted.slack = queue.slack;
-  submitted.deadline = clock_.now() + patience;
-  by_job_[id].push_back({.connection = connection, .responder = std::move(responder)});
-  by_connection_[connection].insert(id);
+  submitted.arrived = taken.arrived;
+  submitted.deadline = taken.arrived + patience;
+  by_job_[id].push_back({.connection = taken.connection, .responder = responder});
+  by_connection_[taken.connection].insert(id);
   ++waiting_callers_;
   metrics_.Add("jobs_submitted_total", 1, {{"queue", queue.name}});
   log_.Write(LogLevel::kInfo, "job_received",
@@ -134,6 +161,9 @@
 }
 
 void CallerGateway::OnClosed(ConnectionId connection) {
+  std::erase_if(early_, [connection](const CallerRequest& request) {
+    return request.connection == connection;
+  });
   const auto found = by_connection_.find(connection);
   if (found == by_connection_.end()) return;
   const std::set<std::string> jobs = std::move(found->second);
--- a/src/zinniamuxd/caller_gateway.h
+++ b/src/zinniamuxd/caller_gateway.h
@@ -3,6 +3,7 @@
 #define ZINNIAMUX_ZINNIAMUXD_CALLER_GATEWAY_H_
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <set>
 #include <string>
@@ -29,17 +30,20 @@
       : scheduler_(scheduler), clock_(clock), log_(log), metrics_(metrics) {}
 
   // Versions only increase; an older configuration is ignored. Returns whether it was taken.
+  // Requests that waited for the first one are taken up.
   bool SetConfiguration(core::QueueConfiguration configuration);
   std::uint64_t config_version() const { return configuration_ ? configuration_->version : 0; }
 
   void OnRequest(ConnectionId connection, const adapters::HttpRequest& request,
                  adapters::HttpResponder responder);
   void OnClosed(ConnectionId connection);
+  // Refuses requests that have waited too long for a configuration.
+  void OnTimer();
   void OnAnswer(const core::AnswerJob& answer);
 
   // From now on, responses ask callers to use another connection.
   void StartLeaving() { leaving_ = true; }
-  std::size_t waiting_callers() const { return waiting_callers_; }
+  std::size_t waiting_callers() const { return waiting_callers_ + early_.size(); }
 
  private:
   struct Waiting {
@@ -47,8 +51,16 @@
     adapters::HttpResponder responder;
   };
 
-  void Submit(ConnectionId connection, const std::string& id, const core::QueueRule& queue,
-              const adapters::HttpRequest& request, adapters::HttpResponder responder);
+  struct CallerRequest {
+    ConnectionId connection = 0;
+    adapters::HttpRequest request;
+    adapters::HttpResponder responder;
+    core::TimePoint arrived;
+  };
+
+  void Handle(CallerRequest request);
+  void RefuseEarly(const CallerRequest& request);
+  void Submit(const std::string& id, const core::QueueRule& queue, CallerRequest request);
   adapters::HttpResponse Fetch(const std::string& id) const;
   adapters::HttpResponse Cancel(const std::string& id);
   void Reply(const adapters::HttpResponder& responder, adapters::HttpResponse response);
@@ -60,6 +72,8 @@
   adapters::JsonLog& log_;
   adapters::Metrics& metrics_;
   std::optional<core::QueueConfiguration> configuration_;
+  // Requests that wait for the first configuration.
+  std::deque<CallerRequest> early_;
   std::unordered_map<std::string, std::vector<Waiting>> by_job_;
   // Jobs for which a connection waits. Invariant: the same pairs as in by_job_.
   std::unordered_map<ConnectionId, std::set<std::string>> by_connection_;
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -194,6 +194,7 @@
 
 void DispatcherDaemon::OnTimer() {
   const TimePoint now = clock_.now();
+  gateway_.OnTimer();
   scheduler_.OnTimer();
   if (leaving_since_ != TimePoint() &&
       now >= leaving_since_ + settings_.bounds.grace - kAnswerReserve) {
@@ -262,6 +263,7 @@
   const std::uint64_t version = configuration->version;
   const std::size_t queues = configuration->queues.size();
   if (!gateway_.SetConfiguration(*std::move(configuration))) return;
+  PlaceSoon();
   registry_.ShareConfiguration(version, body);
   log_.Write(LogLevel::kInfo, "configuration_taken",
              {{"source", source}, {"config_version", version}, {"queues", queues}});
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -28,6 +28,8 @@
 
 struct Fixture {
   explicit Fixture(const std::vector<std::string>& agents = {"a", "b"}) {
+    // Past the start, when jobs wait for executors.
+    clock.Advance(seconds(1));
     for (const std::string& agent : agents) Attach(agent, 1);
   }
 
@@ -486,3 +488,36 @@
   cr_assert_geq(refusals, 3);
   cr_assert(fixture.answers.empty());
 }
+
+// Load pattern of the loss of all VMs: callers are back before the supervisors are. Guards against
+// refusals of jobs that could start a few tenths of a second later, and against callers that wait
+// although their jobs would be late.
+Test(job_scheduler, waits_for_executors_after_its_start) {
+  ManualClock clock;
+  JobScheduler scheduler({.availability_zone = "zone"}, clock);
+  const Fixture fixture;
+  JobRequest job = fixture.Job("early", 1);
+  job.deadline = clock.now() + seconds(2);
+  scheduler.OnJob(job);
+  job.id = "late";
+  scheduler.OnJob(job);
+  scheduler.Place();
+  cr_assert(scheduler.TakeActions().empty());
+  clock.Advance(milliseconds(30));
+  scheduler.OnAgentAttached("a", "zone", 1, {});
+  scheduler.OnReport("a", {.executor_id = "executor",
+                           .service = "service",
+                           .accepting = true,
+                           .capacity = {.cpu_milli = 1000, .memory_mb = 1000},
+                           .free = {.cpu_milli = 1000, .memory_mb = 1000}});
+  scheduler.Place();
+  const auto started = scheduler.TakeActions();
+  cr_assert_eq(started.size(), 1);
+  cr_assert_eq(std::get<StartTasks>(started.at(0)).job_id, "early");
+  clock.Advance(milliseconds(40));
+  scheduler.OnTimer();
+  const auto refused = scheduler.TakeActions();
+  cr_assert_eq(refused.size(), 1);
+  cr_assert_eq(std::get<AnswerJob>(refused.at(0)).answer.job_id, "late");
+  cr_assert(std::get<AnswerJob>(refused.at(0)).answer.result == JobResult::kRefused);
+}
