--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -148,6 +148,9 @@
   // Jobs of the queue without an order.
   std::size_t PendingOf(const std::string& queue) const;
   std::size_t agents_accepting() const;
+  // Whether orders that expect room are sent by the views of close executors, and of the others.
+  bool trusts_close_views() const { return close_trust_.holds(clock_.now()); }
+  bool trusts_other_views() const { return others_trust_.holds(clock_.now()); }
   std::vector<const ExecutorView*> executors() const;
 
  private:
--- a/src/core/view_trust.h
+++ b/src/core/view_trust.h
@@ -37,15 +37,18 @@
     Fade(now);
     missed_ += 1;
   }
-  bool holds(TimePoint now) {
-    Fade(now);
-    return orders_ < options_.least_orders || missed_ <= orders_ * options_.most_missed;
+  bool holds(TimePoint now) const {
+    return orders_ * WeightAt(now) < options_.least_orders ||
+           missed_ <= orders_ * options_.most_missed;
   }
 
  private:
-  void Fade(TimePoint now) {
+  double WeightAt(TimePoint now) const {
     const std::chrono::duration<double> age = now - changed_at_;
-    const double weight = std::exp(-age / std::chrono::duration<double>(options_.memory));
+    return std::exp(-age / std::chrono::duration<double>(options_.memory));
+  }
+  void Fade(TimePoint now) {
+    const double weight = WeightAt(now);
     orders_ *= weight;
     missed_ *= weight;
     changed_at_ = now;
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -313,20 +313,38 @@
 }
 
 void DispatcherDaemon::LogStatus() {
-  nlohmann::json executors = nlohmann::json::array();
+  // All executors in sums, and the close ones one by one, so that the line does not grow with the
+  // deployment.
+  std::int64_t cpu_milli = 0;
+  std::int64_t free_milli = 0;
+  std::int64_t waiting_milli = 0;
+  nlohmann::json close = nlohmann::json::array();
   for (const core::ExecutorView* view : scheduler_.executors()) {
-    executors.push_back({{"agent", view->agent_id()},
-                         {"takes_work", view->takes_work()},
-                         {"cpu_milli", view->report().capacity.cpu_milli},
-                         {"free_milli", view->free().cpu_milli},
-                         {"waiting_milli", view->report().waiting.all_cpu_milli},
-                         {"kept_milli", view->report().kept_cpu_milli},
-                         {"pace", view->report().pace}});
+    if (view->takes_work()) {
+      cpu_milli += view->report().capacity.cpu_milli;
+      free_milli += view->free().cpu_milli;
+      waiting_milli += view->report().waiting.all_cpu_milli;
+    }
+    if (!view->report().is_close) continue;
+    close.push_back({{"agent", view->agent_id()},
+                     {"takes_work", view->takes_work()},
+                     {"cpu_milli", view->report().capacity.cpu_milli},
+                     {"free_milli", view->free().cpu_milli},
+                     {"waiting_milli", view->report().waiting.all_cpu_milli},
+                     {"kept_milli", view->report().kept_cpu_milli},
+                     {"pace", view->report().pace}});
   }
   log_.Write(LogLevel::kInfo, "status",
              {{"jobs", scheduler_.job_count()},
               {"queued_jobs", scheduler_.queued_jobs()},
-              {"executors", std::move(executors)}});
+              {"executors", scheduler_.executors().size()},
+              {"executors_accepting", scheduler_.agents_accepting()},
+              {"cpu_milli", cpu_milli},
+              {"free_milli", free_milli},
+              {"waiting_milli", waiting_milli},
+              {"trusts_close_views", scheduler_.trusts_close_views()},
+              {"trusts_other_views", scheduler_.trusts_other_views()},
+              {"close_executors", std::move(close)}});
 }
 
 void DispatcherDaemon::UpdateGauges() {
