scheduler: of the dispatchers that see the last room of an executor, one takes it

Now each report draws, one in as many as there are close entries, whether this entry may take the last room.

--- a/src/core/executor_view.h
+++ b/src/core/executor_view.h
@@ -25,6 +25,8 @@
   std::vector<std::string> labels;
   // Every change of room is reported to this entry at once; see ReportAudience.
   bool is_close = false;
+  // Entries to which every change is reported.
+  std::uint32_t close_entries = 0;
   // The highest order of this entry that `free` takes into account.
   std::uint64_t orders_seen = 0;
   // Recent run time divided by the estimate, 0 if unknown.
@@ -93,6 +95,10 @@
 
   // Room after every order that was sent; negative if more was ordered than there is.
   const Resources& free() const { return free_; }
+  // Set anew with each report: whether this entry may order on room for a single task while others
+  // see the same room.
+  bool takes_last_room() const { return takes_last_room_; }
+  void set_takes_last_room(bool takes) { takes_last_room_ = takes; }
   bool takes_work() const { return attached_ && report_.accepting; }
   bool HasLabel(std::string_view label) const {
     return std::find(report_.labels.begin(), report_.labels.end(), label) != report_.labels.end();
@@ -102,6 +108,7 @@
   std::string agent_id_;
   std::string availability_zone_;
   bool attached_ = false;
+  bool takes_last_room_ = false;
   ExecutorReport report_;
   // Invariant: the room of the report less all pending needs.
   Resources free_;
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -212,8 +212,7 @@
   const Duration limit =
       started ? options_.order_expiry : std::min(job.order_wait, job.start_by - now);
   if (limit <= Duration(0)) return {};
-  // While others order on the same room, the order that comes first is rarely the one that is
-  // neither urgent nor started.
+  // While others order on the same room, orders that are neither urgent nor started come last.
   if (!query.tries_close && query.rank == StartRank::kNormal) {
     query.headroom_cpu_milli = query.step->need.cpu_milli;
   }
@@ -526,7 +525,13 @@
 
 void JobScheduler::OnReport(const std::string& agent_id, ExecutorReport report) {
   const auto found = agents_.find(agent_id);
-  if (found != agents_.end()) found->second.view.OnReport(std::move(report));
+  if (found == agents_.end()) return;
+  // Of the entries that see the same room, one takes the last of it on average.
+  const std::uint32_t rivals = std::max<std::uint32_t>(report.close_entries, 1);
+  ExecutorView& view = found->second.view;
+  view.OnReport(std::move(report));
+  view.set_takes_last_room(
+      std::uniform_int_distribution<std::uint32_t>(1, rivals)(placement_random_) == 1);
 }
 
 // --- Time
--- a/src/core/room_placement.cc
+++ b/src/core/room_placement.cc
@@ -88,11 +88,12 @@
   double best_score = 0;
   std::uniform_real_distribution<> age(0, std::chrono::duration<double>(options_.view_age).count());
   const bool only_close = HasClose(executors, query);
-  Resources need = query.step->need;
-  need.cpu_milli += query.headroom_cpu_milli;
+  Resources with_headroom = query.step->need;
+  with_headroom.cpu_milli += query.headroom_cpu_milli;
   for (ExecutorView* executor : executors) {
     if (only_close && !executor->report().is_close) continue;
     if (!executor->takes_work() || !query.step->need.Fits(executor->report().capacity)) continue;
+    const Resources& need = executor->takes_last_room() ? query.step->need : with_headroom;
     const Duration wait = executor->WaitFor(need, query.rank);
     if (wait > limit) continue;
     const double score = std::chrono::duration<double>(wait).count() + age(random);
--- a/src/core/room_placement.h
+++ b/src/core/room_placement.h
@@ -49,7 +49,8 @@
     // Whether Choose takes close executors, and the others.
     bool tries_close = true;
     bool tries_others = true;
-    // Room beside the task that ChooseSoonest asks for, for orders that come before this one.
+    // Room beside the task that ChooseSoonest asks for, for orders that come before this one. It is
+    // not asked for where this entry takes the last room.
     std::int64_t headroom_cpu_milli = 0;
     // Executors for which this returns false are left out.
     std::function<bool(const ExecutorView&)> allows;
--- a/src/zinniamuxd/run_codec.cc
+++ b/src/zinniamuxd/run_codec.cc
@@ -45,6 +45,7 @@
   ToMessage(report.free, *message.mutable_free());
   for (const std::string& label : report.labels) message.add_labels(label);
   message.set_is_close(report.is_close);
+  message.set_close_entries(report.close_entries);
   message.set_orders_seen(report.orders_seen);
   message.set_pace_permille(static_cast<std::uint32_t>(report.pace * kPermille));
   message.set_waiting_urgent_cpu_milli(report.waiting.urgent_cpu_milli);
@@ -62,6 +63,7 @@
           .free = FromMessage(message.free()),
           .labels = {message.labels().begin(), message.labels().end()},
           .is_close = message.is_close(),
+          .close_entries = message.close_entries(),
           .orders_seen = message.orders_seen(),
           .pace = message.pace_permille() / kPermille,
           .waiting = {.urgent_cpu_milli = message.waiting_urgent_cpu_milli(),
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -401,6 +401,7 @@
     report.labels = executor->labels;
   }
   report.is_close = audience_.IsClose(link.address().entry_id);
+  report.close_entries = static_cast<std::uint32_t>(audience_.close().size());
   report.accepting = supervisor_.accepting();
   report.free = supervisor_.free_room();
   report.pace = supervisor_.pace();
--- a/tests/unit/room_placement_test.cc
+++ b/tests/unit/room_placement_test.cc
@@ -161,7 +161,8 @@
   cr_assert_eq(pool.placement.LeastWait(pool.views, pool.Query(labelled)).count(), 0);
 }
 
-// Guards against an order of the least rank for the last room that others are about to take.
+// Guards against an order of the least rank for the last room that others are about to take, and
+// against last room that nobody takes.
 Test(room_placement, leaves_headroom) {
   Pool pool;
   pool.Add("close", "here", 1500);
@@ -169,6 +170,8 @@
   cr_assert_eq(pool.ChooseSoonest(query, milliseconds(1)), "close");
   query.headroom_cpu_milli = 1000;
   cr_assert_eq(pool.ChooseSoonest(query, milliseconds(1)), "");
+  pool.views.front()->set_takes_last_room(true);
+  cr_assert_eq(pool.ChooseSoonest(query, milliseconds(1)), "close");
 }
 
 // Guards against one outlier that makes a sound executor look slow, and against a slow one that
