--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -33,7 +33,8 @@
 bool CallerGateway::SetConfiguration(core::QueueConfiguration configuration) {
   if (configuration_ && configuration.version <= configuration_->version) return false;
   configuration_ = std::move(configuration);
-  for (CallerRequest& request : std::exchange(early_, {})) Handle(std::move(request));
+  const std::deque<CallerRequest> early = std::exchange(early_, {});
+  for (const CallerRequest& request : early) Handle(request);
   return true;
 }
 
@@ -60,7 +61,7 @@
                       .request = request,
                       .responder = std::move(responder),
                       .arrived = clock_.now()};
-  if (configuration_) return Handle(std::move(taken));
+  if (configuration_) return Handle(taken);
   if (early_.size() >= kMaxEarly) return RefuseEarly(taken);
   early_.push_back(std::move(taken));
 }
@@ -77,7 +78,7 @@
               "request_refused", request.request.path, "no configuration yet");
 }
 
-void CallerGateway::Handle(CallerRequest taken) {
+void CallerGateway::Handle(const CallerRequest& taken) {
   const adapters::HttpRequest& request = taken.request;
   const HttpResponder& responder = taken.responder;
   const std::string host = adapters::HeaderValue(request.headers, "Host");
@@ -92,7 +93,7 @@
                        "request_invalid", request.path, "no job id");
   }
   if (request.method == "POST") {
-    return Submit(*id, *queue, std::move(taken));
+    return Submit(*id, *queue, taken);
   }
   if (request.method == "GET" && id->empty()) {
     return Reply(responder, platform::ComposeCount(scheduler_.PendingOf(queue->name)));
@@ -104,7 +105,7 @@
 }
 
 void CallerGateway::Submit(const std::string& id, const core::QueueRule& queue,
-                           CallerRequest taken) {
+                           const CallerRequest& taken) {
   const adapters::HttpRequest& request = taken.request;
   const HttpResponder& responder = taken.responder;
   core::Result<platform::SubmittedJob> job = platform::ParseJob(request.body);
--- a/src/zinniamuxd/caller_gateway.h
+++ b/src/zinniamuxd/caller_gateway.h
@@ -58,9 +58,9 @@
     core::TimePoint arrived;
   };
 
-  void Handle(CallerRequest request);
+  void Handle(const CallerRequest& taken);
   void RefuseEarly(const CallerRequest& request);
-  void Submit(const std::string& id, const core::QueueRule& queue, CallerRequest request);
+  void Submit(const std::string& id, const core::QueueRule& queue, const CallerRequest& taken);
   adapters::HttpResponse Fetch(const std::string& id) const;
   adapters::HttpResponse Cancel(const std::string& id);
   void Reply(const adapters::HttpResponder& responder, adapters::HttpResponse response);
