--- a/tests/property/lease_world_property_test.cc
+++ b/tests/property/lease_world_property_test.cc
@@ -186,8 +186,8 @@
 }
 
 // Load pattern of a small deployment to which entries were added: eight dispatchers in front of
-// nine executors that are used to 0.9. Guards against dispatchers that see part of the room only,
-// and refuse urgent jobs beside the rest: 18 % of them with four close dispatchers each.
+// nine executors, with as much work as these can do. Guards against dispatchers that see part of the
+// room only, and refuse urgent jobs beside the rest: 15 % of them with four close dispatchers each.
 Test(lease_world, serves_few_executors_behind_many_dispatchers) {
   constexpr std::size_t kDispatchers = 8;
   LeaseWorld world({.seed = 17,
@@ -196,7 +196,7 @@
   for (auto& job : CounterTrace({.seed = 17,
                    .begin = kWarmUp,
                    .length = seconds(15),
-                   .load = 0.85,
+                   .load = 1.0,
                    .dispatchers = kDispatchers})) {
     world.Add(std::move(job));
   }
