gateway: a request is copied only while it waits for the first configuration

Since requests may wait for the configuration, each one was copied with its headers and body, also with a configuration at hand. Behaviour is unchanged.

--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -33,8 +33,13 @@
 bool CallerGateway::SetConfiguration(core::QueueConfiguration configuration) {
   if (configuration_ && configuration.version <= configuration_->version) return false;
   configuration_ = std::move(configuration);
-  const std::deque<CallerRequest> early = std::exchange(early_, {});
-  for (const CallerRequest& request : early) Handle(request);
+  const std::deque<EarlyRequest> early = std::exchange(early_, {});
+  for (const EarlyRequest& each : early) {
+    Handle({.connection = each.connection,
+            .request = each.request,
+            .responder = each.responder,
+            .arrived = each.arrived});
+  }
   return true;
 }
 
@@ -57,30 +62,34 @@
 
 void CallerGateway::OnRequest(ConnectionId connection, const adapters::HttpRequest& request,
                               HttpResponder responder) {
-  CallerRequest taken{.connection = connection,
-                      .request = request,
-                      .responder = std::move(responder),
-                      .arrived = clock_.now()};
-  if (configuration_) return Handle(taken);
-  if (early_.size() >= kMaxEarly) return RefuseEarly(taken);
-  early_.push_back(std::move(taken));
+  const core::TimePoint now = clock_.now();
+  if (configuration_) {
+    return Handle(
+        {.connection = connection, .request = request, .responder = responder, .arrived = now});
+  }
+  if (early_.size() >= kMaxEarly) return RefuseEarly(request, responder);
+  early_.push_back({.connection = connection,
+                    .request = request,
+                    .responder = std::move(responder),
+                    .arrived = now});
 }
 
 void CallerGateway::OnTimer() {
   while (!early_.empty() && early_.front().arrived + kEarlyWait <= clock_.now()) {
-    RefuseEarly(early_.front());
+    RefuseEarly(early_.front().request, early_.front().responder);
     early_.pop_front();
   }
 }
 
-void CallerGateway::RefuseEarly(const CallerRequest& request) {
-  ReplyAndLog(request.responder, platform::ComposeRefusal("not_ready", kShortRetry),
-              "request_refused", request.request.path, "no configuration yet");
+void CallerGateway::RefuseEarly(const adapters::HttpRequest& request,
+                                const HttpResponder& responder) {
+  ReplyAndLog(responder, platform::ComposeRefusal("not_ready", kShortRetry), "request_refused",
+              request.path, "no configuration yet");
 }
 
-void CallerGateway::Handle(const CallerRequest& taken) {
-  const adapters::HttpRequest& request = taken.request;
-  const HttpResponder& responder = taken.responder;
+void CallerGateway::Handle(const Call& call) {
+  const adapters::HttpRequest& request = call.request;
+  const HttpResponder& responder = call.responder;
   const std::string host = adapters::HeaderValue(request.headers, "Host");
   const core::QueueRule* queue = configuration_->Find(host, request.path);
   if (queue == nullptr) {
@@ -93,7 +102,7 @@
                        "request_invalid", request.path, "no job id");
   }
   if (request.method == "POST") {
-    return Submit(*id, *queue, taken);
+    return Submit(*id, *queue, call);
   }
   if (request.method == "GET" && id->empty()) {
     return Reply(responder, platform::ComposeCount(scheduler_.PendingOf(queue->name)));
@@ -104,10 +113,9 @@
               *id, "unknown method");
 }
 
-void CallerGateway::Submit(const std::string& id, const core::QueueRule& queue,
-                           const CallerRequest& taken) {
-  const adapters::HttpRequest& request = taken.request;
-  const HttpResponder& responder = taken.responder;
+void CallerGateway::Submit(const std::string& id, const core::QueueRule& queue, const Call& call) {
+  const adapters::HttpRequest& request = call.request;
+  const HttpResponder& responder = call.responder;
   core::Result<platform::SubmittedJob> job = platform::ParseJob(request.body);
   if (!job) {
     return ReplyAndLog(responder, platform::ComposeInvalid(job.error().message), "request_invalid",
@@ -130,10 +138,10 @@
   submitted.attempts = queue.attempts;
   submitted.stretch = queue.stretch;
   submitted.slack = queue.slack;
-  submitted.arrived = taken.arrived;
-  submitted.deadline = taken.arrived + patience;
-  by_job_[id].push_back({.connection = taken.connection, .responder = responder});
-  by_connection_[taken.connection].insert(id);
+  submitted.arrived = call.arrived;
+  submitted.deadline = call.arrived + patience;
+  by_job_[id].push_back({.connection = call.connection, .responder = responder});
+  by_connection_[call.connection].insert(id);
   ++waiting_callers_;
   metrics_.Add("jobs_submitted_total", 1, {{"queue", queue.name}});
   log_.Write(LogLevel::kInfo, "job_received",
@@ -162,7 +170,7 @@
 }
 
 void CallerGateway::OnClosed(ConnectionId connection) {
-  std::erase_if(early_, [connection](const CallerRequest& request) {
+  std::erase_if(early_, [connection](const EarlyRequest& request) {
     return request.connection == connection;
   });
   const auto found = by_connection_.find(connection);
--- a/src/zinniamuxd/caller_gateway.h
+++ b/src/zinniamuxd/caller_gateway.h
@@ -51,16 +51,24 @@
     adapters::HttpResponder responder;
   };
 
-  struct CallerRequest {
+  // A request while it is handled.
+  struct Call {
+    ConnectionId connection = 0;
+    const adapters::HttpRequest& request;
+    const adapters::HttpResponder& responder;
+    core::TimePoint arrived;
+  };
+  // A request that waits for the first configuration.
+  struct EarlyRequest {
     ConnectionId connection = 0;
     adapters::HttpRequest request;
     adapters::HttpResponder responder;
     core::TimePoint arrived;
   };
 
-  void Handle(const CallerRequest& taken);
-  void RefuseEarly(const CallerRequest& request);
-  void Submit(const std::string& id, const core::QueueRule& queue, const CallerRequest& taken);
+  void Handle(const Call& call);
+  void RefuseEarly(const adapters::HttpRequest& request, const adapters::HttpResponder& responder);
+  void Submit(const std::string& id, const core::QueueRule& queue, const Call& call);
   adapters::HttpResponse Fetch(const std::string& id) const;
   adapters::HttpResponse Cancel(const std::string& id);
   void Reply(const adapters::HttpResponder& responder, adapters::HttpResponse response);
@@ -72,8 +80,8 @@
   adapters::JsonLog& log_;
   adapters::Metrics& metrics_;
   std::optional<core::QueueConfiguration> configuration_;
-  // Requests that wait for the first configuration.
-  std::deque<CallerRequest> early_;
+  // Invariant: empty once there is a configuration.
+  std::deque<EarlyRequest> early_;
   std::unordered_map<std::string, std::vector<Waiting>> by_job_;
   // Jobs for which a connection waits. Invariant: the same pairs as in by_job_.
   std::unordered_map<ConnectionId, std::set<std::string>> by_connection_;
