registry: a peer that was dropped while its welcome was sent is not handled further

Found by reading. The rest of its frame was handled, and would have named a peer to ask for the configuration that is not in the list any more; the lookup of that peer throws. No run has shown it, and no test covers it.

--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -78,6 +78,9 @@
   peer->clock_offset = std::max(peer->clock_offset, sent_at - peer->heard_at.time_since_epoch());
   if (frame.has_hello()) OnHello(peer, frame.hello());
   if (peer->agent_id.empty()) return Drop(peer, "no introduction");
+  // Sending the welcome may have dropped the peer.
+  const auto named = by_agent_.find(peer->agent_id);
+  if (named == by_agent_.end() || named->second != peer) return;
   for (const runs::RunUpdate& update : frame.updates()) {
     handlers_.on_update(peer->agent_id, FromMessage(update.run()),
                         static_cast<core::RunOutcome>(update.outcome()),
