--- /dev/null
+++ b/bench/overload/shared_queue.h
@@ -0,0 +1,25 @@
+// Reference for the overload tool: one queue in front of all executors, with full knowledge.
+#ifndef ZINNIAMUX_BENCH_OVERLOAD_SHARED_QUEUE_H_
+#define ZINNIAMUX_BENCH_OVERLOAD_SHARED_QUEUE_H_
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+
+#include "support/job_traces.h"
+#include "support/lease_world.h"
+
+namespace zinniamux::bench {
+
+// Serves the jobs from a single queue that sees the free room of every executor at any moment and
+// knows all run times. Tasks start where most room is left. Urgent jobs come first, then the job
+// that must start soonest; a job that cannot end within its objective any more is refused. Nothing
+// is delayed by messages, so dispatchers that share executors can hardly serve more.
+// Returns the counts by kind of job.
+std::map<std::string, testing::KindCount> ServeFromSharedQueue(
+    std::span<const testing::SimulatedJob> jobs, std::span<const std::int64_t> executor_cpu_milli);
+
+}  // namespace zinniamux::bench
+
+#endif  // ZINNIAMUX_BENCH_OVERLOAD_SHARED_QUEUE_H_
