run supervisor: expect the wait of normal orders from the mean use of urgent ones

Cause: the expected wait of an order that is not urgent divided what is missing by the room that normal runs release at this moment, as if all room of urgent runs went to other urgent ones. Now urgent orders are expected to take the room that urgent runs released in the mean of the last second, and normal orders get the rest.

Ruled out: the reserve for urgent runs (refusals stay without it), and the length of the allowed wait (0.5 of the objective in place of 0.25: no gain).

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -144,15 +144,17 @@
 void RunSupervisor::StartWaitingOrders() {
   if (!accepting()) return RefuseOrders(queue_.TakeAll(), RunOutcome::kNotAccepting);
   RefuseOrders(queue_.TakeExpired(clock_.now()), RunOutcome::kExpired);
-  UpdateUrgentReserve();
+  UpdateUrgentUse();
   while (auto next = queue_.TakeNextFitting(free_room(), kept_cpu_milli())) {
     BeginRun(*std::move(next));
-    UpdateUrgentReserve();
+    UpdateUrgentUse();
   }
 }
 
-void RunSupervisor::UpdateUrgentReserve() {
-  reserve_.Update(urgent_used_milli_ + queue_.waiting_needs().urgent_only_cpu_milli, clock_.now());
+void RunSupervisor::UpdateUrgentUse() {
+  const TimePoint now = clock_.now();
+  reserve_.Update(urgent_used_milli_ + queue_.waiting_needs().urgent_only_cpu_milli, now);
+  urgent_release_.Update(RunReleaseRate(true) - RunReleaseRate(false), now);
 }
 
 std::int64_t RunSupervisor::kept_cpu_milli() const {
@@ -559,7 +561,12 @@
 
 std::vector<SupervisorAction> RunSupervisor::TakeActions() { return std::exchange(actions_, {}); }
 
-double RunSupervisor::release_rate(bool with_urgent) const {
+double RunSupervisor::lesser_release_rate() const {
+  const double left = release_rate() - urgent_release_.At(clock_.now());
+  return std::max(left, RunReleaseRate(false));
+}
+
+double RunSupervisor::RunReleaseRate(bool with_urgent) const {
   // With shorter estimates, room would be promised sooner than starts and reports take.
   constexpr double kMinSeconds = 0.01;
   const double pace = pace_.value(clock_.now());
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "core/decaying_mean.h"
 #include "core/pace_meter.h"
 #include "core/run.h"
 #include "core/start_queue.h"
@@ -199,9 +200,13 @@
   WaitingNeeds waiting_room() const { return queue_.waiting_needs(); }
   // Free room that is reserved for urgent runs.
   std::int64_t kept_cpu_milli() const;
-  // Milli-cores per second that ending runs release, from their estimates and the recent pace, with
-  // or without the urgent runs.
-  double release_rate(bool with_urgent) const;
+  // Milli-cores per second that ending runs release, from their estimates and the recent pace.
+  double release_rate() const { return RunReleaseRate(true); }
+  // The part of release_rate() that is left for orders that are neither urgent nor of a started
+  // job. Urgent orders overtake those, and take room at the rate at which urgent runs have released
+  // it in the last second. A burst of urgent runs releases more than that: they run for a short
+  // time, and what they release is free for the others afterwards.
+  double lesser_release_rate() const;
   // Runs and waiting orders of the owner.
   std::vector<RunId> RunsOf(const std::string& owner) const;
   // Recent run time divided by the estimate, 0 if unknown.
@@ -254,7 +259,8 @@
   void ForgetExecutor(RunOutcome outcome);
   std::optional<RunOutcome> ReasonToRefuse(const RunOrder& order) const;
   void StartWaitingOrders();
-  void UpdateUrgentReserve();
+  void UpdateUrgentUse();
+  double RunReleaseRate(bool with_urgent) const;
   void BeginRun(StartQueue::WaitingOrder waiting);
   void RefuseOrders(const std::vector<StartQueue::WaitingOrder>& orders, RunOutcome outcome);
   void SendStart(Run& run);
@@ -301,6 +307,8 @@
   // Processor need of the urgent runs in runs_.
   std::int64_t urgent_used_milli_ = 0;
   UrgentReserve reserve_;
+  // Milli-cores per second that urgent runs release; the time constant is that of the reserve.
+  DecayingMean urgent_release_{std::chrono::seconds(1)};
   std::map<std::string, TimePoint> owner_last_heard_;
   // Hold calls in flight, by number.
   std::map<std::uint64_t, Hold> holds_;
--- a/src/core/urgent_reserve.h
+++ b/src/core/urgent_reserve.h
@@ -4,10 +4,10 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <cstdint>
 
 #include "core/clock.h"
+#include "core/decaying_mean.h"
 
 namespace zinniamux::core {
 
@@ -18,21 +18,18 @@
  public:
   // From now on, urgent runs use and waiting urgent orders need `urgent_cpu_milli` in all.
   void Update(std::int64_t urgent_cpu_milli, TimePoint now) {
-    mean_ = MeanAt(now);
+    mean_.Update(static_cast<double>(urgent_cpu_milli), now);
     current_ = urgent_cpu_milli;
-    changed_at_ = now;
   }
 
   // Room that other runs must leave free, beyond what urgent runs use now.
   std::int64_t ReservedCpuMilli(std::int64_t capacity_milli, TimePoint now) const {
     const double max_reserved = static_cast<double>(capacity_milli) * kMaxReservedShare;
-    const double missing = MeanAt(now) * kReservedShare - static_cast<double>(current_);
+    const double missing = mean_.At(now) * kReservedShare - static_cast<double>(current_);
     return static_cast<std::int64_t>(std::clamp(missing, 0.0, max_reserved));
   }
 
  private:
-  // Time constant of the mean: bursts last for some seconds, and the reserve follows within one.
-  static constexpr double kTimeConstantSeconds = 1.0;
   // Share of the mean use that is reserved. A larger one leaves executors idle while callers are
   // refused: urgent orders come first when room becomes free, so many need no reserve.
   static constexpr double kReservedShare = 0.6;
@@ -40,16 +37,9 @@
   // urgent jobs, while other orders expire.
   static constexpr double kMaxReservedShare = 0.12;
 
-  double MeanAt(TimePoint now) const {
-    const double age = std::chrono::duration<double>(now - changed_at_).count();
-    const double weight = std::exp(-std::max(age, 0.0) / kTimeConstantSeconds);
-    return mean_ * weight + static_cast<double>(current_) * (1 - weight);
-  }
-
-  // Exponentially weighted mean of the urgent need, up to changed_at_.
-  double mean_ = 0;
+  // Bursts last for some seconds, and the reserve follows within one.
+  DecayingMean mean_{std::chrono::seconds(1)};
   std::int64_t current_ = 0;
-  TimePoint changed_at_;
 };
 
 }  // namespace zinniamux::core
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -413,8 +413,8 @@
   report.pace = run_supervisor_.pace();
   report.waiting = run_supervisor_.waiting_room();
   report.kept_cpu_milli = run_supervisor_.kept_cpu_milli();
-  report.release_rate = run_supervisor_.release_rate(true);
-  report.lesser_release_rate = run_supervisor_.release_rate(false);
+  report.release_rate = run_supervisor_.release_rate();
+  report.lesser_release_rate = run_supervisor_.lesser_release_rate();
   const auto seen = orders_seen_.find(link.owner());
   if (seen != orders_seen_.end()) report.orders_seen = seen->second;
   ToMessage(report, message);
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -199,8 +199,8 @@
   report.pace = core.pace();
   report.waiting = core.waiting_room();
   report.kept_cpu_milli = core.kept_cpu_milli();
-  report.release_rate = core.release_rate(true);
-  report.lesser_release_rate = core.release_rate(false);
+  report.release_rate = core.release_rate();
+  report.lesser_release_rate = core.lesser_release_rate();
   report.close_entries =
       static_cast<std::uint32_t>(supervisors_[supervisor]->audience->close().size());
   report.is_close = supervisors_[supervisor]->audience->IsClose(NameOf(dispatcher));
