job scheduler: learn how long orders may wait at executors

Cause: an order that is not urgent could wait at an executor for 1.5 % of its objective only, so that executors which were nearly full left room idle until a report had reached the dispatchers and an order had come back; with four dispatchers one order of ten was refused for lack of room. The share now follows from what orders turn out to do: it grows while orders that had to wait start in time, and shrinks when one in ten does not.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -85,7 +85,6 @@
   job.received = request.arrived == TimePoint() ? clock_.now() : request.arrived;
   const Duration critical_path = CriticalPath(request);
   job.start_by = wait_policy_.StartBy(request, critical_path, job.received);
-  job.max_order_wait = wait_policy_.MaxOrderWait(request, critical_path);
   job.latest_start = wait_policy_.LatestStart(request, critical_path, job.received);
   job.objective = job.received + wait_policy_.Objective(request, critical_path);
   for (const JobStep& step : request.steps) {
@@ -200,6 +199,15 @@
   }
 }
 
+Duration JobScheduler::MaxOrderWait(const Job& job) const {
+  const Duration left = job.start_by - clock_.now();
+  // No other order overtakes an urgent one, so its expected wait is reliable.
+  if (job.request.urgent) return left;
+  const double limit = std::chrono::duration<double>(job.objective - job.received).count() *
+                       order_wait_limit_.share();
+  return std::min(left, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(limit)));
+}
+
 JobScheduler::Choice JobScheduler::ChooseExecutor(const Job& job, const Task& task,
                                                   RoomPlacement::Query query) {
   const TimePoint now = clock_.now();
@@ -212,8 +220,7 @@
   if (ExecutorView* free = placement_.ChooseWithRoom(views_, query, placement_random_)) {
     return {.view = free, .at_once = may_be_refused};
   }
-  const Duration limit =
-      started ? options_.order_expiry : std::min(job.max_order_wait, job.start_by - now);
+  const Duration limit = started ? options_.order_expiry : MaxOrderWait(job);
   if (limit <= Duration(0)) return {};
   // While other dispatchers compete for the same room, jobs that are neither urgent nor started
   // leave headroom for theirs.
@@ -320,6 +327,7 @@
   ++task.run;
   task.state = TaskState::kOrdered;
   task.ordered_at = now;
+  task.may_wait = !choice.at_once && rank == StartRank::kNormal;
   task.supervisor_id = supervisor.view.agent_id();
   --step.ready;
   --job.ready;
@@ -359,9 +367,19 @@
   if (outcome == RunOutcome::kDone) {
     estimator_.Observe(queue, job.request.steps[id.task.step].estimate, elapsed);
   }
+  RecordOrderWait(job, id, outcome, elapsed);
   ApplyOutcome(job, id, outcome);
 }
 
+void JobScheduler::RecordOrderWait(const Job& job, const RunId& id, RunOutcome outcome,
+                                   Duration elapsed) {
+  const Task& task = job.steps[id.task.step].tasks[id.task.index];
+  if (!task.may_wait || task.run != id.run) return;
+  if (outcome == RunOutcome::kExpired) order_wait_limit_.RecordStart(false);
+  if (outcome != RunOutcome::kDone) return;
+  order_wait_limit_.RecordStart(clock_.now() - elapsed <= job.start_by);
+}
+
 void JobScheduler::ApplyOutcome(Job& job, const RunId& id, RunOutcome outcome) {
   Step& step = job.steps[id.task.step];
   Task& task = step.tasks[id.task.index];
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -22,6 +22,7 @@
 #include "core/executor_health.h"
 #include "core/executor_view.h"
 #include "core/job_request.h"
+#include "core/order_wait_limit.h"
 #include "core/room_placement.h"
 #include "core/run.h"
 #include "core/run_time_estimator.h"
@@ -168,6 +169,8 @@
     std::uint32_t room_refusals = 0;
     std::string supervisor_id;
     TimePoint ordered_at;
+    // Its order may wait for room at the executor.
+    bool may_wait = false;
     // The supervisor of its last failed run; the next run is placed elsewhere.
     std::string last_failed_on;
     // Its run was stopped on a slow executor, to be repeated elsewhere.
@@ -189,8 +192,6 @@
     TimePoint start_by;
     // Tasks that start later end after the objective.
     TimePoint latest_start;
-    // Longest expected wait of an order at its executor.
-    Duration max_order_wait{0};
     // When the answer is due.
     TimePoint objective;
     TimePoint first_ordered;
@@ -256,11 +257,15 @@
   ViewTrust& ViewTrustFor(const ExecutorView& view) {
     return view.report().is_close ? close_trust_ : others_trust_;
   }
+  // Longest expected wait of an order of the job at its executor.
+  Duration MaxOrderWait(const Job& job) const;
   Choice ChooseExecutor(const Job& job, const Task& task, RoomPlacement::Query query);
   void OrderStart(Job& job, std::uint32_t step, std::uint32_t index, StartRank rank,
                   const Choice& choice);
   void OnRunEnded(const Supervisor& supervisor, const RunId& id, RunOutcome outcome,
                   Duration elapsed);
+  // Learns from an order that may have waited at its executor.
+  void RecordOrderWait(const Job& job, const RunId& id, RunOutcome outcome, Duration elapsed);
   void ApplyOutcome(Job& job, const RunId& id, RunOutcome outcome);
   static bool MayHaveRun(const Job& job) { return job.any_run_started || job.ordered > 0; }
   void FinishJob(Job& job, JobResult result, JobReason reason,
@@ -282,6 +287,7 @@
   // For the views of close executors, and of the others.
   ViewTrust close_trust_;
   ViewTrust others_trust_;
+  OrderWaitLimit order_wait_limit_;
   RunTimeEstimator estimator_;
   ExecutorHealth health_;
   std::unordered_map<std::string, Job> jobs_;
--- a/src/core/wait_policy.cc
+++ b/src/core/wait_policy.cc
@@ -16,12 +16,6 @@
   return std::min(received + std::min(max_wait, spare), job.deadline);
 }
 
-Duration WaitPolicy::MaxOrderWait(const JobRequest& job, Duration critical_path) const {
-  const double share_of_objective =
-      job.urgent ? options_.urgent_wait_share : options_.order_wait_share;
-  return std::chrono::duration_cast<Duration>(Objective(job, critical_path) * share_of_objective);
-}
-
 TimePoint WaitPolicy::LatestStart(const JobRequest& job, Duration critical_path,
                                   TimePoint received) const {
   const Duration spare = std::max(Objective(job, critical_path) - critical_path, Duration(0));
--- a/src/core/wait_policy.h
+++ b/src/core/wait_policy.h
@@ -21,11 +21,6 @@
     // reports.
     double urgent_wait_share = 0.35;
     double wait_share = 0.25;
-    // Longest expected wait of an order at an executor, as a share of the objective. Urgent orders
-    // may wait up to urgent_wait_share there: none overtakes them, so their expected waits are
-    // reliable. The others are overtaken by later urgent ones, so they wait at the dispatcher until
-    // some executor has a short wait.
-    double order_wait_share = 0.015;
     std::chrono::milliseconds min_retry_after{1000};
     // Without the spread.
     std::chrono::milliseconds max_retry_after{4000};
@@ -43,9 +38,6 @@
   // The job is refused unless its tasks are expected to start by then.
   TimePoint StartBy(const JobRequest& job, Duration critical_path, TimePoint received) const;
 
-  // Orders are sent only to executors with an expected wait up to this.
-  Duration MaxOrderWait(const JobRequest& job, Duration critical_path) const;
-
   // Tasks that start by then are expected to end within the objective.
   TimePoint LatestStart(const JobRequest& job, Duration critical_path, TimePoint received) const;
 
