--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -523,3 +523,40 @@
   cr_assert_eq(std::get<AnswerJob>(refused.at(0)).answer.job_id, "late");
   cr_assert(std::get<AnswerJob>(refused.at(0)).answer.result == JobResult::kRefused);
 }
+
+// Load pattern: all executors are full, and their runs end soon. Guards against a job that waits
+// for a report of free room, while the executor is idle from the end of a run until an order
+// arrives.
+Test(job_scheduler, orders_at_a_full_executor_that_has_room_soon) {
+  Fixture fixture({"a"});
+  // The objective is 220 ms; a core is free after 10 ms.
+  fixture.ReportFull("a", {}, 100'000);
+  fixture.Submit(fixture.MakeJob("job", 1));
+  cr_assert_eq(fixture.starts.size(), 1);
+  cr_assert_not(fixture.starts.at(0).at_once);
+}
+
+// Load pattern of contention: other dispatchers order at the same executors, so that orders wait
+// for longer than expected. Guards against a dispatcher that goes on ordering where its orders
+// expire.
+Test(job_scheduler, orders_for_shorter_waits_after_orders_expired) {
+  constexpr int kExpiredOrders = 12;
+  Fixture fixture({"a"});
+  fixture.ReportFull("a", {}, 100'000);
+  fixture.Submit(fixture.MakeJob("job0", 1));
+  int expired = 0;
+  while (!fixture.starts.empty() && expired < kExpiredOrders) {
+    const StartTasks start = fixture.starts.front();
+    fixture.scheduler.OnRunUpdate("a", {.task = {.job_id = start.job_id, .index = 0}, .run = 1},
+                                  RunOutcome::kExpired, milliseconds(0));
+    fixture.starts.clear();
+    fixture.scheduler.OnCancel(start.job_id);
+    fixture.ReportFull("a", {}, 100'000);
+    fixture.Submit(fixture.MakeJob("job" + std::to_string(++expired), 1));
+  }
+  cr_assert_lt(expired, kExpiredOrders);
+  // The last job waits here, and uses an executor that has room even sooner.
+  fixture.ReportFull("a", {}, 1'000'000);
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.starts.size(), 1);
+}
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -408,3 +408,40 @@
             "orders of equal rank may use the remaining room");
   cr_assert_eq(fixture.ActionsOf<CallStart>().size(), 1);
 }
+
+// Load pattern: one wide urgent job fills an executor that runs long jobs otherwise. Guards against
+// an expected wait of the other orders that counts all room of the urgent runs as lost: they end
+// within a tenth of a second, and no further urgent ones come.
+Test(run_supervisor, expects_room_from_urgent_runs_that_do_not_follow_each_other) {
+  Fixture fixture;
+  const auto order = [&fixture](std::uint32_t index, bool urgent, milliseconds estimate) {
+    fixture.supervisor.OnOrder(kOwner, {.id = MakeRunId(index),
+                                        .need = {.cpu_milli = 1000, .memory_mb = 10},
+                                        .estimate = estimate,
+                                        .expires = fixture.clock.now() + milliseconds(400),
+                                        .rank = urgent ? zinniamux::core::StartRank::kUrgent
+                                                       : zinniamux::core::StartRank::kNormal,
+                                        .urgent = urgent});
+  };
+  order(0, false, milliseconds(1000));
+  for (std::uint32_t index = 1; index < 4; ++index) order(index, true, milliseconds(100));
+  // Three urgent runs release 30 cores a second, the other one releases 1 core a second.
+  cr_assert_float_eq(fixture.supervisor.release_rate(), 31'000, 1);
+  fixture.clock.Advance(milliseconds(10));
+  cr_assert_geq(fixture.supervisor.lesser_release_rate(), 30'000);
+}
+
+// Load pattern: urgent runs follow each other for seconds. Guards against orders that wait for room
+// which later urgent orders take.
+Test(run_supervisor, expects_no_room_from_urgent_runs_that_follow_each_other) {
+  Fixture fixture;
+  for (std::uint32_t index = 0; index < 4; ++index) {
+    fixture.supervisor.OnOrder(kOwner, {.id = MakeRunId(index),
+                                        .need = {.cpu_milli = 1000, .memory_mb = 10},
+                                        .estimate = milliseconds(100),
+                                        .expires = fixture.clock.now() + milliseconds(400),
+                                        .urgent = index > 0});
+  }
+  fixture.clock.Advance(std::chrono::seconds(5));
+  cr_assert_float_eq(fixture.supervisor.lesser_release_rate(), 10'000, 500);
+}
