--- a/tests/property/lease_world_property_test.cc
+++ b/tests/property/lease_world_property_test.cc
@@ -153,6 +153,34 @@
   cr_assert_geq(price.in_time_share(), 0.5, "price %f", price.in_time_share());
 }
 
+// Load pattern of executors that are nearly full: room for single tasks comes up all the time,
+// while long jobs need room for several tasks at once. Guards against long jobs that are refused
+// because short ones take each piece of room first; a single queue in front of all executors would
+// serve all of them.
+Test(lease_world, serves_wide_jobs_on_nearly_full_executors) {
+  constexpr std::size_t kDispatchers = 4;
+  KindCount layout;
+  for (const std::uint64_t seed : {1, 2}) {
+    LeaseWorld world({.seed = seed,
+                      .dispatchers = kDispatchers,
+                      .executor_cpu_milli = std::vector<std::int64_t>(11, 64'000)});
+    for (auto& job : CounterTrace({.seed = seed,
+                     .begin = kWarmUp,
+                     .length = seconds(10),
+                     .load = 1.08,
+                     .dispatchers = kDispatchers,
+                     .task_cpu_milli = 6200})) {
+      world.Add(std::move(job));
+    }
+    world.Run(seconds(24));
+    AssertSound(world);
+    const KindCount count = CountKind(world, "layout");
+    layout.asked += count.asked;
+    layout.in_time += count.in_time;
+  }
+  cr_assert_geq(layout.in_time_share(), 0.98, "layout %f", layout.in_time_share());
+}
+
 // Load pattern of contention: eight dispatchers, whose views are tens of milliseconds old, place
 // more work than the executors can do. Guards against orders that executors refuse for want of
 // room, which cost messages and leave executors idle until the next order.
