--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -155,6 +155,8 @@
   // Whether `at_once` orders are placed by the views of close executors, and of the others.
   bool trusts_close_views() const { return close_trust_.is_trusted(clock_.now()); }
   bool trusts_other_views() const { return others_trust_.is_trusted(clock_.now()); }
+  // Longest expected wait of an order at an executor, as a share of the job's objective.
+  double order_wait_share() const { return order_wait_limit_.share(); }
   std::vector<const ExecutorView*> executors() const;
 
  private:
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -348,6 +348,7 @@
               {"waiting_milli", waiting_milli},
               {"trusts_close_views", scheduler_.trusts_close_views()},
               {"trusts_other_views", scheduler_.trusts_other_views()},
+              {"order_wait_share", scheduler_.order_wait_share()},
               {"close_executors", std::move(close_executors)}});
 }
 
@@ -356,6 +357,7 @@
   metrics_.Set("supervisors_attached", static_cast<double>(registry_.connection_count()));
   metrics_.Set("executors_accepting", static_cast<double>(scheduler_.agents_accepting()));
   metrics_.Set("config_version", static_cast<double>(gateway_.config_version()));
+  metrics_.Set("order_wait_share", scheduler_.order_wait_share());
   metrics_.Set("store_answers", store_available_ ? 1 : 0);
   metrics_.Set("log_lines_dropped_total", static_cast<double>(log_.dropped()));
 }
