--- a/bench/overload/main.cc
+++ b/bench/overload/main.cc
@@ -2,9 +2,12 @@
 // beside what one queue with full knowledge would have served.
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <exception>
 #include <iostream>
+#include <map>
 #include <string>
 #include <vector>
 
