dispatcher: log and export processor use, message delays and placements tried

The hypotheses differ in what the dispatchers of that zone spend their processor time on, and in whether messages or readiness checks are handled late; no log line or metric said so. Status lines now have processor_ms, placements_tried, messages, the mean and the largest delay of supervisors' messages, and ready; the same as counters.

No decision changes.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -231,6 +231,7 @@
 }
 
 void JobScheduler::PlaceJob(Job& job) {
+  ++placements_tried_;
   const StartRank rank = RankOf(job);
   bool complete = true;
   for (std::uint32_t s = 0; s < job.steps.size(); ++s) {
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -158,6 +158,9 @@
   // Longest expected wait of an order at an executor, as a share of the job's objective.
   double order_wait_share() const { return order_wait_limit_.share(); }
   std::vector<const ExecutorView*> executors() const;
+  // How often executors were looked for, for all tasks of a job that are ready. The processor time
+  // of placement grows with it.
+  std::uint64_t placements_tried() const { return placements_tried_; }
 
  private:
   enum class TaskState { kBlocked, kReady, kOrdered, kDone };
@@ -314,6 +317,7 @@
   std::map<OrderKey, StartTasks> unsent_starts_;
   std::uint64_t next_order_ = 1;
   std::uint64_t next_job_number_ = 1;
+  std::uint64_t placements_tried_ = 0;
   // Set when the process is shutting down.
   std::optional<TimePoint> shutdown_at_;
   std::unordered_map<std::string, JobReply> answers_;
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <variant>
 
+#include "adapters/processor_time.h"
 #include "platform/configuration_codec.h"
 #include "platform/names.h"
 #include "zinniamuxd/incarnation.h"
@@ -41,6 +42,10 @@
 constexpr milliseconds kExitMargin{500};
 constexpr long kMaxStoreConnections = 8;
 
+double ToMilliseconds(core::Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 core::JobScheduler::Options SchedulerOptions(const adapters::DispatcherSettings& settings) {
   core::JobScheduler::Options options;
   options.availability_zone = settings.availability_zone;
@@ -107,6 +112,11 @@
                [this](std::uint64_t /*version*/, const std::string& body) {
                  OnConfiguration(body, "supervisor");
                },
+           .on_message_delay =
+               [this](core::Duration delay) {
+                 ++messages_handled_;
+                 message_delays_.Record(delay);
+               },
            .on_frame_handled =
                [this] {
                  scheduler_.Place();
@@ -147,6 +157,7 @@
                 constexpr int kServiceUnavailable = 503;
                 int status = IsReady() ? kOk : kServiceUnavailable;
                 if (request.path != platform::kReadyPath) status = kNotFound;
+                metrics_.Add("readiness_checks_total", 1, {{"status", std::to_string(status)}});
                 responder({.status = status, .body = "{}"});
               }});
   if (!readiness) return tl::unexpected(readiness.error());
@@ -338,6 +349,9 @@
                                {"kept_milli", view->report().kept_cpu_milli},
                                {"pace", view->report().pace}});
   }
+  const core::MessageDelayMeter::Interval delays = message_delays_.TakeInterval();
+  const std::uint64_t placements = scheduler_.placements_tried();
+  const core::Duration processor_time = adapters::ProcessorTime();
   log_.Write(LogLevel::kInfo, "status",
              {{"jobs", scheduler_.job_count()},
               {"queued_jobs", scheduler_.queued_jobs()},
@@ -349,7 +363,15 @@
               {"trusts_close_views", scheduler_.trusts_close_views()},
               {"trusts_other_views", scheduler_.trusts_other_views()},
               {"order_wait_share", scheduler_.order_wait_share()},
+              {"ready", IsReady()},
+              {"processor_ms", ToMilliseconds(processor_time - logged_processor_time_)},
+              {"placements_tried", placements - logged_placements_},
+              {"messages", delays.messages},
+              {"message_delay_ms", ToMilliseconds(delays.mean())},
+              {"max_message_delay_ms", ToMilliseconds(delays.max)},
               {"close_executors", std::move(close_executors)}});
+  logged_placements_ = placements;
+  logged_processor_time_ = processor_time;
 }
 
 void DispatcherDaemon::UpdateGauges() {
@@ -358,6 +380,10 @@
   metrics_.Set("executors_accepting", static_cast<double>(scheduler_.agents_accepting()));
   metrics_.Set("config_version", static_cast<double>(gateway_.config_version()));
   metrics_.Set("order_wait_share", scheduler_.order_wait_share());
+  metrics_.Set("processor_seconds_total",
+               std::chrono::duration<double>(adapters::ProcessorTime()).count());
+  metrics_.Set("placements_tried_total", static_cast<double>(scheduler_.placements_tried()));
+  metrics_.Set("messages_handled_total", static_cast<double>(messages_handled_));
   metrics_.Set("store_answers", store_available_ ? 1 : 0);
   metrics_.Set("log_lines_dropped_total", static_cast<double>(log_.dropped()));
 }
--- a/src/zinniamuxd/dispatcher_daemon.h
+++ b/src/zinniamuxd/dispatcher_daemon.h
@@ -17,6 +17,7 @@
 #include "adapters/settings.h"
 #include "core/clock.h"
 #include "core/job_scheduler.h"
+#include "core/message_delay_meter.h"
 #include "platform/store_client.h"
 #include "zinniamuxd/caller_gateway.h"
 #include "zinniamuxd/configuration_watch.h"
@@ -75,6 +76,11 @@
   asio::steady_timer timer_;
   bool store_available_ = true;
   bool placement_scheduled_ = false;
+  // Delays of supervisors' messages, and the counts at the last status line.
+  core::MessageDelayMeter message_delays_;
+  std::uint64_t messages_handled_ = 0;
+  std::uint64_t logged_placements_ = 0;
+  core::Duration logged_processor_time_{0};
   // Unset until a shutdown is requested.
   core::TimePoint shutdown_started_at_;
   core::TimePoint next_roster_at_;
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -76,8 +76,9 @@
   }
   peer->last_received_at = clock_.now();
   const Duration sent_at = std::chrono::milliseconds(frame.sent_clock_ms());
-  peer->clock_offset =
-      std::max(peer->clock_offset, sent_at - peer->last_received_at.time_since_epoch());
+  const Duration offset = sent_at - peer->last_received_at.time_since_epoch();
+  peer->clock_offset = std::max(peer->clock_offset, offset);
+  handlers_.on_message_delay(peer->clock_offset - offset);
   if (frame.has_hello()) OnHello(peer, frame.hello());
   if (peer->supervisor_id.empty()) return ClosePeer(peer, "no hello in the first frame");
   // Sending the welcome may have closed the connection.
