--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -36,8 +36,15 @@
 };
 
 struct LeaseWorld::Dispatcher {
+  struct Arrived {
+    Duration cost{0};
+    std::function<void()> action;
+  };
   std::unique_ptr<core::JobScheduler> scheduler;
   TimePoint frozen_until;
+  // What has arrived and waits for the processor.
+  std::deque<Arrived> inbox;
+  bool busy = false;
 };
 
 struct LeaseWorld::Supervisor {
@@ -125,11 +132,33 @@
   }
   for (std::size_t i = 0; i < dispatchers_.size(); ++i) {
     if (dispatchers_[i]->frozen_until > clock_.now()) continue;
-    dispatchers_[i]->scheduler->OnTimer();
-    CarryOutDispatcher(i);
+    HandleInTurn(i, Duration(0), [this, i] {
+      dispatchers_[i]->scheduler->OnTimer();
+      CarryOutDispatcher(i);
+    });
   }
 }
 
+void LeaseWorld::HandleInTurn(std::size_t dispatcher, Duration cost, std::function<void()> action) {
+  if (options_.processor_shares.empty()) return action();
+  dispatchers_[dispatcher]->inbox.push_back({cost, std::move(action)});
+  if (!std::exchange(dispatchers_[dispatcher]->busy, true)) HandleNext(dispatcher);
+}
+
+void LeaseWorld::HandleNext(std::size_t dispatcher) {
+  Dispatcher& of = *dispatchers_[dispatcher];
+  of.busy = !of.inbox.empty();
+  if (!of.busy) return;
+  const Dispatcher::Arrived next = std::move(of.inbox.front());
+  of.inbox.pop_front();
+  const std::uint64_t placements = of.scheduler->placements_tried();
+  next.action();
+  const auto tried = static_cast<std::int64_t>(of.scheduler->placements_tried() - placements);
+  const Duration work = next.cost + options_.placement_cost * tried;
+  After(std::chrono::duration_cast<Duration>(work / options_.processor_shares[dispatcher]),
+        [this, dispatcher] { HandleNext(dispatcher); });
+}
+
 void LeaseWorld::Heartbeat() {
   After(kHeartbeat, [this] { Heartbeat(); });
   for (std::size_t d = 0; d < dispatchers_.size(); ++d) {
@@ -215,15 +244,17 @@
   if (link.cut_until > clock_.now()) return;
   const std::uint64_t generation = link.generation;
   Deliver(dispatchers_[dispatcher]->frozen_until, options_.link_delay,
-          [this, supervisor, dispatcher, generation,
-           report = ReportOf(supervisor, dispatcher)]() mutable {
-            Link& to = LinkOf(dispatcher, supervisor);
-            if (to.generation != generation) return;
-            to.dispatcher_heard = clock_.now();
-            core::JobScheduler& scheduler = *dispatchers_[dispatcher]->scheduler;
-            scheduler.OnReport("agent-" + std::to_string(supervisor), std::move(report));
-            scheduler.Place();
-            CarryOutDispatcher(dispatcher);
+          [this, supervisor, dispatcher, generation, report = ReportOf(supervisor, dispatcher)] {
+            HandleInTurn(dispatcher, options_.message_cost,
+                         [this, supervisor, dispatcher, generation, report] {
+                           Link& to = LinkOf(dispatcher, supervisor);
+                           if (to.generation != generation) return;
+                           to.dispatcher_heard = clock_.now();
+                           core::JobScheduler& scheduler = *dispatchers_[dispatcher]->scheduler;
+                           scheduler.OnReport("agent-" + std::to_string(supervisor), report);
+                           scheduler.Place();
+                           CarryOutDispatcher(dispatcher);
+                         });
           });
 }
 
@@ -267,9 +298,12 @@
       informed.insert(d);
       Deliver(dispatchers_[d]->frozen_until, options_.link_delay,
               [this, index, d, generation, update = *update] {
-                if (LinkOf(d, index).generation != generation) return;
-                dispatchers_[d]->scheduler->OnRunUpdate("agent-" + std::to_string(index), update.id,
-                                                        update.outcome, update.elapsed);
+                // In one message with the report that follows.
+                HandleInTurn(d, Duration(0), [this, index, d, generation, update] {
+                  if (LinkOf(d, index).generation != generation) return;
+                  dispatchers_[d]->scheduler->OnRunUpdate(
+                      "agent-" + std::to_string(index), update.id, update.outcome, update.elapsed);
+                });
               });
     } else {
       report = true;
@@ -377,14 +411,16 @@
   At(arrives, [this, id] {
     const SimulatedJob& arriving = work_.at(id);
     Dispatcher& dispatcher = *dispatchers_[arriving.dispatcher];
-    records_[id] = {};
-    Deliver(dispatcher.frozen_until, Duration(0), [this, id, &arriving, &dispatcher] {
-      core::JobRequest request = arriving.request;
-      // Callers give how long they wait; the record counts from the first sending.
-      request.deadline = start_ + arriving.arrives + (request.deadline - TimePoint());
-      dispatcher.scheduler->OnJob(std::move(request));
-      dispatcher.scheduler->Place();
-      CarryOutDispatcher(arriving.dispatcher);
+    records_[id] = {.dispatcher = arriving.dispatcher};
+    Deliver(dispatcher.frozen_until, Duration(0), [this, &arriving, &dispatcher] {
+      HandleInTurn(arriving.dispatcher, options_.message_cost, [this, &arriving, &dispatcher] {
+        core::JobRequest request = arriving.request;
+        // Callers give how long they wait; the record counts from the first sending.
+        request.deadline = start_ + arriving.arrives + (request.deadline - TimePoint());
+        dispatcher.scheduler->OnJob(std::move(request));
+        dispatcher.scheduler->Place();
+        CarryOutDispatcher(arriving.dispatcher);
+      });
     });
   });
 }
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -3,6 +3,7 @@
 #define ZINNIAMUX_TESTS_SUPPORT_LEASE_WORLD_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -30,6 +31,7 @@
 };
 
 struct JobRecord {
+  std::size_t dispatcher = 0;
   std::optional<core::JobReply> reply;
   core::Duration took{0};
   core::Duration objective{0};
@@ -53,6 +55,13 @@
     // Part of the calls to executors without an answer; they are carried out late or at once.
     double lost_answers = 0;
     core::JobScheduler::Options scheduler;
+    // Time of a whole core that a dispatcher needs to handle a message or a job, and to look for
+    // executors for one job.
+    core::Duration message_cost{0};
+    core::Duration placement_cost{0};
+    // The dispatchers' shares of a core. Messages wait until those before them are handled. Empty:
+    // nothing takes processor time.
+    std::vector<double> processor_shares;
   };
 
   explicit LeaseWorld(Options options);
@@ -99,6 +108,9 @@
   // As After, but waits until the process is not frozen.
   void Deliver(const core::TimePoint& frozen_until, core::Duration delay,
                std::function<void()> action);
+  // Handles a message or a timer once the dispatcher has handled everything before it.
+  void HandleInTurn(std::size_t dispatcher, core::Duration cost, std::function<void()> action);
+  void HandleNext(std::size_t dispatcher);
   void Tick();
   void Heartbeat();
   void Announce(std::size_t executor);
