job scheduler: try waiting jobs again only when a report may help one of them

Cause: every message of a supervisor started a pass over all waiting jobs, so that the work was the number of messages times that of waiting jobs.

Within a pass, a job is not tried if a smaller need has found no executor.

reports_without_room_retry_no_waiting_jobs fails on the code before.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -141,7 +141,7 @@
   if (job.ready == 0 || queue_keys_.contains(id)) return;
   const QueueKey key = KeyOf(job);
   ++next_job_number_;
-  queue_.emplace(key, id);
+  queue_.emplace(key, QueuedJob{.job = &job});
   queue_keys_.emplace(id, key);
 }
 
@@ -176,29 +176,89 @@
 
 // --- Placement
 
-void JobScheduler::Place() {
+void JobScheduler::PlaceQueuedJobs(bool retry_waiting) {
   if (queue_.empty()) return;
   median_pace_ = RoomPlacement::MedianPace(views_);
-  std::vector<std::string> waiting;
-  waiting.reserve(queue_.size());
-  for (const auto& [key, id] : queue_) waiting.push_back(id);
-  for (const std::string& id : waiting) {
-    const auto found = jobs_.find(id);
-    if (found == jobs_.end()) continue;
-    Job& job = found->second;
-    PlaceJob(job);
+  unmet_needs_.clear();
+  if (retry_waiting) waiting_needs_.clear();
+  for (auto next = queue_.begin(); next != queue_.end();) {
+    QueuedJob& queued = (next++)->second;
+    if (queued.is_waiting && !retry_waiting) continue;
+    // The job may be answered, which removes it from the queue.
+    Job& job = *queued.job;
+    queued.is_waiting = true;
+    const UnmetNeed* unmet = FindUnmetNeed(job);
+    const bool found_none = unmet != nullptr || !PlaceJob(job);
     if (job.ready == 0) {
       Dequeue(job);
-    } else if (!MayHaveRun(job) && !InStartupGrace()) {
-      // If no executor will have room in time, waiting would only delay other jobs.
-      const std::optional<Duration> wait = ExpectedWait(job);
-      if (!wait || clock_.now() + *wait > job.start_by) {
-        RefuseOrAbandon(job, JobReason::kOverloaded);
-      }
+      continue;
     }
+    AddWaitingJob(job);
+    if (MayHaveRun(job) || InStartupGrace()) continue;
+    const Duration wait =
+        unmet != nullptr ? unmet->wait : ExpectedWait(job).value_or(Duration::max());
+    if (found_none && unmet == nullptr) AddUnmetNeed(job, wait);
+    // If no executor will have room in time, waiting would only delay other jobs.
+    if (wait > job.start_by - clock_.now()) RefuseOrAbandon(job, JobReason::kOverloaded);
   }
 }
 
+bool JobScheduler::MayHelpWaitingJobs(const ExecutorView& view) const {
+  return view.takes_work() &&
+         std::any_of(waiting_needs_.begin(), waiting_needs_.end(), [&view](const auto& waiting) {
+           const auto& [rank, least] = waiting;
+           return view.ExpectedWait(least.need, rank) <= least.max_wait;
+         });
+}
+
+void JobScheduler::AddWaitingJob(const Job& job) {
+  const StartRank rank = RankOf(job);
+  const auto [found, is_new] = waiting_needs_.try_emplace(rank);
+  WaitingNeed& least = found->second;
+  least.max_wait = std::max(least.max_wait, MaxOrderWait(job, rank));
+  bool first = is_new;
+  for (std::size_t i = 0; i < job.steps.size(); ++i) {
+    if (job.steps[i].ready == 0) continue;
+    const Resources& need = job.request.steps[i].need;
+    if (std::exchange(first, false)) least.need = need;
+    least.need.cpu_milli = std::min(least.need.cpu_milli, need.cpu_milli);
+    least.need.memory_mb = std::min(least.need.memory_mb, need.memory_mb);
+    least.need.gpus = std::min(least.need.gpus, need.gpus);
+  }
+}
+
+const JobScheduler::UnmetNeed* JobScheduler::FindUnmetNeed(const Job& job) const {
+  if (job.steps.size() != 1) return nullptr;
+  const JobStep& step = job.request.steps.front();
+  const StartRank rank = RankOf(job);
+  const Duration max_wait = MaxOrderWait(job, rank);
+  const auto found =
+      std::find_if(unmet_needs_.begin(), unmet_needs_.end(), [&](const UnmetNeed& unmet) {
+        return unmet.rank == rank && unmet.wait > max_wait && unmet.need.Fits(step.need) &&
+               unmet.service == job.request.service &&
+               unmet.required_label == step.required_label &&
+               unmet.preferred_rack == step.preferred_rack;
+      });
+  return found == unmet_needs_.end() ? nullptr : &*found;
+}
+
+void JobScheduler::AddUnmetNeed(const Job& job, Duration wait) {
+  if (job.steps.size() != 1 || clock_.now() >= job.latest_start) return;
+  const Step& step = job.steps.front();
+  // These see fewer executors than others; see ChooseExecutor and PlaceStep.
+  const bool is_restricted = std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& t) {
+    return !t.last_failed_on.empty() || t.room_refusals >= options_.max_room_refusals;
+  });
+  const JobStep& requested_step = job.request.steps.front();
+  if (is_restricted || requested_step.max_per_executor > 0) return;
+  unmet_needs_.push_back({.service = job.request.service,
+                          .required_label = requested_step.required_label,
+                          .preferred_rack = requested_step.preferred_rack,
+                          .need = requested_step.need,
+                          .rank = RankOf(job),
+                          .wait = wait});
+}
+
 Duration JobScheduler::MaxOrderWait(const Job& job) const {
   const Duration left = job.start_by - clock_.now();
   // No other order overtakes an urgent one, so its expected wait is reliable.
@@ -220,7 +280,7 @@
   if (ExecutorView* free = placement_.ChooseWithRoom(views_, query, placement_random_)) {
     return {.view = free, .at_once = may_be_refused};
   }
-  const Duration limit = started ? options_.order_expiry : MaxOrderWait(job);
+  const Duration limit = MaxOrderWait(job, query.rank);
   if (limit <= Duration(0)) return {};
   // While other dispatchers compete for the same room, jobs that are neither urgent nor started
   // leave headroom for theirs.
@@ -230,13 +290,14 @@
   return {.view = placement_.ChooseShortestWait(views_, query, limit, placement_random_)};
 }
 
-void JobScheduler::PlaceJob(Job& job) {
+bool JobScheduler::PlaceJob(Job& job) {
   ++placements_tried_;
   const StartRank rank = RankOf(job);
   bool complete = true;
   for (std::uint32_t s = 0; s < job.steps.size(); ++s) {
     complete = PlaceStep(job, s, rank) && complete;
   }
+  const bool found_any = !unsent_starts_.empty();
   // Placing only some tasks would make the job late and waste the room they use.
   if (!complete && rank != StartRank::kStarted) RollBackOrders(job);
   for (auto& [key, start] : unsent_starts_) {
@@ -247,6 +308,7 @@
     actions_.emplace_back(std::move(start));
   }
   unsent_starts_.clear();
+  return found_any;
 }
 
 bool JobScheduler::PlaceStep(Job& job, std::uint32_t step_index, StartRank rank) {
@@ -524,6 +586,7 @@
   }
   supervisor.view.set_attached(true);
   supervisor.view.ClearOrders();
+  retries_waiting_ = true;
   if (!is_new && supervisor.incarnation != incarnation) {
     // The earlier process may have died without stopping its runs; they end with its lease.
     supervisor.orphaned_runs.merge(supervisor.runs);
@@ -563,6 +626,7 @@
   view.OnReport(std::move(report));
   view.set_may_take_last_room(
       std::uniform_int_distribution<std::uint32_t>(1, competitors)(placement_random_) == 1);
+  retries_waiting_ = retries_waiting_ || MayHelpWaitingJobs(view);
 }
 
 // --- Time
@@ -591,7 +655,8 @@
   }
   ForgetExpiredAnswers();
   MoveStragglers();
-  Place();
+  // Limits and the state of executors change with time, too.
+  PlaceQueuedJobs(true);
 }
 
 void JobScheduler::RememberAnswer(const JobReply& answer) {
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -134,8 +134,9 @@
   void OnReport(const std::string& supervisor_id, ExecutorReport report);
   void OnRunUpdate(const std::string& supervisor_id, const RunId& id, RunOutcome outcome,
                    Duration elapsed);
-  // Places the queued jobs. Called once after a batch of events.
-  void Place();
+  // Places the queued jobs: new ones, and waiting ones if a report since the last call shows room
+  // for one of them. Called once after a batch of events.
+  void Place() { PlaceQueuedJobs(std::exchange(retries_waiting_, false)); }
 
   // From now on, refuses jobs that may not be answered by `end`.
   void StopAt(TimePoint end) { shutdown_at_ = end; }
@@ -220,6 +221,33 @@
     }
   };
 
+  struct QueuedJob {
+    // In jobs_.
+    Job* job = nullptr;
+    // No executors were found for it. Until a view improves, none will be.
+    bool is_waiting = false;
+  };
+
+  // What the waiting jobs of one rank need at least; a view that does not satisfy it cannot help
+  // any of them.
+  struct WaitingNeed {
+    Resources need;
+    // The longest wait for room that one of the jobs accepts.
+    Duration max_wait{0};
+  };
+
+  // A need for which no executor was found during the present pass over the queue. Orders only
+  // reduce the room, so jobs that need as much and may not wait as long are not tried.
+  struct UnmetNeed {
+    std::string service;
+    std::string required_label;
+    std::string preferred_rack;
+    Resources need;
+    StartRank rank = StartRank::kNormal;
+    // The wait at the best executor.
+    Duration wait{0};
+  };
+
   struct Supervisor {
     ExecutorView view;
     std::uint64_t incarnation = 0;
@@ -250,7 +278,15 @@
   void MoveStragglers();
   bool ShouldMove(const Job& job, const Step& step, const Task& task, double pace,
                   double median_pace);
-  void PlaceJob(Job& job);
+  void PlaceQueuedJobs(bool retry_waiting);
+  // Whether the view satisfies the least need of the waiting jobs of a rank.
+  bool MayHelpWaitingJobs(const ExecutorView& view) const;
+  void AddWaitingJob(const Job& job);
+  // An unmet need that shows that the job cannot be placed; null if there is none.
+  const UnmetNeed* FindUnmetNeed(const Job& job) const;
+  void AddUnmetNeed(const Job& job, Duration wait);
+  // Returns false if no executor was found for any of its tasks.
+  bool PlaceJob(Job& job);
   // Returns false if a task of the step could not be placed.
   bool PlaceStep(Job& job, std::uint32_t step_index, StartRank rank);
   // Undoes the job's orders that were not sent.
@@ -264,6 +300,9 @@
   }
   // Longest expected wait of an order of the job at its executor.
   Duration MaxOrderWait(const Job& job) const;
+  Duration MaxOrderWait(const Job& job, StartRank rank) const {
+    return rank == StartRank::kStarted ? Duration(options_.order_expiry) : MaxOrderWait(job);
+  }
   Choice ChooseExecutor(const Job& job, const Task& task, RoomPlacement::Query query);
   void OrderStart(Job& job, std::uint32_t step, std::uint32_t index, StartRank rank,
                   const Choice& choice);
@@ -296,7 +335,7 @@
   RunTimeEstimator estimator_;
   ExecutorHealth health_;
   std::unordered_map<std::string, Job> jobs_;
-  std::map<QueueKey, std::string> queue_;
+  std::map<QueueKey, QueuedJob> queue_;
   std::unordered_map<std::string, QueueKey> queue_keys_;
   std::map<std::string, Supervisor> supervisors_;
   // The views in supervisors_, in the same order.
@@ -318,6 +357,12 @@
   std::uint64_t next_order_ = 1;
   std::uint64_t next_job_number_ = 1;
   std::uint64_t placements_tried_ = 0;
+  // The waiting jobs of the queue after the last pass, by rank.
+  std::map<StartRank, WaitingNeed> waiting_needs_;
+  // A view has improved, so that the next pass tries the waiting jobs again.
+  bool retries_waiting_ = false;
+  // Of the present pass.
+  std::vector<UnmetNeed> unmet_needs_;
   // Set when the process is shutting down.
   std::optional<TimePoint> shutdown_at_;
   std::unordered_map<std::string, JobReply> answers_;
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -560,3 +560,47 @@
   fixture.PlaceAndTakeActions();
   cr_assert_eq(fixture.starts.size(), 1);
 }
+
+// Guards against work that is the number of messages times the number of waiting jobs: it used up
+// the processor time of small dispatchers in a burst.
+Test(job_scheduler, reports_without_room_retry_no_waiting_jobs) {
+  Fixture fixture({"a"});
+  constexpr double kReleaseRate = 30'000;
+  fixture.ReportFull("a", {}, kReleaseRate);
+  constexpr int kJobs = 20;
+  for (int i = 0; i < kJobs; ++i) fixture.Submit(fixture.MakeJob("job" + std::to_string(i), 1));
+  cr_assert_eq(fixture.scheduler.queued_jobs(), kJobs);
+  std::uint64_t tried = fixture.scheduler.placements_tried();
+  for (int i = 0; i < kJobs; ++i) {
+    fixture.ReportFull("a", {}, kReleaseRate);
+    fixture.PlaceAndTakeActions();
+  }
+  cr_assert_eq(fixture.scheduler.placements_tried(), tried);
+
+  // Room for one task: the first job gets it, the second one finds none, and the others need not
+  // look.
+  tried = fixture.scheduler.placements_tried();
+  fixture.Report("a", 1000);
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.ordered_tasks(), 1);
+  cr_assert_eq(fixture.starts.front().job_id, "job0");
+  cr_assert_eq(fixture.scheduler.placements_tried(), tried + 2);
+}
+
+// Guards against a waiting job that is passed over because a larger one found no room.
+Test(job_scheduler, places_a_small_waiting_job_behind_a_large_one) {
+  Fixture fixture({"a"});
+  constexpr double kReleaseRate = 120'000;
+  fixture.ReportFull("a", {}, kReleaseRate);
+  JobRequest large = fixture.MakeJob("large", 1);
+  large.steps.front().need.cpu_milli = 3000;
+  fixture.Submit(large);
+  JobRequest small = fixture.MakeJob("small", 1);
+  small.steps.front().need.cpu_milli = 2700;
+  fixture.Submit(small);
+  cr_assert_eq(fixture.scheduler.queued_jobs(), 2);
+  fixture.Report("a", 2800);
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.ordered_tasks(), 1);
+  cr_assert_eq(fixture.starts.front().job_id, "small");
+}
