supervisor registry: estimate clock offsets from recent messages only

The offset between the clocks of a supervisor and a dispatcher was the largest that any message of the connection had shown. If the supervisor's clock is the slower one, that is wrong by more every hour, 180 ms an hour at 50 parts per million: orders would expire later than the time after which they are placed elsewhere, and after minutes every message would seem late, so that the dispatcher would ask for the longest pause between reports for good.

--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -75,10 +75,8 @@
     return ClosePeer(peer, "malformed frame");
   }
   peer->last_received_at = clock_.now();
-  const Duration sent_at = std::chrono::milliseconds(frame.sent_clock_ms());
-  const Duration offset = sent_at - peer->last_received_at.time_since_epoch();
-  peer->clock_offset = std::max(peer->clock_offset, offset);
-  const Duration delay = peer->clock_offset - offset;
+  const Duration delay = peer->clock_offset.Record(std::chrono::milliseconds(frame.sent_clock_ms()),
+                                                   peer->last_received_at);
   report_pace_.OnMessage(delay, peer->last_received_at);
   handlers_.on_message_delay(delay);
   if (frame.has_hello()) OnHello(peer, frame.hello());
@@ -138,7 +136,7 @@
   const auto registered = peers_by_supervisor_.find(start.agent_id);
   if (registered == peers_by_supervisor_.end()) return;
   Peer& peer = *registered->second;
-  ToMessage(start, peer.clock_offset, *peer.outgoing.add_starts());
+  ToMessage(start, peer.clock_offset.value(), *peer.outgoing.add_starts());
   peer.has_outgoing = true;
 }
 
--- a/src/zinniamuxd/supervisor_registry.h
+++ b/src/zinniamuxd/supervisor_registry.h
@@ -14,6 +14,7 @@
 
 #include "adapters/listen_address.h"
 #include "core/clock.h"
+#include "core/clock_offset.h"
 #include "core/configuration_exchange.h"
 #include "core/error_kind.h"
 #include "core/executor_view.h"
@@ -83,9 +84,7 @@
     std::string supervisor_id;
     core::TimePoint last_received_at;
     core::TimePoint last_sent_at;
-    // The supervisor's clock minus this process's clock. Network latency only lowers the estimate,
-    // so the maximum over all frames is the closest to the true offset and never above it.
-    core::Duration clock_offset = core::Duration::min();
+    core::ClockOffset clock_offset;
     runs::EntryFrame outgoing;
     bool has_outgoing = false;
   };
