--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -9,7 +9,6 @@
 #include <utility>
 #include <variant>
 
-#include "adapters/processor_time.h"
 #include "platform/configuration_codec.h"
 #include "platform/names.h"
 #include "zinniamuxd/incarnation.h"
@@ -351,7 +350,6 @@
   }
   const core::MessageDelayMeter::Interval delays = message_delays_.TakeInterval();
   const std::uint64_t placements = scheduler_.placements_tried();
-  const core::Duration processor_time = adapters::ProcessorTime();
   log_.Write(LogLevel::kInfo, "status",
              {{"jobs", scheduler_.job_count()},
               {"queued_jobs", scheduler_.queued_jobs()},
@@ -364,7 +362,6 @@
               {"trusts_other_views", scheduler_.trusts_other_views()},
               {"order_wait_share", scheduler_.order_wait_share()},
               {"ready", IsReady()},
-              {"processor_ms", ToMilliseconds(processor_time - logged_processor_time_)},
               {"placements_tried", placements - logged_placements_},
               {"messages", delays.messages},
               {"message_delay_ms", ToMilliseconds(delays.mean())},
@@ -372,7 +369,6 @@
               {"report_pause_ms", registry_.report_pause().count()},
               {"close_executors", std::move(close_executors)}});
   logged_placements_ = placements;
-  logged_processor_time_ = processor_time;
 }
 
 void DispatcherDaemon::UpdateGauges() {
@@ -382,8 +378,6 @@
   metrics_.Set("config_version", static_cast<double>(gateway_.config_version()));
   metrics_.Set("order_wait_share", scheduler_.order_wait_share());
   metrics_.Set("report_pause_ms", static_cast<double>(registry_.report_pause().count()));
-  metrics_.Set("processor_seconds_total",
-               std::chrono::duration<double>(adapters::ProcessorTime()).count());
   metrics_.Set("placements_tried_total", static_cast<double>(scheduler_.placements_tried()));
   metrics_.Set("messages_handled_total", static_cast<double>(messages_handled_));
   metrics_.Set("store_answers", store_available_ ? 1 : 0);
--- a/src/zinniamuxd/dispatcher_daemon.h
+++ b/src/zinniamuxd/dispatcher_daemon.h
@@ -80,7 +80,6 @@
   core::MessageDelayMeter message_delays_;
   std::uint64_t messages_handled_ = 0;
   std::uint64_t logged_placements_ = 0;
-  core::Duration logged_processor_time_{0};
   // Unset until a shutdown is requested.
   core::TimePoint shutdown_started_at_;
   core::TimePoint next_roster_at_;
