--- a/tests/property/lease_world_property_test.cc
+++ b/tests/property/lease_world_property_test.cc
@@ -11,6 +11,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using zinniamux::core::Duration;
+using zinniamux::testing::AddTrace;
 using zinniamux::testing::CounterTrace;
 using zinniamux::testing::CountKind;
 using zinniamux::testing::KindCount;
@@ -20,13 +21,6 @@
 // Executors announce themselves within this time.
 constexpr seconds kWarmUp{4};
 
-void AddTrace(LeaseWorld& world, std::uint64_t seed, double load, Duration begin, Duration length) {
-  for (auto& job : CounterTrace({.seed = seed, .begin = begin, .length = length, .load = load})) {
-    job.request.id += "-" + std::to_string(begin.count());
-    world.Add(std::move(job));
-  }
-}
-
 std::string Broken(const LeaseWorld& world) {
   std::string text;
   for (const std::string& violation : world.violations()) text += violation + "\n";
@@ -71,7 +65,7 @@
 std::string ProblemsUnderDrawnFaults(std::uint64_t seed) {
   std::mt19937_64 random(seed);
   LeaseWorld world({.seed = seed, .lost_answers = random() % 2 == 0 ? 0.0 : 0.06});
-  AddTrace(world, seed, 0.9, kWarmUp, seconds(5));
+  AddTrace(world, {.seed = seed, .begin = kWarmUp, .length = seconds(5), .load = 0.9});
   const std::size_t faults = 1 + random() % 6;
   for (std::size_t i = 0; i < faults; ++i) DrawFault(world, random);
   world.Run(seconds(30));
@@ -113,7 +107,7 @@
 Test(lease_world, keeps_one_run_a_task_when_executors_restart) {
   for (const std::uint64_t seed : {43, 46, 57, 109}) {
     LeaseWorld world({.seed = seed, .lost_answers = 0.06});
-    AddTrace(world, seed, 0.9, kWarmUp, seconds(5));
+    AddTrace(world, {.seed = seed, .begin = kWarmUp, .length = seconds(5), .load = 0.9});
     for (std::size_t i = 0; i < 8; ++i) {
       world.RestartExecutor((seed + i) % 11, kWarmUp + milliseconds(100 + 300 * i));
     }
@@ -125,7 +119,7 @@
 // Load pattern of a calm day. Guards against jobs that are refused or late while there is room.
 Test(lease_world, serves_a_calm_load_in_time) {
   LeaseWorld world({.seed = 7});
-  AddTrace(world, 7, 0.65, kWarmUp, seconds(15));
+  AddTrace(world, {.seed = 7, .begin = kWarmUp, .length = seconds(15), .load = 0.65});
   world.Run(seconds(35));
   AssertSound(world);
   for (const char* kind : {"stock", "layout", "price"}) {
@@ -139,8 +133,8 @@
 // late anyway.
 Test(lease_world, serves_a_burst_by_urgency) {
   LeaseWorld world({.seed = 11});
-  AddTrace(world, 11, 0.9, kWarmUp, seconds(10));
-  AddTrace(world, 12, 0.9, kWarmUp + seconds(3), seconds(4));
+  AddTrace(world, {.seed = 11, .begin = kWarmUp, .length = seconds(10), .load = 0.9});
+  AddTrace(world, {.seed = 12, .begin = kWarmUp + seconds(3), .length = seconds(4), .load = 0.9});
   world.Run(seconds(35));
   AssertSound(world);
   const KindCount stock = CountKind(world, "stock");
@@ -243,7 +237,7 @@
 // calls of 250 ms, one at a time, 18 % of the shortest jobs were in time.
 Test(lease_world, serves_while_answers_get_lost) {
   LeaseWorld world({.seed = 19, .lost_answers = 0.05});
-  AddTrace(world, 19, 0.8, kWarmUp, seconds(10));
+  AddTrace(world, {.seed = 19, .begin = kWarmUp, .length = seconds(10), .load = 0.8});
   world.Run(seconds(35));
   AssertSound(world);
   for (const char* kind : {"stock", "layout", "price"}) {
@@ -257,7 +251,7 @@
 // recovered.
 Test(lease_world, avoids_slow_executors_and_comes_back_to_them) {
   LeaseWorld world({.seed = 5});
-  AddTrace(world, 5, 0.9, kWarmUp, seconds(20));
+  AddTrace(world, {.seed = 5, .begin = kWarmUp, .length = seconds(20), .load = 0.9});
   for (const std::size_t executor : {2, 5}) {
     world.SlowExecutor(executor, 7, kWarmUp + seconds(2), seconds(8));
   }
--- a/tests/property/processor_shortage_property_test.cc
+++ b/tests/property/processor_shortage_property_test.cc
@@ -14,10 +14,10 @@
 
 using std::chrono::microseconds;
 using std::chrono::seconds;
-using zinniamux::core::Duration;
-using zinniamux::testing::CounterTrace;
-using zinniamux::testing::JobRecord;
+using zinniamux::testing::AddTrace;
 using zinniamux::testing::LeaseWorld;
+using zinniamux::testing::MixedExecutorSizes;
+using zinniamux::testing::TraceOptions;
 
 // Executors announce themselves within this time.
 constexpr seconds kWarmUp{4};
@@ -33,10 +33,7 @@
 
 LeaseWorld::Options UnequalDispatchers(std::uint64_t seed, double small_share) {
   LeaseWorld::Options options{.seed = seed, .dispatchers = kDispatchers};
-  options.executor_cpu_milli.clear();
-  for (std::size_t i = 0; i < kExecutors; ++i) {
-    options.executor_cpu_milli.push_back(i % 3 == 2 ? 48'000 : 32'000);
-  }
+  options.executor_cpu_milli = MixedExecutorSizes(kExecutors);
   options.processor_shares.assign(kDispatchers, kLargeShare);
   std::fill_n(options.processor_shares.begin(), kSmall, small_share);
   // As the daemon needs on one core of a server.
@@ -45,18 +42,6 @@
   return options;
 }
 
-void AddTrace(LeaseWorld& world, std::uint64_t seed, double load, Duration begin, Duration length) {
-  for (auto& job : CounterTrace({.seed = seed,
-                   .begin = begin,
-                   .length = length,
-                   .load = load,
-                   .dispatchers = kDispatchers,
-                   .task_cpu_milli = kTaskCpuMilli})) {
-    job.request.id += "-" + std::to_string(begin.count());
-    world.Add(std::move(job));
-  }
-}
-
 double InTimeShare(const LeaseWorld& world, std::size_t begin, std::size_t end) {
   double asked = 0;
   double in_time = 0;
@@ -79,9 +64,22 @@
 // small dispatchers and at the others.
 InTime PlayBurst(std::uint64_t seed, double small_share) {
   LeaseWorld world(UnequalDispatchers(seed, small_share));
-  AddTrace(world, seed, kCalmLoad, kWarmUp, seconds(3));
-  AddTrace(world, seed + 1, kBurstLoad, kWarmUp + seconds(3), seconds(3));
-  AddTrace(world, seed + 2, kCalmLoad, kWarmUp + seconds(6), seconds(4));
+  TraceOptions trace{.seed = seed,
+                     .begin = kWarmUp,
+                     .length = seconds(3),
+                     .load = kCalmLoad,
+                     .dispatchers = kDispatchers,
+                     .task_cpu_milli = kTaskCpuMilli};
+  AddTrace(world, trace);
+  trace.seed = seed + 1;
+  trace.begin += seconds(3);
+  trace.load = kBurstLoad;
+  AddTrace(world, trace);
+  trace.seed = seed + 2;
+  trace.begin += seconds(3);
+  trace.length = seconds(4);
+  trace.load = kCalmLoad;
+  AddTrace(world, trace);
   world.Run(seconds(22));
   cr_assert(world.violations().empty());
   const InTime in_time{.small = InTimeShare(world, 0, kSmall),
--- a/tests/property/size_property_test.cc
+++ b/tests/property/size_property_test.cc
@@ -10,11 +10,11 @@
 namespace {
 
 using std::chrono::seconds;
-using zinniamux::core::Duration;
-using zinniamux::testing::CounterTrace;
+using zinniamux::testing::AddTrace;
 using zinniamux::testing::CountKind;
 using zinniamux::testing::KindCount;
 using zinniamux::testing::LeaseWorld;
+using zinniamux::testing::MixedExecutorSizes;
 
 // Executors announce themselves within this time.
 constexpr seconds kWarmUp{4};
@@ -27,25 +27,10 @@
 
 LeaseWorld::Options LargeDeployment(std::uint64_t seed) {
   LeaseWorld::Options options{.seed = seed, .dispatchers = kDispatchers, .zones = 5};
-  options.executor_cpu_milli.clear();
-  for (std::size_t i = 0; i < kExecutors; ++i) {
-    options.executor_cpu_milli.push_back(i % 3 == 2 ? 48'000 : 32'000);
-  }
+  options.executor_cpu_milli = MixedExecutorSizes(kExecutors);
   return options;
 }
 
-void AddTrace(LeaseWorld& world, std::uint64_t seed, double load, Duration begin, Duration length) {
-  for (auto& job : CounterTrace({.seed = seed,
-                   .begin = begin,
-                   .length = length,
-                   .load = load,
-                   .dispatchers = kDispatchers,
-                   .task_cpu_milli = kTaskCpuMilli})) {
-    job.request.id += "-" + std::to_string(begin.count());
-    world.Add(std::move(job));
-  }
-}
-
 // The least share of jobs in time, over the kinds.
 double LeastInTime(const LeaseWorld& world) {
   double least = 1;
@@ -65,7 +50,12 @@
 // supervisor can afford, 42 % of the jobs of the shortest kind were in time.
 Test(size, serves_a_calm_load_with_many_dispatchers) {
   LeaseWorld world(LargeDeployment(17));
-  AddTrace(world, 17, kCalmLoad, kWarmUp, seconds(4));
+  AddTrace(world, {.seed = 17,
+                   .begin = kWarmUp,
+                   .length = seconds(4),
+                   .load = kCalmLoad,
+                   .dispatchers = kDispatchers,
+                   .task_cpu_milli = kTaskCpuMilli});
   world.Run(seconds(14));
   cr_assert(world.violations().empty());
   cr_assert_geq(LeastInTime(world), 0.99);
--- a/tests/support/job_traces.cc
+++ b/tests/support/job_traces.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <random>
+#include <utility>
 
 namespace zinniamux::testing {
 namespace {
@@ -75,6 +76,21 @@
   return trace;
 }
 
+void AddTrace(LeaseWorld& world, const TraceOptions& options) {
+  for (SimulatedJob& job : CounterTrace(options)) {
+    job.request.id += "-" + std::to_string(options.begin.count());
+    world.Add(std::move(job));
+  }
+}
+
+std::vector<std::int64_t> MixedExecutorSizes(std::size_t count) {
+  constexpr std::int64_t kCpuMilli = 32'000;
+  constexpr std::int64_t kLargeCpuMilli = 48'000;
+  std::vector<std::int64_t> sizes;
+  for (std::size_t i = 0; i < count; ++i) sizes.push_back(i % 3 == 2 ? kLargeCpuMilli : kCpuMilli);
+  return sizes;
+}
+
 KindCount CountKind(const LeaseWorld& world, const std::string& kind) {
   KindCount count;
   for (const auto& [id, record] : world.jobs()) {
--- a/tests/support/job_traces.h
+++ b/tests/support/job_traces.h
@@ -25,6 +25,13 @@
 
 std::vector<SimulatedJob> CounterTrace(const TraceOptions& options);
 
+// Adds a trace to the world. The ids end with the time at which it begins, so that several traces
+// can follow each other.
+void AddTrace(LeaseWorld& world, const TraceOptions& options);
+
+// Processor capacities of executors, of which every third is larger.
+std::vector<std::int64_t> MixedExecutorSizes(std::size_t count);
+
 // What became of the jobs of one kind.
 struct KindCount {
   std::size_t asked = 0;
