--- a/src/core/report_pace.h
+++ b/src/core/report_pace.h
@@ -30,7 +30,7 @@
     // report with each heartbeat.
     std::chrono::milliseconds min_pause{4};
     std::chrono::milliseconds max_pause{300};
-    // Factors of the pause in a period in which messages are late, and in one in which they are not.
+    // Factors of the pause in a period whose messages are late, and in any other one.
     double growth = 1.5;
     double shrinkage = 0.9;
   };
