http server: drop unread requests of connections that were reset

When channels were reset at second 9.74, callers whose request had not been read yet sent it again at once, to another dispatcher. The first dispatcher was behind, read the request 1 to 6 ms after the reset and placed it; it saw the reset only 15 to 40 ms later and cancelled the job then, while the copy was running.

Cause: the kernel hands out what arrived before a reset and reports the reset with the next read. RESTinio passes a request on before it reads again. The server's socket now reads until nothing is left, and fails the read if the connection was reset.

--- a/src/adapters/loop_http_server.cc
+++ b/src/adapters/loop_http_server.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "adapters/restinio_messages.h"
+#include "adapters/unbroken_socket.h"
 
 namespace zinniamux::adapters {
 namespace {
@@ -37,6 +38,7 @@
 
 struct Traits : public restinio::default_single_thread_traits_t {
   using connection_state_listener_t = ClosedListener;
+  using stream_socket_t = UnbrokenSocket;
 };
 
 using Server = restinio::http_server_t<Traits>;
--- /dev/null
+++ b/src/adapters/unbroken_socket.h
@@ -0,0 +1,53 @@
+// A TCP socket that discards what it has received once the connection was reset.
+#ifndef ZINNIAMUX_ADAPTERS_UNBROKEN_SOCKET_H_
+#define ZINNIAMUX_ADAPTERS_UNBROKEN_SOCKET_H_
+
+#include <asio/associated_executor.hpp>
+#include <asio/bind_executor.hpp>
+#include <asio/buffer.hpp>
+#include <asio/error.hpp>
+#include <asio/ip/tcp.hpp>
+#include <cstddef>
+#include <utility>
+
+namespace zinniamux::adapters {
+
+// The kernel hands out data that arrived before a reset, and reports the reset with the next read.
+// A client whose connection was reset may send its request again elsewhere, so a process that is
+// late must not handle the first copy. A client that only stops sending may still read.
+class UnbrokenSocket : public asio::ip::tcp::socket {
+ public:
+  using asio::ip::tcp::socket::socket;
+
+  // As the base's, but reads all that has arrived, and fails if the connection was reset.
+  template <typename Handler>
+  void async_read_some(const asio::mutable_buffer& buffer, Handler&& handler) {
+    const auto executor = asio::get_associated_executor(handler, get_executor());
+    asio::ip::tcp::socket::async_read_some(
+        buffer,
+        asio::bind_executor(executor, [this, buffer, handler = std::forward<Handler>(handler)](
+                                          asio::error_code error, std::size_t length) {
+          if (!error) length += ReadRest(buffer + length, error);
+          handler(error, length);
+        }));
+  }
+
+ private:
+  // Reads until nothing is left or the buffer is full. Sets `error` if the connection was reset.
+  std::size_t ReadRest(asio::mutable_buffer buffer, asio::error_code& error) {
+    std::size_t total = 0;
+    // For read_some; asynchronous reads wait all the same.
+    if (!non_blocking()) non_blocking(true, error);
+    while (!error && buffer.size() > 0) {
+      const std::size_t length = read_some(buffer, error);
+      total += length;
+      buffer += length;
+    }
+    if (error == asio::error::would_block || error == asio::error::eof) error.clear();
+    return total;
+  }
+};
+
+}  // namespace zinniamux::adapters
+
+#endif  // ZINNIAMUX_ADAPTERS_UNBROKEN_SOCKET_H_
