job scheduler: stop runs of cancelled jobs when their supervisor is back

A caller whose connection breaks sends its job again after 1.3 s. When the connection to a supervisor broke at the same moment, the stop of the cancelled job was lost, the supervisor named the run when it was back, and nobody stopped it: it went on beside the second copy.

Runs that a supervisor names and that belong to no job are now stopped. The test stops_runs_of_a_job_that_was_cancelled_without_a_connection fails before.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -604,6 +604,23 @@
     if (supervisor.orphaned_runs.empty()) supervisor.runs_over_at = {};
   }
   supervisor.incarnation = incarnation;
+  for (const RunId& id : held_runs) {
+    if (IsCurrentRun(supervisor_id, id)) continue;
+    // For example, its job was cancelled while there was no connection.
+    actions_.emplace_back(StopTask{.agent_id = supervisor_id, .id = id});
+  }
+}
+
+bool JobScheduler::IsCurrentRun(const std::string& supervisor_id, const RunId& id) const {
+  const auto found = jobs_.find(id.task.job_id);
+  if (found == jobs_.end()) return false;
+  const std::vector<Step>& steps = found->second.steps;
+  if (id.task.step >= steps.size() || id.task.index >= steps[id.task.step].tasks.size()) {
+    return false;
+  }
+  const Task& task = steps[id.task.step].tasks[id.task.index];
+  return task.state == TaskState::kOrdered && task.run == id.run &&
+         task.supervisor_id == supervisor_id;
 }
 
 void JobScheduler::EndLostRuns(const Supervisor& supervisor, const std::set<RunId>& lost) {
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -318,6 +318,8 @@
   void RememberAnswer(const JobReply& answer);
   void ForgetExpiredAnswers();
   void EndLostRuns(const Supervisor& supervisor, const std::set<RunId>& lost);
+  // Whether a task of a job in progress is ordered as this run, at this supervisor.
+  bool IsCurrentRun(const std::string& supervisor_id, const RunId& id) const;
   bool InStartupGrace() const { return clock_.now() < started_ + options_.startup_grace; }
   bool HasExecutors(const std::string& service) const;
   bool CanEverRun(const JobRequest& request) const;
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -415,6 +415,25 @@
   cr_assert_eq(fixture.starts.at(0).starts.at(0).index, 1);
 }
 
+// Guards against tasks that run twice: the stop of a cancelled job was lost with the connection,
+// its run went on, and the caller sent the job again to another dispatcher.
+Test(job_scheduler, stops_runs_of_a_job_that_was_cancelled_without_a_connection) {
+  Fixture fixture({"a"});
+  fixture.Submit(fixture.MakeJob("job", 1));
+  fixture.Submit(fixture.MakeJob("other job", 1));
+  fixture.scheduler.OnAgentDetached("a");
+  fixture.scheduler.OnCancel("job");
+  // These go to a connection that is gone.
+  fixture.PlaceAndTakeActions();
+  fixture.stops.clear();
+  fixture.Attach("a", 1,
+                 {{.task = {.job_id = "job", .step = 0, .index = 0}, .run = 1},
+                  {.task = {.job_id = "other job", .step = 0, .index = 0}, .run = 1}});
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.stops.size(), 1);
+  cr_assert_eq(fixture.stops.at(0).id.task.job_id, "job");
+}
+
 // Guards against runs that stay on an executor that has become slow, while others have room.
 Test(job_scheduler, moves_a_run_off_a_slow_executor) {
   Fixture fixture({"a", "b", "c"});
