report pace: count messages as late after half a report interval

Callers of small dispatchers are refused more often than others while these handle reports 8 to 15 ms late, half a view's age at full pace, and still get all of them (inc-26).

--- a/src/core/report_pace.h
+++ b/src/core/report_pace.h
@@ -18,9 +18,9 @@
 class ReportPace {
  public:
   struct Options {
-    // A message that has waited longer than this is late. It is about the time between two reports
+    // A message that has waited longer than this is late. It is half the time between two reports
     // of a supervisor at full pace.
-    std::chrono::milliseconds max_delay{15};
+    std::chrono::milliseconds max_delay{8};
     // Part of the messages that may be late. Messages of single supervisors are late for reasons of
     // their own; those of most are late only if this process is.
     double max_late_share = 0.5;
