dispatcher: count the time that requests wait before they are read

Nothing in a request tells when it arrived, but supervisors' messages wait in the same way and carry the time at which they were sent. A job's time, deadline included, counts from before the reading by as much, so that what is read too late is refused at once.

--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -62,17 +62,16 @@
 }
 
 void CallerGateway::OnRequest(ConnectionId connection, const adapters::HttpRequest& request,
-                              HttpResponder responder) {
-  const core::TimePoint now = clock_.now();
+                              HttpResponder responder, core::TimePoint arrived) {
   if (configuration_) {
     return HandleRequest(
-        {.connection = connection, .request = request, .responder = responder, .arrived = now});
+        {.connection = connection, .request = request, .responder = responder, .arrived = arrived});
   }
   if (early_requests_.size() >= kMaxEarlyRequests) return RefuseEarlyRequest(request, responder);
   early_requests_.push_back({.connection = connection,
                              .request = request,
                              .responder = std::move(responder),
-                             .arrived = now});
+                             .arrived = arrived});
 }
 
 void CallerGateway::OnTimer() {
--- a/src/zinniamuxd/caller_gateway.h
+++ b/src/zinniamuxd/caller_gateway.h
@@ -34,8 +34,9 @@
   bool SetConfiguration(core::QueueConfiguration configuration);
   std::uint64_t config_version() const { return configuration_ ? configuration_->version : 0; }
 
+  // `arrived` may be before now: requests wait in socket buffers while the process is behind.
   void OnRequest(ConnectionId connection, const adapters::HttpRequest& request,
-                 adapters::HttpResponder responder);
+                 adapters::HttpResponder responder, core::TimePoint arrived);
   void OnClosed(ConnectionId connection);
   // Refuses requests that have waited too long for a configuration.
   void OnTimer();
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -112,9 +112,10 @@
                  OnConfiguration(body, "supervisor");
                },
            .on_message_delay =
-               [this](core::Duration delay) {
+               [this](const std::string& supervisor, core::Duration delay) {
                  ++messages_handled_;
                  message_delays_.Record(delay);
+                 backlog_.OnMessage(supervisor, delay, clock_.now());
                },
            .on_frame_handled =
                [this] {
@@ -134,7 +135,9 @@
               .handler =
                   [this](LoopHttpServer::ConnectionId connection, const HttpRequest& request,
                          HttpResponder responder) {
-                    gateway_.OnRequest(connection, request, std::move(responder));
+                    const TimePoint now = clock_.now();
+                    gateway_.OnRequest(connection, request, std::move(responder),
+                                       now - backlog_.delay(now));
                     SchedulePlacement();
                   },
               .on_closed =
@@ -367,6 +370,7 @@
               {"message_delay_ms", ToMilliseconds(delays.mean())},
               {"max_message_delay_ms", ToMilliseconds(delays.max)},
               {"report_pause_ms", registry_.report_pause().count()},
+              {"backlog_ms", ToMilliseconds(backlog_.delay(clock_.now()))},
               {"close_executors", std::move(close_executors)}});
   logged_placements_ = placements;
 }
@@ -378,6 +382,7 @@
   metrics_.Set("config_version", static_cast<double>(gateway_.config_version()));
   metrics_.Set("order_wait_share", scheduler_.order_wait_share());
   metrics_.Set("report_pause_ms", static_cast<double>(registry_.report_pause().count()));
+  metrics_.Set("backlog_ms", ToMilliseconds(backlog_.delay(clock_.now())));
   metrics_.Set("placements_tried_total", static_cast<double>(scheduler_.placements_tried()));
   metrics_.Set("messages_handled_total", static_cast<double>(messages_handled_));
   metrics_.Set("store_answers", store_available_ ? 1 : 0);
--- a/src/zinniamuxd/dispatcher_daemon.h
+++ b/src/zinniamuxd/dispatcher_daemon.h
@@ -15,6 +15,7 @@
 #include "adapters/loop_http_server.h"
 #include "adapters/metrics.h"
 #include "adapters/settings.h"
+#include "core/backlog_meter.h"
 #include "core/clock.h"
 #include "core/job_scheduler.h"
 #include "core/message_delay_meter.h"
@@ -78,6 +79,7 @@
   bool placement_scheduled_ = false;
   // Delays of supervisors' messages, and the counts at the last status line.
   core::MessageDelayMeter message_delays_;
+  core::BacklogMeter backlog_;
   std::uint64_t messages_handled_ = 0;
   std::uint64_t logged_placements_ = 0;
   // Unset until a shutdown is requested.
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -78,9 +78,9 @@
   const Duration delay = peer->clock_offset.Record(std::chrono::milliseconds(frame.sent_clock_ms()),
                                                    peer->last_received_at);
   report_pace_.OnMessage(delay, peer->last_received_at);
-  handlers_.on_message_delay(delay);
   if (frame.has_hello()) OnHello(peer, frame.hello());
   if (peer->supervisor_id.empty()) return ClosePeer(peer, "no hello in the first frame");
+  handlers_.on_message_delay(peer->supervisor_id, delay);
   // Sending the welcome may have closed the connection.
   const auto registered = peers_by_supervisor_.find(peer->supervisor_id);
   if (registered == peers_by_supervisor_.end() || registered->second != peer) return;
--- a/src/zinniamuxd/supervisor_registry.h
+++ b/src/zinniamuxd/supervisor_registry.h
@@ -52,7 +52,7 @@
     // A supervisor has sent the configuration that this dispatcher requested.
     std::function<void(std::uint64_t version, const std::string& body)> on_configuration;
     // How long the frame that is being handled has waited; see MessageDelayMeter.
-    std::function<void(core::Duration delay)> on_message_delay;
+    std::function<void(const std::string& supervisor_id, core::Duration delay)> on_message_delay;
     // All contents of a frame have been passed to the handlers.
     std::function<void()> on_frame_handled;
   };
--- a/tests/property/processor_shortage_property_test.cc
+++ b/tests/property/processor_shortage_property_test.cc
@@ -30,6 +30,8 @@
 // 0.75 and 1.2 of the executors' room.
 constexpr double kCalmLoad = 7.3;
 constexpr double kBurstLoad = 11.7;
+// The highest floor that a deployment states for the callers of one availability zone.
+constexpr double kZoneFloor = 0.5;
 
 LeaseWorld::Options UnequalDispatchers(std::uint64_t seed, double small_share) {
   LeaseWorld::Options options{.seed = seed, .dispatchers = kDispatchers};
@@ -102,9 +104,15 @@
 // Guards against reports that take up most of the processor time of a dispatcher: it then handles
 // them in order and late, and the older its views are the more jobs it refuses.
 Test(processor_shortage, reports_leave_processor_time_for_jobs) {
-  // The highest floor that a deployment states for the callers of one availability zone.
-  constexpr double kZoneFloor = 0.5;
   const InTime in_time = PlayBurst(26, 0.08);
   cr_assert_geq(in_time.others, 0.7);
   cr_assert_geq(in_time.small, kZoneFloor);
 }
+
+// Guards against processor time and room for jobs that are read too late: they were placed as if
+// they had just arrived, so that those behind them were late, too.
+Test(processor_shortage, jobs_that_are_read_too_late_do_not_delay_others) {
+  const InTime in_time = PlayBurst(26, 0.06);
+  cr_assert_geq(in_time.others, 0.7);
+  cr_assert_geq(in_time.small, kZoneFloor);
+}
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -50,6 +50,7 @@
   std::deque<Arrived> inbox;
   bool busy = false;
   core::ReportPace report_pace;
+  core::BacklogMeter backlog;
 };
 
 struct LeaseWorld::Supervisor {
@@ -259,10 +260,12 @@
                   Link& to = LinkOf(dispatcher, supervisor);
                   if (to.generation != generation) return;
                   to.dispatcher_heard = clock_.now();
-                  dispatchers_[dispatcher]->report_pace.OnMessage(clock_.now() - arrived,
-                                                                  clock_.now());
+                  const std::string agent_id = "agent-" + std::to_string(supervisor);
+                  const Duration delay = clock_.now() - arrived;
+                  dispatchers_[dispatcher]->report_pace.OnMessage(delay, clock_.now());
+                  dispatchers_[dispatcher]->backlog.OnMessage(agent_id, delay, clock_.now());
                   core::JobScheduler& scheduler = *dispatchers_[dispatcher]->scheduler;
-                  scheduler.OnReport("agent-" + std::to_string(supervisor), report);
+                  scheduler.OnReport(agent_id, report);
                   scheduler.Place();
                   CarryOutDispatcher(dispatcher);
                 });
@@ -443,6 +446,7 @@
         core::JobRequest request = arriving.request;
         // Callers give how long they wait; the record counts from the first sending.
         request.deadline = start_ + arriving.arrives + (request.deadline - TimePoint());
+        request.arrived = clock_.now() - dispatcher.backlog.delay(clock_.now());
         dispatcher.scheduler->OnJob(std::move(request));
         dispatcher.scheduler->Place();
         CarryOutDispatcher(arriving.dispatcher);
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "core/backlog_meter.h"
 #include "core/clock.h"
 #include "core/job_scheduler.h"
 #include "core/report_audience.h"
--- a/tests/unit/caller_gateway_test.cc
+++ b/tests/unit/caller_gateway_test.cc
@@ -1,9 +1,11 @@
-// CallerGateway: requests received before the first configuration.
+// CallerGateway: requests before the first configuration, and requests that are read late.
 #include "zinniamuxd/caller_gateway.h"
 
 #include <criterion/criterion.h>
 
+#include <cstddef>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "adapters/json_log.h"
@@ -12,20 +14,41 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 using zinniamux::adapters::HttpResponse;
 using zinniamux::adapters::JsonLog;
 using zinniamux::adapters::LogLevel;
 using zinniamux::adapters::Metrics;
+using zinniamux::core::AnswerJob;
 using zinniamux::core::JobScheduler;
 using zinniamux::core::ManualClock;
 using zinniamux::core::QueueConfiguration;
+using zinniamux::core::Resources;
+using zinniamux::core::StartTasks;
+using zinniamux::core::TimePoint;
 using zinniamux::daemon::CallerGateway;
 
 struct Fixture {
   void Request(CallerGateway::ConnectionId connection, const std::string& path) {
     gateway.OnRequest(
         connection, {.method = "GET", .path = path, .headers = {{"Host", "h"}}},
-        [this](const HttpResponse& response) { statuses.push_back(response.status); });
+        [this](const HttpResponse& response) { statuses.push_back(response.status); }, clock.now());
+  }
+
+  // Submits a job that arrived at `arrived`, and places it.
+  void Submit(const std::string& path, TimePoint arrived) {
+    gateway.OnRequest(
+        1,
+        {.method = "POST",
+         .path = path,
+         .headers = {{"Host", "h"}},
+         .body = R"({"best_effort":true,"steps":[{"count":1,"cpu":100,"estimate_ms":100}]})"},
+        [this](const HttpResponse& response) { statuses.push_back(response.status); }, arrived);
+    scheduler.Place();
+    for (auto& action : scheduler.TakeActions()) {
+      if (std::holds_alternative<StartTasks>(action)) ++orders;
+      if (const auto* answer = std::get_if<AnswerJob>(&action)) gateway.OnJobAnswered(*answer);
+    }
   }
 
   ManualClock clock;
@@ -34,11 +57,18 @@
   JobScheduler scheduler{{.availability_zone = "zone"}, clock};
   CallerGateway gateway{scheduler, clock, log, metrics};
   std::vector<int> statuses;
+  std::size_t orders = 0;
 };
 
 QueueConfiguration Configuration() {
   return {.version = 1,
-          .queues = {{.name = "queue", .host = "h", .prefix = "/a/", .service = "s"}}};
+          .queues = {{.name = "queue",
+                      .host = "h",
+                      .prefix = "/a/",
+                      .service = "s",
+                      .attempts = 2,
+                      .stretch = 1.6,
+                      .slack = milliseconds(60)}}};
 }
 
 }  // namespace
@@ -76,3 +106,26 @@
   fixture.gateway.OnTimer();
   cr_assert_eq(fixture.statuses.size(), 2);
 }
+
+// Guards against runs for callers who get their answer too late: the process was behind, and
+// counted the time that a job may take from when it read the request.
+Test(caller_gateway, refuses_at_once_a_job_that_was_read_too_late) {
+  Fixture fixture;
+  fixture.gateway.SetConfiguration(Configuration());
+  fixture.clock.Advance(seconds(2));
+  fixture.scheduler.OnAgentAttached("a", "zone", 1, {});
+  const Resources room{.cpu_milli = 4000, .memory_mb = 1000};
+  fixture.scheduler.OnReport("a", {.executor_id = "executor-a",
+                                   .service = "s",
+                                   .accepting = true,
+                                   .capacity = room,
+                                   .free = room,
+                                   .pace = 1});
+  fixture.Submit("/a/0000000000000001", fixture.clock.now());
+  cr_assert_eq(fixture.orders, 1);
+  // 1.6 x 100 ms + 60 ms after the arrival, the answer is late.
+  fixture.Submit("/a/0000000000000002", fixture.clock.now() - milliseconds(130));
+  cr_assert_eq(fixture.orders, 1);
+  cr_assert_eq(fixture.statuses.size(), 1);
+  cr_assert_eq(fixture.statuses.at(0), 503);
+}
