--- a/src/adapters/loop_http_server.cc
+++ b/src/adapters/loop_http_server.cc
@@ -6,8 +6,8 @@
 #include <string>
 #include <utility>
 
+#include "adapters/reset_aware_socket.h"
 #include "adapters/restinio_messages.h"
-#include "adapters/unbroken_socket.h"
 
 namespace zinniamux::adapters {
 namespace {
@@ -38,7 +38,7 @@
 
 struct Traits : public restinio::default_single_thread_traits_t {
   using connection_state_listener_t = ClosedListener;
-  using stream_socket_t = UnbrokenSocket;
+  using stream_socket_t = ResetAwareSocket;
 };
 
 using Server = restinio::http_server_t<Traits>;
--- a/src/adapters/unbroken_socket.h
+++ b/src/adapters/reset_aware_socket.h
@@ -1,6 +1,6 @@
 // A TCP socket that discards what it has received once the connection was reset.
-#ifndef ZINNIAMUX_ADAPTERS_UNBROKEN_SOCKET_H_
-#define ZINNIAMUX_ADAPTERS_UNBROKEN_SOCKET_H_
+#ifndef ZINNIAMUX_ADAPTERS_RESET_AWARE_SOCKET_H_
+#define ZINNIAMUX_ADAPTERS_RESET_AWARE_SOCKET_H_
 
 #include <asio/associated_executor.hpp>
 #include <asio/bind_executor.hpp>
@@ -13,9 +13,9 @@
 namespace zinniamux::adapters {
 
 // The kernel hands out data that arrived before a reset, and reports the reset with the next read.
-// A client whose connection was reset may send its request again elsewhere, so a process that is
-// late must not handle the first copy. A client that only stops sending may still read.
-class UnbrokenSocket : public asio::ip::tcp::socket {
+// A client whose connection was reset may send its request again elsewhere, so a process that reads
+// the first copy later must not handle it. A client that only stops sending may still read.
+class ResetAwareSocket : public asio::ip::tcp::socket {
  public:
   using asio::ip::tcp::socket::socket;
 
@@ -50,4 +50,4 @@
 
 }  // namespace zinniamux::adapters
 
-#endif  // ZINNIAMUX_ADAPTERS_UNBROKEN_SOCKET_H_
+#endif  // ZINNIAMUX_ADAPTERS_RESET_AWARE_SOCKET_H_
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -586,7 +586,7 @@
   }
   supervisor.view.set_attached(true);
   supervisor.view.ClearOrders();
-  retries_waiting_ = true;
+  should_retry_waiting_ = true;
   if (!is_new && supervisor.incarnation != incarnation) {
     // The earlier process may have died without stopping its runs; they end with its lease.
     supervisor.orphaned_runs.merge(supervisor.runs);
@@ -643,7 +643,7 @@
   view.OnReport(std::move(report));
   view.set_may_take_last_room(
       std::uniform_int_distribution<std::uint32_t>(1, competitors)(placement_random_) == 1);
-  retries_waiting_ = retries_waiting_ || MayHelpWaitingJobs(view);
+  should_retry_waiting_ = should_retry_waiting_ || MayHelpWaitingJobs(view);
 }
 
 // --- Time
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -136,7 +136,7 @@
                    Duration elapsed);
   // Places the queued jobs: new ones, and waiting ones if a report since the last call shows room
   // for one of them. Called once after a batch of events.
-  void Place() { PlaceQueuedJobs(std::exchange(retries_waiting_, false)); }
+  void Place() { PlaceQueuedJobs(std::exchange(should_retry_waiting_, false)); }
 
   // From now on, refuses jobs that may not be answered by `end`.
   void StopAt(TimePoint end) { shutdown_at_ = end; }
@@ -362,7 +362,7 @@
   // The waiting jobs of the queue after the last pass, by rank.
   std::map<StartRank, WaitingNeed> waiting_needs_;
   // A view has improved, so that the next pass tries the waiting jobs again.
-  bool retries_waiting_ = false;
+  bool should_retry_waiting_ = false;
   // Of the present pass.
   std::vector<UnmetNeed> unmet_needs_;
   // Set when the process is shutting down.
