--- a/src/adapters/loop_http_server.h
+++ b/src/adapters/loop_http_server.h
@@ -19,7 +19,8 @@
 class LoopHttpServer {
  public:
   using ConnectionId = std::uint64_t;
-  // The responder is called once, at any later time.
+  // The responder is called once, at any later time. Requests that were not read before their
+  // connection was reset are not passed on.
   using Handler = std::function<void(ConnectionId, HttpRequest, HttpResponder)>;
 
   struct Options {
--- a/src/core/backlog_meter.h
+++ b/src/core/backlog_meter.h
@@ -31,7 +31,7 @@
     samples_[newest_].handled_at = now;
   }
 
-  // Zero if few messages are recent.
+  // How long what is handled now has waited; zero if few messages are recent.
   Duration delay(TimePoint now) const {
     std::array<Duration, kSamples> recent{};
     std::size_t count = 0;
@@ -47,6 +47,7 @@
   }
 
  private:
+  // Some milliseconds of messages in front of 50 supervisors, so that the median follows a backlog.
   static constexpr std::size_t kSamples = 9;
 
   struct Sample {
@@ -55,6 +56,7 @@
     TimePoint handled_at;
   };
 
+  // The last messages, without those that were followed by another one of their peer.
   std::array<Sample, kSamples> samples_;
   std::size_t newest_ = 0;
 };
--- a/tests/unit/loop_http_server_test.cc
+++ b/tests/unit/loop_http_server_test.cc
@@ -5,7 +5,10 @@
 
 #include <asio.hpp>
 #include <cstddef>
+#include <cstdint>
+#include <memory>
 #include <string>
+#include <utility>
 
 #include "support/port_block.h"
 
@@ -70,6 +73,7 @@
   cr_assert_eq(fixture.closed(), 1);
 }
 
+// Guards against clients without an answer because they close their sending side early.
 Test(loop_http_server, passes_on_requests_of_a_client_that_only_stops_sending) {
   Fixture fixture;
   asio::ip::tcp::socket client = fixture.Connect();
