job scheduler: tell the runs of an earlier submission from the present ones

A task could run twice at the same time if its job was submitted again to the same dispatcher while a run of the first submission had not been reported as ended: both are run 1, and the end of the old run on one executor was taken for the end of the new run on another, so that the task was ordered a third time beside it.

Cause: outcomes were matched by job, task and run number, and every submission numbers its runs from 1. The executor's supervisor is now part of the match, in one place for ends, lost runs and moves.

Evidence: the new test orders a second run on the code before (ordered tasks 1, expected 0).

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -416,9 +416,9 @@
 
 void JobScheduler::OnRunEnded(const Supervisor& supervisor, const RunId& id, RunOutcome outcome,
                               Duration elapsed) {
-  const auto found = jobs_.find(id.task.job_id);
-  if (found == jobs_.end()) return;
-  Job& job = found->second;
+  // Every submission of a job numbers its runs from 1.
+  if (!IsCurrentRun(supervisor.view.agent_id(), id)) return;
+  Job& job = jobs_.at(id.task.job_id);
   const std::string queue = job.request.queue;
   const bool counts_for_health = outcome == RunOutcome::kDone || outcome == RunOutcome::kFailed ||
                                  outcome == RunOutcome::kUnhealthy;
@@ -437,7 +437,7 @@
 void JobScheduler::RecordOrderWait(const Job& job, const RunId& id, RunOutcome outcome,
                                    Duration elapsed) {
   const Task& task = job.steps[id.task.step].tasks[id.task.index];
-  if (!task.may_wait || task.run != id.run) return;
+  if (!task.may_wait) return;
   if (outcome == RunOutcome::kExpired) order_wait_limit_.RecordStart(false);
   if (outcome != RunOutcome::kDone) return;
   order_wait_limit_.RecordStart(clock_.now() - elapsed <= job.start_by);
@@ -446,7 +446,6 @@
 void JobScheduler::ApplyOutcome(Job& job, const RunId& id, RunOutcome outcome) {
   Step& step = job.steps[id.task.step];
   Task& task = step.tasks[id.task.index];
-  if (task.state != TaskState::kOrdered || task.run != id.run) return;
   --job.ordered;
   if (HasStarted(outcome)) job.any_run_started = true;
   if (outcome == RunOutcome::kDone) {
@@ -538,12 +537,11 @@
     const double pace = supervisor.view.report().pace;
     if (!supervisor.view.attached() || pace < median * options_.move_ratio) continue;
     for (const RunId& id : supervisor.runs) {
-      const auto found = jobs_.find(id.task.job_id);
-      if (found == jobs_.end()) continue;
-      Job& job = found->second;
+      if (!IsCurrentRun(supervisor_id, id)) continue;
+      Job& job = jobs_.at(id.task.job_id);
       Step& step = job.steps[id.task.step];
       Task& task = step.tasks[id.task.index];
-      if (task.run != id.run || !ShouldMove(job, step, task, pace, median)) continue;
+      if (!ShouldMove(job, step, task, pace, median)) continue;
       // The task becomes ready again when the supervisor reports the end of this run.
       task.moved = true;
       actions_.emplace_back(StopTask{.agent_id = supervisor_id, .id = id});
@@ -553,7 +551,7 @@
 
 bool JobScheduler::ShouldMove(const Job& job, const Step& step, const Task& task, double pace,
                               double median_pace) {
-  if (task.state != TaskState::kOrdered || task.moved) return false;
+  if (task.moved) return false;
   const TimePoint now = clock_.now();
   const auto scaled = [&step](double ratio) {
     return std::chrono::duration_cast<Duration>(step.estimate * ratio);
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -434,6 +434,28 @@
   cr_assert_eq(fixture.stops.at(0).id.task.job_id, "job");
 }
 
+// Guards against a task that runs twice at the same time: its run of an earlier submission, on
+// another executor, was taken for the present one, so that its end made the task start again.
+Test(job_scheduler, tells_the_runs_of_an_earlier_submission_from_the_present_ones) {
+  Fixture fixture({"a"});
+  fixture.Submit(fixture.MakeJob("job", 1));
+  const RunId earlier{.task = {.job_id = "job"}, .run = 1};
+  cr_assert_eq(fixture.starts.at(0).agent_id, "a");
+  fixture.scheduler.OnAgentDetached("a");
+  fixture.scheduler.OnCancel("job");
+  fixture.starts.clear();
+  fixture.Attach("b", 1);
+  fixture.Submit(fixture.MakeJob("job", 1));
+  cr_assert_eq(fixture.starts.at(0).agent_id, "b");
+  cr_assert_eq(fixture.starts.at(0).starts.at(0).run, 1);
+  fixture.starts.clear();
+  fixture.Attach("a", 1, {earlier});
+  fixture.PlaceAndTakeActions();
+  fixture.scheduler.OnRunUpdate("a", earlier, RunOutcome::kStopped, milliseconds(0));
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+}
+
 // Guards against runs that stay on an executor that has become slow, while others have room.
 Test(job_scheduler, moves_a_run_off_a_slow_executor) {
   Fixture fixture({"a", "b", "c"});
