resent jobs: test of callers that send again under faults

Judges from the executors' record that no task runs twice at a time, across copies, dispatchers and supervisors, while callers' connections are reset, dispatchers are killed or frozen, links are cut and supervisors are killed.

--- /dev/null
+++ b/tests/property/resent_jobs_property_test.cc
@@ -0,0 +1,99 @@
+// Callers that send a job again to another dispatcher, under faults in simulated time.
+#include <criterion/criterion.h>
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+#include "support/job_traces.h"
+#include "support/lease_world.h"
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using zinniamux::core::Duration;
+using zinniamux::testing::AddTrace;
+using zinniamux::testing::LeaseWorld;
+
+// Executors announce themselves within this time.
+constexpr seconds kWarmUp{4};
+// Each takes about 0.3 s of processor time.
+constexpr std::uint64_t kFirstSeed = 1;
+constexpr std::uint64_t kSeeds = 20;
+
+std::size_t Draw(std::mt19937_64& random, std::size_t below) {
+  return static_cast<std::size_t>(random() % below);
+}
+
+// Breaks connections of callers, alone or together with another fault of their dispatcher.
+void DrawCallerFault(LeaseWorld& world, std::mt19937_64& random) {
+  const Duration at = kWarmUp + milliseconds(500 + Draw(random, 4000));
+  const Duration length = milliseconds(50 + Draw(random, 4000));
+  const std::size_t dispatcher = Draw(random, 3);
+  const std::size_t fault = Draw(random, 5);
+  // Before, with or after the other fault.
+  const Duration reset = at + milliseconds(Draw(random, 2000)) - milliseconds(1000);
+  if (fault == 0) world.KillDispatcher(dispatcher, at, length);
+  if (fault == 1) world.FreezeDispatcher(dispatcher, at, length);
+  if (fault == 2) world.CutLink(dispatcher, Draw(random, 11), at, length);
+  if (fault == 3) world.KillSupervisor(Draw(random, 11), at, length);
+  world.ResetCallers(dispatcher, fault == 4 ? at : reset, 0.1 + 0.9 * Draw(random, 100) / 99.0);
+}
+
+// Dispatchers with so little processor time that they are some milliseconds behind in bursts.
+LeaseWorld::Options DrawOptions(std::uint64_t seed, std::mt19937_64& random) {
+  LeaseWorld::Options options{.seed = seed};
+  options.message_cost = microseconds(35);
+  options.placement_cost = microseconds(2);
+  for (std::size_t i = 0; i < options.dispatchers; ++i) {
+    options.processor_shares.push_back(0.08 + 0.004 * static_cast<double>(Draw(random, 100)));
+  }
+  if (Draw(random, 2) == 0) options.lost_answers = 0.06;
+  return options;
+}
+
+std::string ProblemsOf(const LeaseWorld& world) {
+  std::string problems;
+  for (const std::string& violation : world.violations()) problems += violation + "\n";
+  for (const auto& [id, record] : world.jobs()) {
+    if (!record.reply && !record.given_up) problems += id + " is not answered\n";
+  }
+  if (world.running_tasks() > 0) problems += "tasks still run\n";
+  return problems;
+}
+
+std::string ProblemsWhenCallersSendAgain(std::uint64_t seed, bool drop_unread_copies = true) {
+  std::mt19937_64 random(seed);
+  LeaseWorld::Options options = DrawOptions(seed, random);
+  options.drop_unread_copies = drop_unread_copies;
+  LeaseWorld world(options);
+  AddTrace(world, {.seed = seed, .begin = kWarmUp, .length = seconds(5), .load = 0.9});
+  const std::size_t faults = 1 + Draw(random, 3);
+  for (std::size_t i = 0; i < faults; ++i) DrawCallerFault(world, random);
+  world.Run(seconds(30));
+  return ProblemsOf(world);
+}
+
+}  // namespace
+
+// Guards against two runs of a task at a time, of two copies of its job, when callers send it again
+// after their connections were reset, after a dispatcher was killed, and while one was frozen.
+Test(resent_jobs, run_once_at_a_time) {
+  for (std::uint64_t seed = kFirstSeed; seed < kFirstSeed + kSeeds; ++seed) {
+    const std::string problems = ProblemsWhenCallersSendAgain(seed);
+    cr_assert(problems.empty(), "seed %lu: %s", seed, problems.c_str());
+  }
+}
+
+// Guards against a world that cannot see copies which a dispatcher reads after their connection was
+// reset: these seeds ran tasks twice while the daemon did not drop such copies.
+Test(resent_jobs, run_twice_if_unread_copies_are_placed) {
+  for (const std::uint64_t seed : {46, 77, 208}) {
+    const std::string problems = ProblemsWhenCallersSendAgain(seed, false);
+    cr_assert(problems.find(" runs on executors ") != std::string::npos, "seed %lu: %s", seed,
+              problems.c_str());
+    cr_assert(ProblemsWhenCallersSendAgain(seed).empty(), "seed %lu", seed);
+  }
+}
