lease world: executors that are cut off, more lost answers, late supervisors

An executor may be cut from its supervisor and restart under its id meanwhile: nothing is answered, and calls that were on their way may be carried out afterwards, in the next lifetime. Answers may be lost at another rate for a while. Supervisors may handle what dispatchers send late. A stop without an answer may be carried out seconds later, like a start; it was carried out at once or never.

--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -75,13 +75,16 @@
   TimePoint frozen_until;
   core::ReportSchedule schedule;
   std::optional<TimePoint> report_timer_end;
+  Duration delay{0};
 };
 
 LeaseWorld::LeaseWorld(Options options)
     : options_(std::move(options)),
       random_(options_.seed),
-      caller_random_(options_.seed),
-      start_(clock_.now()) {
+      fault_random_(options_.seed),
+      start_(clock_.now()),
+      executors_cut_until_(options_.executor_cpu_milli.size()),
+      lost_answers_(options_.lost_answers) {
   for (std::size_t i = 0; i < options_.executor_cpu_milli.size(); ++i) {
     executors_.push_back(std::make_unique<SimulatedExecutor>(
         SimulatedExecutor::Options{
@@ -203,7 +206,8 @@
       SendReport(s, d);
       const std::uint64_t generation = link.generation;
       if (frozen || link.cut_until > clock_.now()) continue;
-      Deliver(supervisors_[s]->frozen_until, TransitTime(link, link.last_to_supervisor),
+      Deliver(supervisors_[s]->frozen_until,
+              TransitTime(link, link.last_to_supervisor, supervisors_[s]->delay),
               [this, d, s, generation, pause = dispatchers_[d]->report_pace.pause()] {
                 if (LinkOf(d, s).generation != generation || !supervisors_[s]->core) return;
                 supervisors_[s]->core->OnOwnerHeard(OwnerOf(d));
@@ -243,10 +247,10 @@
   SendReports(supervisor);
 }
 
-Duration LeaseWorld::TransitTime(Link& link, TimePoint& last_arrival) {
+Duration LeaseWorld::TransitTime(const Link& link, TimePoint& last_arrival, Duration delay) {
   const TimePoint now = clock_.now();
   const TimePoint sent = link.cut_until > now ? link.cut_until + kResendDelay : now;
-  last_arrival = std::max(last_arrival, sent + options_.link_delay);
+  last_arrival = std::max(last_arrival, sent + options_.link_delay + delay);
   return last_arrival - now;
 }
 
@@ -324,7 +328,7 @@
 void LeaseWorld::Announce(std::size_t executor) {
   After(kAnnouncePeriod, [this, executor] { Announce(executor); });
   Supervisor& supervisor = *supervisors_[executor];
-  if (!supervisor.core || supervisor.frozen_until > clock_.now()) return;
+  if (!supervisor.core || supervisor.frozen_until > clock_.now() || IsCut(executor)) return;
   supervisor.core->OnExecutorStatus(executors_[executor]->Status());
   CarryOutSupervisor(executor);
 }
@@ -395,8 +399,17 @@
   });
 }
 
-bool LeaseWorld::LosesAnswer() {
-  return std::uniform_real_distribution<>(0, 1)(random_) < options_.lost_answers;
+bool LeaseWorld::LosesAnswer(std::size_t executor) {
+  return std::uniform_real_distribution<>(0, 1)(random_) < lost_answers_ || IsCut(executor);
+}
+
+Duration LeaseWorld::DelayOfLostCall(std::size_t executor) {
+  if (IsCut(executor)) {
+    return executors_cut_until_[executor] - clock_.now() +
+           milliseconds(std::uniform_int_distribution<>(1, 4000)(fault_random_));
+  }
+  const bool at_once = std::uniform_real_distribution<>(0, 1)(random_) < kShareDoneAtOnce;
+  return milliseconds(at_once ? 1 : std::uniform_int_distribution<>(2000, 12000)(random_));
 }
 
 void LeaseWorld::CallExecutor(std::size_t index, const core::CallStart& call) {
@@ -409,10 +422,8 @@
     to.core->OnStartAnswer(id, answered, clock);
     CarryOutSupervisor(index);
   };
-  if (LosesAnswer()) {
-    const bool at_once = std::uniform_real_distribution<>(0, 1)(random_) < kShareDoneAtOnce;
-    const milliseconds delay(at_once ? 1 : std::uniform_int_distribution<>(2000, 12000)(random_));
-    After(delay, [this, index, call] { executors_[index]->Start(call); });
+  if (LosesAnswer(index)) {
+    After(DelayOfLostCall(index), [this, index, call] { executors_[index]->Start(call); });
     return Deliver(supervisor.frozen_until, call.answer_limit,
                    [answer] { answer(core::StartAnswer::kNone, std::nullopt); });
   }
@@ -426,11 +437,9 @@
 void LeaseWorld::CallExecutor(std::size_t index, const core::CallStop& call) {
   Supervisor& supervisor = *supervisors_[index];
   const std::uint64_t incarnation = supervisor.incarnation;
-  const bool lost = LosesAnswer();
-  const bool carried_out = !lost || std::uniform_real_distribution<>(0, 1)(random_) < 0.5;
-  After(options_.executor_delay, [this, index, call, carried_out] {
-    if (carried_out) executors_[index]->Stop(call);
-  });
+  const bool lost = LosesAnswer(index);
+  After(lost ? DelayOfLostCall(index) : options_.executor_delay,
+        [this, index, call] { executors_[index]->Stop(call); });
   const Duration delay =
       lost ? Duration(core::RunSupervisor::Options().answer_limit) : options_.executor_delay * 2;
   Deliver(supervisor.frozen_until, delay, [this, index, incarnation, id = call.id, lost] {
@@ -450,13 +459,19 @@
 
 void LeaseWorld::WaitForEnd(std::size_t index, const core::CallHold& call, TimePoint until,
                             std::uint64_t incarnation) {
-  const core::HoldAnswer answer = executors_[index]->Hold(call);
-  if (answer.ended.empty() && clock_.now() < until) {
+  const bool is_cut = IsCut(index);
+  core::HoldAnswer answer;
+  if (is_cut) {
+    After(DelayOfLostCall(index), [this, index, call] { executors_[index]->Hold(call); });
+  } else {
+    answer = executors_[index]->Hold(call);
+  }
+  if (!is_cut && answer.ended.empty() && clock_.now() < until) {
     return After(milliseconds(1), [this, index, call, until, incarnation] {
       WaitForEnd(index, call, until, incarnation);
     });
   }
-  const bool lost = LosesAnswer();
+  const bool lost = LosesAnswer(index) || is_cut;
   const Duration delay =
       lost ? Duration(core::RunSupervisor::Options().answer_limit) : options_.executor_delay;
   Deliver(supervisors_[index]->frozen_until, delay,
@@ -555,7 +570,7 @@
   After(delay, [this, id] {
     const std::size_t others = dispatchers_.size() - 1;
     Caller& caller = callers_.at(id);
-    if (others > 0) caller.dispatcher += 1 + caller_random_() % others;
+    if (others > 0) caller.dispatcher += 1 + fault_random_() % others;
     caller.dispatcher %= dispatchers_.size();
     SendCopy(id);
   });
@@ -580,7 +595,8 @@
     const std::size_t s = IndexOf(agent_id);
     Link& link = LinkOf(index, s);
     if (!link.connected) continue;
-    Deliver(supervisors_[s]->frozen_until, TransitTime(link, link.last_to_supervisor),
+    Deliver(supervisors_[s]->frozen_until,
+            TransitTime(link, link.last_to_supervisor, supervisors_[s]->delay),
             [this, index, s, generation = link.generation, action = std::move(action)] {
               Supervisor& to = *supervisors_[s];
               if (LinkOf(index, s).generation != generation || !to.core) return;
@@ -682,7 +698,7 @@
   At(at, [this, dispatcher, share] {
     for (const auto& [id, caller] : callers_) {
       if (!caller.is_waiting || caller.dispatcher != dispatcher) continue;
-      if (std::uniform_real_distribution<>(0, 1)(caller_random_) < share) BreakConnection(id);
+      if (std::uniform_real_distribution<>(0, 1)(fault_random_) < share) BreakConnection(id);
     }
   });
 }
@@ -697,6 +713,22 @@
   At(at + length, [this, executor] { executors_[executor]->set_failing(false); });
 }
 
+void LeaseWorld::CutExecutor(std::size_t executor, Duration at, Duration length, bool restarts) {
+  At(at, [this, executor, length] { executors_cut_until_[executor] = clock_.now() + length; });
+  if (restarts) RestartExecutor(executor, at + length / 2);
+}
+
+void LeaseWorld::LoseAnswers(double share, Duration at, Duration length) {
+  At(at, [this, share] { lost_answers_ = share; });
+  At(at + length, [this] { lost_answers_ = options_.lost_answers; });
+}
+
+void LeaseWorld::DelaySupervisor(std::size_t supervisor, Duration delay, Duration at,
+                                 Duration length) {
+  At(at, [this, supervisor, delay] { supervisors_[supervisor]->delay = delay; });
+  At(at + length, [this, supervisor] { supervisors_[supervisor]->delay = {}; });
+}
+
 void LeaseWorld::RestartExecutor(std::size_t executor, Duration at) {
   At(at, [this, executor] { executors_[executor]->Restart(); });
 }
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -98,6 +98,14 @@
                     core::Duration length);
   void FailExecutor(std::size_t executor, core::Duration at, core::Duration length);
   void RestartExecutor(std::size_t executor, core::Duration at);
+  // Nothing passes between the executor and its supervisor. What was sent may be carried out
+  // afterwards, in the next lifetime if the executor restarts under its id meanwhile.
+  void CutExecutor(std::size_t executor, core::Duration at, core::Duration length, bool restarts);
+  // Another part of the calls to executors stays without an answer.
+  void LoseAnswers(double share, core::Duration at, core::Duration length);
+  // The supervisor handles what dispatchers send this much later.
+  void DelaySupervisor(std::size_t supervisor, core::Duration delay, core::Duration at,
+                       core::Duration length);
   void At(core::Duration time, std::function<void()> action);
 
   void Run(core::Duration until);
@@ -146,7 +154,8 @@
   core::ExecutorReport ReportOf(std::size_t supervisor, std::size_t dispatcher) const;
   // How long a message takes on a connection. Messages stay in order, and those that are sent while
   // the link is cut are sent again after it.
-  core::Duration TransitTime(Link& link, core::TimePoint& last_arrival);
+  core::Duration TransitTime(const Link& link, core::TimePoint& last_arrival,
+                             core::Duration delay = core::Duration(0));
   // The process of the dispatcher, as supervisors know it.
   std::string OwnerOf(std::size_t dispatcher) const;
   void LoseOwner(std::size_t dispatcher, std::size_t supervisor);
@@ -169,7 +178,10 @@
   void CallExecutor(std::size_t index, const core::CallHold& call);
   void WaitForEnd(std::size_t index, const core::CallHold& call, core::TimePoint until,
                   std::uint64_t incarnation);
-  bool LosesAnswer();
+  bool IsCut(std::size_t executor) const { return executors_cut_until_[executor] > clock_.now(); }
+  bool LosesAnswer(std::size_t executor);
+  // When a call without an answer is carried out.
+  core::Duration DelayOfLostCall(std::size_t executor);
   void NoteStart(std::size_t executor, const core::RunId& id);
   void NoteEnd(const core::RunId& id, core::RunOutcome outcome);
   void NoteReply(const std::string& id, std::size_t copy, const core::JobReply& reply);
@@ -177,13 +189,15 @@
 
   const Options options_;
   std::mt19937_64 random_;
-  // For choices about callers, so that these do not change the other ones.
-  std::mt19937_64 caller_random_;
+  // For choices about callers and cut executors, so that these do not change the other ones.
+  std::mt19937_64 fault_random_;
   core::ManualClock clock_;
   const core::TimePoint start_;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::uint64_t next_event_ = 0;
   std::vector<std::unique_ptr<SimulatedExecutor>> executors_;
+  std::vector<core::TimePoint> executors_cut_until_;
+  double lost_answers_;
   std::vector<std::unique_ptr<Supervisor>> supervisors_;
   std::vector<std::unique_ptr<Dispatcher>> dispatchers_;
   std::vector<Link> links_;
