resent jobs: test under faults of executors and of the way to them

Judges the same rules while executors restart under their id, answers are lost at rates of up to 0.5, and supervisors handle frames up to 300 ms late.

--- a/tests/property/resent_jobs_property_test.cc
+++ b/tests/property/resent_jobs_property_test.cc
@@ -54,6 +54,23 @@
   return options;
 }
 
+// Faults of executors and of the way to them.
+void DrawExecutorFault(LeaseWorld& world, std::mt19937_64& random) {
+  const Duration at = kWarmUp + milliseconds(500 + Draw(random, 4000));
+  const Duration length = milliseconds(50 + Draw(random, 3000));
+  const std::size_t executor = Draw(random, 11);
+  switch (Draw(random, 4)) {
+    case 0:
+      return world.CutExecutor(executor, at, length, Draw(random, 2) == 0);
+    case 1:
+      return world.RestartExecutor(executor, at);
+    case 2:
+      return world.LoseAnswers(0.1 + 0.4 * Draw(random, 100) / 99.0, at, length);
+    default:
+      return world.DelaySupervisor(executor, milliseconds(1 + Draw(random, 300)), at, length);
+  }
+}
+
 std::string ProblemsOf(const LeaseWorld& world) {
   std::string problems;
   for (const std::string& violation : world.violations()) problems += violation + "\n";
@@ -76,6 +93,17 @@
   return ProblemsOf(world);
 }
 
+std::string ProblemsUnderExecutorFaults(std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  LeaseWorld world(DrawOptions(seed, random));
+  AddTrace(world, {.seed = seed, .begin = kWarmUp, .length = seconds(5), .load = 0.9});
+  const std::size_t faults = 1 + Draw(random, 3);
+  for (std::size_t i = 0; i < faults; ++i) DrawExecutorFault(world, random);
+  if (Draw(random, 2) == 0) DrawCallerFault(world, random);
+  world.Run(seconds(30));
+  return ProblemsOf(world);
+}
+
 }  // namespace
 
 // Guards against two runs of a task at a time, of two copies of its job, when callers send it again
@@ -97,3 +125,12 @@
     cr_assert(ProblemsWhenCallersSendAgain(seed).empty(), "seed %lu", seed);
   }
 }
+
+// Guards against two runs of a task at a time when executors restart under their id while cut from
+// their supervisor, when most answers of executors get lost, and when supervisors are late.
+Test(resent_jobs, run_once_at_a_time_under_faults_of_executors) {
+  for (std::uint64_t seed = kFirstSeed; seed < kFirstSeed + kSeeds; ++seed) {
+    const std::string problems = ProblemsUnderExecutorFaults(seed);
+    cr_assert(problems.empty(), "seed %lu: %s", seed, problems.c_str());
+  }
+}
