--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -423,7 +423,8 @@
     CarryOutSupervisor(index);
   };
   if (LosesAnswer(index)) {
-    After(DelayOfLostCall(index), [this, index, call] { executors_[index]->Start(call); });
+    Deliver(executors_cut_until_[index], DelayOfLostCall(index),
+            [this, index, call] { executors_[index]->Start(call); });
     return Deliver(supervisor.frozen_until, call.answer_limit,
                    [answer] { answer(core::StartAnswer::kNone, std::nullopt); });
   }
@@ -438,8 +439,8 @@
   Supervisor& supervisor = *supervisors_[index];
   const std::uint64_t incarnation = supervisor.incarnation;
   const bool lost = LosesAnswer(index);
-  After(lost ? DelayOfLostCall(index) : options_.executor_delay,
-        [this, index, call] { executors_[index]->Stop(call); });
+  Deliver(executors_cut_until_[index], lost ? DelayOfLostCall(index) : options_.executor_delay,
+          [this, index, call] { executors_[index]->Stop(call); });
   const Duration delay =
       lost ? Duration(core::RunSupervisor::Options().answer_limit) : options_.executor_delay * 2;
   Deliver(supervisor.frozen_until, delay, [this, index, incarnation, id = call.id, lost] {
@@ -462,7 +463,8 @@
   const bool is_cut = IsCut(index);
   core::HoldAnswer answer;
   if (is_cut) {
-    After(DelayOfLostCall(index), [this, index, call] { executors_[index]->Hold(call); });
+    Deliver(executors_cut_until_[index], DelayOfLostCall(index),
+            [this, index, call] { executors_[index]->Hold(call); });
   } else {
     answer = executors_[index]->Hold(call);
   }
