job scheduler: order nothing after a stall until what arrived meanwhile is handled

A task ran twice at the same time if its dispatcher was frozen or suspended for long. Supervisors stop the runs of a silent dispatcher after 900 ms; callers whose connections break send their jobs to other dispatchers 1,300 ms later. When the dispatcher goes on, the ends of the stopped runs and the closed connections are all there, and it handled the ends first: it ordered the tasks again, and cancelled the jobs some milliseconds later.

After a stall of more than 300 ms dispatchers now order nothing until their timer has been handled in its turn, 50 ms later at the earliest: what arrived during the stall comes before it.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -177,7 +177,7 @@
 // --- Placement
 
 void JobScheduler::PlaceQueuedJobs(bool retry_waiting) {
-  if (queue_.empty()) return;
+  if (queue_.empty() || orders_paused_until_) return;
   median_pace_ = RoomPlacement::MedianPace(views_);
   unmet_needs_.clear();
   if (retry_waiting) waiting_needs_.clear();
@@ -646,8 +646,11 @@
 
 // --- Time
 
+void JobScheduler::OnStall() { orders_paused_until_ = clock_.now() + options_.stall_recovery; }
+
 void JobScheduler::OnTimer() {
   const TimePoint now = clock_.now();
+  if (orders_paused_until_ && *orders_paused_until_ <= now) orders_paused_until_.reset();
   std::vector<std::string> late;
   for (const auto& [id, job] : jobs_) {
     const bool is_waiting = !MayHaveRun(job);
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -116,6 +116,9 @@
     // until they would be late instead of being refused for lack of executors. Supervisors connect
     // within tenths of a second, also after the loss of all VMs.
     std::chrono::milliseconds startup_grace{1000};
+    // After a stall, least time until the first OnTimer that allows orders again. OnTimer is
+    // handled in its turn, so what arrived during the stall comes before it.
+    std::chrono::milliseconds stall_recovery{50};
     // A run may be moved off an executor whose pace is at least this many times the median.
     double move_ratio = 3.0;
   };
@@ -138,6 +141,11 @@
   // for one of them. Called once after a batch of events.
   void Place() { PlaceQueuedJobs(std::exchange(should_retry_waiting_, false)); }
 
+  // The process stood still (see StallDetector). The end of a run may now be handled before the
+  // closed connection of its caller, who may have sent the job to another dispatcher since. Nothing
+  // is ordered until both have been handled.
+  void OnStall();
+
   // From now on, refuses jobs that may not be answered by `end`.
   void StopAt(TimePoint end) { shutdown_at_ = end; }
   // Answers every job: as refused if none of its tasks can have run, as abandoned otherwise.
@@ -356,6 +364,8 @@
     }
   };
   std::map<OrderKey, StartTasks> unsent_starts_;
+  // Set after a stall.
+  std::optional<TimePoint> orders_paused_until_;
   std::uint64_t next_order_ = 1;
   std::uint64_t next_job_number_ = 1;
   std::uint64_t placements_tried_ = 0;
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 #include <variant>
 
@@ -119,6 +120,7 @@
                },
            .on_frame_handled =
                [this] {
+                 DetectStall();
                  scheduler_.Place();
                  RunActions();
                }}),
@@ -210,6 +212,7 @@
 }
 
 void DispatcherDaemon::OnTimer() {
+  DetectStall();
   const TimePoint now = clock_.now();
   gateway_.OnTimer();
   scheduler_.OnTimer();
@@ -234,6 +237,14 @@
   StartTimer();
 }
 
+void DispatcherDaemon::DetectStall() {
+  const std::optional<core::Duration> pause = stall_detector_.OnTurn(clock_.now());
+  if (!pause) return;
+  metrics_.Add("stalls_total");
+  log_.Write(LogLevel::kWarning, "stalled", {{"pause_ms", ToMilliseconds(*pause)}});
+  scheduler_.OnStall();
+}
+
 void DispatcherDaemon::AwaitSignal() {
   signals_.async_wait([this](const asio::error_code& error, int signal) {
     if (error) return;
@@ -298,6 +309,7 @@
   placement_scheduled_ = true;
   asio::post(loop_, [this] {
     placement_scheduled_ = false;
+    DetectStall();
     scheduler_.Place();
     RunActions();
   });
--- a/src/zinniamuxd/dispatcher_daemon.h
+++ b/src/zinniamuxd/dispatcher_daemon.h
@@ -19,6 +19,7 @@
 #include "core/clock.h"
 #include "core/job_scheduler.h"
 #include "core/message_delay_meter.h"
+#include "core/stall_detector.h"
 #include "platform/store_client.h"
 #include "zinniamuxd/caller_gateway.h"
 #include "zinniamuxd/configuration_watch.h"
@@ -42,6 +43,8 @@
   core::Result<void> Listen();
   void StartTimer();
   void OnTimer();
+  // Called before events may lead to orders.
+  void DetectStall();
   void AwaitSignal();
   void OnSignal(int signal);
   void StartShutdown();
@@ -80,6 +83,7 @@
   // Delays of supervisors' messages, and the counts at the last status line.
   core::MessageDelayMeter message_delays_;
   core::BacklogMeter backlog_;
+  core::StallDetector stall_detector_;
   std::uint64_t messages_handled_ = 0;
   std::uint64_t logged_placements_ = 0;
   // Unset until a shutdown is requested.
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -21,6 +21,7 @@
 #include "core/report_pace.h"
 #include "core/report_schedule.h"
 #include "core/run_supervisor.h"
+#include "core/stall_detector.h"
 #include "support/simulated_executor.h"
 
 namespace zinniamux::testing {
@@ -145,6 +146,7 @@
   // Handles a message or a timer once the dispatcher has handled everything before it.
   void HandleInTurn(std::size_t dispatcher, core::Duration cost, std::function<void()> action);
   void HandleNext(std::size_t dispatcher);
+  void Handle(std::size_t dispatcher, const std::function<void()>& action);
   void Tick();
   void Heartbeat();
   void Announce(std::size_t executor);
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -645,3 +645,20 @@
   cr_assert_eq(fixture.ordered_tasks(), 1);
   cr_assert_eq(fixture.starts.front().job_id, "small");
 }
+
+// Guards against a task that runs twice: a dispatcher that was frozen handled the end of its run
+// before the closed connection of its caller, and ordered it again.
+Test(job_scheduler, orders_nothing_until_what_arrived_in_a_stall_is_handled) {
+  Fixture fixture;
+  fixture.Submit(fixture.MakeJob("left", 1));
+  fixture.Submit(fixture.MakeJob("waiting", 1));
+  fixture.scheduler.OnStall();
+  fixture.EndAllRuns(RunOutcome::kStopped);
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+  fixture.scheduler.OnCancel("left");
+  fixture.clock.Advance(milliseconds(50));
+  fixture.scheduler.OnTimer();
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.ordered_tasks(), 1);
+  cr_assert_eq(fixture.starts.front().job_id, "waiting");
+}
