run supervisor: raise the fencing token with each lifetime of the executor

A task ran twice at the same time if a start without an answer was stopped before the answer was due, for example because its caller had left, and was carried out seconds later in the executor's next lifetime: stops are forgotten with a lifetime, and the start was not recorded as revoked because its run was gone when the missing answer was noticed. A late hold call of an earlier lifetime could also acknowledge ends of the new one that nobody had seen.

Cause: calls name the executor's id, which a restarted executor keeps, and fencing tokens only rose with processes of the supervisor. Now they rise with lifetimes of the executor as well. The first call to a new lifetime makes it refuse what was sent to the one before.

What remains: a start that is carried out before the supervisor's first call reaches the new lifetime.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -57,6 +57,8 @@
   // shows which runs it has; the others ended with the earlier incarnation.
   executor_->born_ms = born_ms;
   executor_->sequence = 0;
+  // Calls that were on their way, also late ones, are refused from the first call with this token.
+  ++fencing_token_;
   last_seen_ = acknowledged_ = 0;
   unknown_run_stops_.clear();
   // It is unknown which of them the earlier incarnation has run.
@@ -82,6 +84,8 @@
   last_seen_ = acknowledged_ = 0;
   next_hold_at_ = {};
   pace_ = PaceMeter();
+  // It may come back under the same id.
+  ++fencing_token_;
   executor_.reset();
 }
 
--- a/tests/property/resent_jobs_property_test.cc
+++ b/tests/property/resent_jobs_property_test.cc
@@ -146,3 +146,22 @@
   const std::string problems = ProblemsOf(world);
   cr_assert(problems.empty(), "%s", problems.c_str());
 }
+
+// Guards against starts that are carried out after their run was stopped and their executor has
+// restarted under its id: the next lifetime does not know the stop.
+Test(resent_jobs, run_once_if_stopped_starts_are_carried_out_in_the_next_lifetime) {
+  constexpr std::uint64_t kSeed = 36;
+  std::mt19937_64 random(kSeed);
+  LeaseWorld world(DrawOptions(kSeed, random));
+  AddTrace(world, {.seed = kSeed, .begin = kWarmUp, .length = seconds(5), .load = 0.7});
+  world.LoseAnswers(0.3, kWarmUp + milliseconds(500), seconds(3));
+  for (std::size_t dispatcher = 0; dispatcher < 3; ++dispatcher) {
+    world.ResetCallers(dispatcher, kWarmUp + milliseconds(2000 + 300 * dispatcher), 1);
+  }
+  for (std::size_t executor = 0; executor < 11; ++executor) {
+    world.RestartExecutor(executor, kWarmUp + milliseconds(3600));
+  }
+  world.Run(seconds(32));
+  const std::string problems = ProblemsOf(world);
+  cr_assert(problems.empty(), "%s", problems.c_str());
+}
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -344,6 +344,20 @@
   cr_assert(fixture.ActionsOf<RunUpdate>().empty());
 }
 
+// Guards against a start that was stopped, and is carried out seconds later in the executor's next
+// lifetime, which does not know the stop.
+Test(run_supervisor, raises_its_fencing_token_in_a_new_lifetime) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  LeasedExecutor restarted = fixture.Status(1);
+  restarted.born_ms = 11;
+  fixture.supervisor.OnExecutorStatus(restarted);
+  fixture.TakeActions();
+  const auto holds = fixture.ActionsOf<CallHold>();
+  cr_assert_eq(holds.size(), 1);
+  cr_assert_eq(holds[0].fencing_token, 8);
+}
+
 // Guards against a supervisor that cannot start runs because an earlier process had a clock that
 // ran ahead.
 Test(run_supervisor, raises_its_fencing_token_when_it_is_fenced) {
