run supervisor: report runs that were lost when their executor crashed

Runs now end as `executor_crashed` if the executor refuses connections until their lease is over, or comes back in a new lifetime without them, unless it was draining. Only runs that were seen to run count: others may have been ordered after the crash. Runs count as ended at the same time as before, so that nothing starts earlier.

In frames a crash is a lapsed run with a flag: dispatchers of an earlier version would take an outcome that they do not know for a run that never started.

--- a/src/core/run.h
+++ b/src/core/run.h
@@ -123,10 +123,14 @@
   kNotAccepting,
   // Not started: it was stopped while it waited for room.
   kWithdrawn,
+  // The executor's process ended while the run was on it.
+  kExecutorCrashed,
 };
 
 // True if the run was started. Only kFailed counts as an attempt.
-constexpr bool HasStarted(RunOutcome outcome) { return outcome <= RunOutcome::kAlone; }
+constexpr bool HasStarted(RunOutcome outcome) {
+  return outcome <= RunOutcome::kAlone || outcome == RunOutcome::kExecutorCrashed;
+}
 
 // The name in logs and metrics, for example "no_room".
 std::string_view NameOf(RunOutcome outcome);
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -64,11 +64,13 @@
   // It is unknown which of them the earlier incarnation has run.
   for (auto& [id, run] : runs_) {
     run.may_have_run = true;
+    run.lost_in_crash = run.lost_in_crash || IsLostInCrash(run);
     run.seen_running = false;
   }
   // The new incarnation does not know that these were revoked.
   for (const auto& [id, until] : revoked_starts_) unknown_run_stops_.emplace(id, clock_.now());
   consecutive_unanswered_ = 0;
+  executor_is_down_ = false;
   pace_ = PaceMeter();
   needs_first_poll_ = true;
   next_hold_at_ = {};
@@ -77,10 +79,14 @@
 
 void RunSupervisor::ForgetExecutor(RunOutcome outcome) {
   // All runs ended with that incarnation of the executor.
-  for (auto run = runs_.begin(); run != runs_.end();) run = FinishRun(run, outcome);
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    const bool crashed = outcome == RunOutcome::kBroken && IsLostInCrash(run->second);
+    run = FinishRun(run, crashed ? RunOutcome::kExecutorCrashed : outcome);
+  }
   unknown_run_stops_.clear();
   holds_.clear();
   consecutive_unanswered_ = 0;
+  executor_is_down_ = false;
   last_seen_ = acknowledged_ = 0;
   next_hold_at_ = {};
   pace_ = PaceMeter();
@@ -225,6 +231,8 @@
       CallStop{.id = id, .executor_id = executor_->id, .fencing_token = fencing_token_});
 }
 
+void RunSupervisor::OnConnectionRefused() { executor_is_down_ = true; }
+
 void RunSupervisor::OnStartAnswer(const RunId& id, StartAnswer answer,
                                   std::optional<ExecutorTime> clock) {
   if (clock) UpdateClockOffset(*clock);
@@ -340,6 +348,7 @@
     }
     Run& run = found->second;
     run.seen_running = true;
+    run.lost_in_crash = false;
     run.percent = listed.percent;
     SamplePace(run);
   }
@@ -352,7 +361,8 @@
   for (auto run = runs_.begin(); run != runs_.end();) {
     const bool is_missing = !listed_ids.contains(run->first) && run->second.state_since < sent_at;
     if (is_missing && run->second.state == State::kRunning) {
-      run = FinishRun(run, RunOutcome::kLapsed);
+      run = FinishRun(
+          run, run->second.lost_in_crash ? RunOutcome::kExecutorCrashed : RunOutcome::kLapsed);
     } else if (is_missing && run->second.state == State::kStopped) {
       const bool may_have_run = run->second.seen_running || run->second.may_have_run;
       run =
@@ -445,6 +455,7 @@
   const TimePoint now = clock_.now();
   if (answered) {
     consecutive_unanswered_ = 0;
+    executor_is_down_ = false;
     last_answer_at_ = now;
   } else {
     last_unanswered_at_ = now;
@@ -461,7 +472,10 @@
       clock_.now() < lease_expires_at_) {
     return;
   }
-  for (auto run = runs_.begin(); run != runs_.end();) run = FinishRun(run, RunOutcome::kLapsed);
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    const bool crashed = executor_is_down_ && IsLostInCrash(run->second);
+    run = FinishRun(run, crashed ? RunOutcome::kExecutorCrashed : RunOutcome::kLapsed);
+  }
   // The executor may recover and execute an unanswered start.
   needs_first_poll_ = true;
 }
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -179,6 +179,8 @@
   void OnOrder(const std::string& owner, const RunOrder& order);
   void OnStopOrder(const std::string& owner, const RunId& id);
 
+  // No process listens at the executor's address. Called before the unanswered call is reported.
+  void OnConnectionRefused();
   void OnStartAnswer(const RunId& id, StartAnswer answer, std::optional<ExecutorTime> clock);
   void OnStopAnswer(const RunId& id, bool answered);
   // `answer` is empty if the call failed or timed out.
@@ -240,6 +242,8 @@
     bool seen_running = false;
     // An earlier incarnation of the executor may have run it.
     bool may_have_run = false;
+    // An earlier incarnation of the executor ended without notice while it ran it.
+    bool lost_in_crash = false;
     int percent = 0;
     bool pace_sampled = false;
   };
@@ -289,6 +293,9 @@
   void RecordAnswer(bool answered);
   // Ends all runs of a silent executor once their lease has expired.
   void EndLapsedRuns();
+  // Whether a crash of the executor counts for the run. A draining executor has announced its end,
+  // and a run that was never seen to run may have been ordered after it.
+  bool IsLostInCrash(const Run& run) const { return run.seen_running && !executor_->draining; }
   void ReportPaceChange();
   static constexpr int kMaxConsecutiveUnanswered = 2;
 
@@ -324,6 +331,8 @@
   TimePoint lease_expires_at_;
   // Consecutive calls without an answer.
   int consecutive_unanswered_ = 0;
+  // No process has listened at the executor's address since its last answer.
+  bool executor_is_down_ = false;
   TimePoint last_answer_at_;
   TimePoint last_unanswered_at_;
   // Mean answer time of start calls in seconds. The initial value is that of a VM under load.
--- a/src/zinniamuxd/run_codec.cc
+++ b/src/zinniamuxd/run_codec.cc
@@ -37,6 +37,21 @@
           .run = message.run()};
 }
 
+void ToMessage(const core::RunUpdate& update, runs::RunUpdate& message) {
+  const bool executor_crashed = update.outcome == core::RunOutcome::kExecutorCrashed;
+  const core::RunOutcome outcome = executor_crashed ? core::RunOutcome::kLapsed : update.outcome;
+  ToMessage(update.id, *message.mutable_run());
+  message.set_outcome(static_cast<std::uint32_t>(outcome));
+  message.set_elapsed_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(update.elapsed).count()));
+  message.set_executor_crashed(executor_crashed);
+}
+
+core::RunOutcome OutcomeFromMessage(const runs::RunUpdate& message) {
+  if (message.executor_crashed()) return core::RunOutcome::kExecutorCrashed;
+  return static_cast<core::RunOutcome>(message.outcome());
+}
+
 void ToMessage(const core::ExecutorReport& report, runs::ExecutorReport& message) {
   message.set_executor_id(report.executor_id);
   message.set_service(report.service);
--- a/src/zinniamuxd/run_codec.h
+++ b/src/zinniamuxd/run_codec.h
@@ -16,6 +16,9 @@
 void ToMessage(const core::RunId& id, runs::RunRef& message);
 core::RunId FromMessage(const runs::RunRef& message);
 
+void ToMessage(const core::RunUpdate& update, runs::RunUpdate& message);
+core::RunOutcome OutcomeFromMessage(const runs::RunUpdate& message);
+
 void ToMessage(const core::ExecutorReport& report, runs::ExecutorReport& message);
 core::ExecutorReport FromMessage(const runs::ExecutorReport& message);
 
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -320,11 +320,7 @@
       metrics_.Add("runs_ended_total", 1, {{"outcome", NameOf(update->outcome)}});
       DispatcherLink* link = FindLinkByOwner(update->owner);
       if (link == nullptr) continue;
-      runs::RunUpdate& message = *link->mutable_outgoing().add_updates();
-      ToMessage(update->id, *message.mutable_run());
-      message.set_outcome(static_cast<std::uint32_t>(update->outcome));
-      message.set_elapsed_ms(static_cast<std::uint32_t>(
-          std::chrono::duration_cast<milliseconds>(update->elapsed).count()));
+      ToMessage(*update, *link->mutable_outgoing().add_updates());
     } else {
       report_to_all = true;
     }
@@ -353,6 +349,7 @@
   executor_client_.Send(std::move(call),
                         [this, on_result = std::move(on_result)](HttpResult result) {
                           asio::post(loop_, [this, on_result, result = std::move(result)] {
+                            if (result.not_sent) run_supervisor_.OnConnectionRefused();
                             on_result(result);
                             RunActions();
                           });
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -85,8 +85,7 @@
   const auto registered = peers_by_supervisor_.find(peer->supervisor_id);
   if (registered == peers_by_supervisor_.end() || registered->second != peer) return;
   for (const runs::RunUpdate& update : frame.updates()) {
-    handlers_.on_update(peer->supervisor_id, FromMessage(update.run()),
-                        static_cast<core::RunOutcome>(update.outcome()),
+    handlers_.on_update(peer->supervisor_id, FromMessage(update.run()), OutcomeFromMessage(update),
                         std::chrono::milliseconds(update.elapsed_ms()));
   }
   if (frame.has_report()) handlers_.on_report(peer->supervisor_id, FromMessage(frame.report()));
--- /dev/null
+++ b/tests/unit/run_codec_test.cc
@@ -0,0 +1,25 @@
+// The frames between dispatchers and supervisors: processes of different versions.
+#include "zinniamuxd/run_codec.h"
+
+#include <criterion/criterion.h>
+
+#include <cstdint>
+
+namespace {
+
+using zinniamux::core::RunOutcome;
+using zinniamux::core::RunUpdate;
+
+}  // namespace
+
+// Guards against dispatchers of an earlier version that take an outcome they do not know for a run
+// that was never started, and tell the caller so.
+Test(run_codec, tells_earlier_versions_of_a_crash_as_an_expired_lease) {
+  const RunUpdate update{.owner = "dispatcher",
+                         .id = {.task = {.job_id = "job"}, .run = 2},
+                         .outcome = RunOutcome::kExecutorCrashed};
+  zinniamux::runs::RunUpdate message;
+  zinniamux::daemon::ToMessage(update, message);
+  cr_assert_eq(message.outcome(), static_cast<std::uint32_t>(RunOutcome::kLapsed));
+  cr_assert(zinniamux::daemon::OutcomeFromMessage(message) == RunOutcome::kExecutorCrashed);
+}
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -96,6 +96,22 @@
     SaveLastHold();
   }
 
+  // No process listens at the executor's address. Returns the updates, at most 2 s later.
+  std::vector<RunUpdate> RefuseCallsUntilRunsEnd() {
+    constexpr int kRounds = 20;
+    for (int i = 0; i < kRounds; ++i) {
+      clock.Advance(milliseconds(100));
+      supervisor.OnConnectionRefused();
+      supervisor.OnHoldAnswer(last_hold.number, std::nullopt);
+      supervisor.OnOwnerHeard(kOwner);
+      supervisor.OnTimer();
+      TakeActions();
+      SaveLastHold();
+      if (!ActionsOf<RunUpdate>().empty()) break;
+    }
+    return ActionsOf<RunUpdate>();
+  }
+
   ManualClock clock;
   const zinniamux::core::TimePoint started_at = clock.now();
   RunSupervisor supervisor{{.fencing_token = 7}, clock};
@@ -284,6 +300,47 @@
   cr_assert_geq((fixture.clock.now() - fixture.started_at).count(), 1'000'000);
 }
 
+// Guards against tasks that crash one executor after the other because each loss counts as an
+// expired lease.
+Test(run_supervisor, reports_the_runs_of_a_crashed_executor) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  // Its start is never confirmed, so it may have been ordered after the crash.
+  fixture.OrderRun(1);
+  const auto updates = fixture.RefuseCallsUntilRunsEnd();
+  cr_assert_eq(updates.size(), 2);
+  cr_assert(updates[0].id == MakeRunId(0));
+  cr_assert(updates[0].outcome == RunOutcome::kExecutorCrashed);
+  cr_assert(updates[1].outcome == RunOutcome::kLapsed);
+}
+
+// Guards against a crash that counts as an expired lease because the executor was back before the
+// lease was over.
+Test(run_supervisor, reports_the_runs_of_an_executor_that_has_restarted) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.clock.Advance(milliseconds(20));
+  LeasedExecutor restarted = fixture.Status(1);
+  restarted.born_ms = 11;
+  fixture.supervisor.OnExecutorStatus(restarted);
+  fixture.AnswerHold({.born_ms = 11});
+  const auto updates = fixture.ActionsOf<RunUpdate>();
+  cr_assert_eq(updates.size(), 1);
+  cr_assert(updates[0].outcome == RunOutcome::kExecutorCrashed);
+}
+
+// Guards against jobs that fail because executors were shut down under their tasks.
+Test(run_supervisor, reports_no_crash_of_an_executor_that_was_draining) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  LeasedExecutor draining = fixture.Status(2);
+  draining.draining = true;
+  fixture.supervisor.OnExecutorStatus(draining);
+  const auto updates = fixture.RefuseCallsUntilRunsEnd();
+  cr_assert_eq(updates.size(), 1);
+  cr_assert(updates[0].outcome == RunOutcome::kLapsed);
+}
+
 // Guards against runs of an earlier process of this supervisor that continue unnoticed.
 Test(run_supervisor, stops_unknown_runs) {
   ManualClock clock;
