job scheduler: fail a job after three executors have crashed under one task

Cause: a run that ended with its executor was no attempt, and nothing counted crashes. The scheduler now counts them for each task, and answers the job as failed, for the reason executors_crashed, when the third executor has crashed.

--- a/src/core/job_request.cc
+++ b/src/core/job_request.cc
@@ -35,6 +35,8 @@
       return "deadline";
     case JobReason::kCancelled:
       return "cancelled";
+    case JobReason::kExecutorsCrashed:
+      return "executors_crashed";
   }
   return "unknown";
 }
--- a/src/core/job_request.h
+++ b/src/core/job_request.h
@@ -53,7 +53,7 @@
 
 enum class JobResult {
   kComplete,
-  // A task has used up its attempts.
+  // A task has used up its attempts, or crashes the executors that run it.
   kFailed,
   // None of its tasks has run or will run.
   kRefused,
@@ -73,6 +73,8 @@
   kShuttingDown,
   kDeadline,
   kCancelled,
+  // Too many executors have crashed while they ran one of its tasks.
+  kExecutorsCrashed,
 };
 
 struct JobReply {
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -464,6 +464,10 @@
       return FinishJob(job, JobResult::kFailed, JobReason::kAttemptsUsedUp);
     }
   }
+  if (outcome == RunOutcome::kExecutorCrashed &&
+      ++task.executor_crashes >= options_.max_executor_crashes) {
+    return FinishJob(job, JobResult::kFailed, JobReason::kExecutorsCrashed);
+  }
   if (outcome == RunOutcome::kFailed || outcome == RunOutcome::kUnhealthy) {
     task.last_failed_on = task.supervisor_id;
   }
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -119,6 +119,10 @@
     // After a stall, least time until the first OnTimer that allows orders again. OnTimer is
     // handled in its turn, so what arrived during the stall comes before it.
     std::chrono::milliseconds stall_recovery{50};
+    // The job fails when this many executors have crashed while they ran one of its tasks. Tasks
+    // that only ran beside the cause are lost as well: while one kind of task crashes several
+    // executors a second, long tasks of other kinds often lose two runs and seldom three.
+    std::uint32_t max_executor_crashes = 3;
     // A run may be moved off an executor whose pace is at least this many times the median.
     double move_ratio = 3.0;
   };
@@ -179,6 +183,8 @@
     std::uint32_t run = 0;
     std::uint32_t failed_runs = 0;
     std::uint32_t refused_starts = 0;
+    // Executors that crashed while they ran it.
+    std::uint32_t executor_crashes = 0;
     // Orders that were refused for lack of room.
     std::uint32_t room_refusals = 0;
     std::string supervisor_id;
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -173,6 +173,34 @@
   cr_assert(fixture.answers.at(0).answer.reason == JobReason::kAttemptsUsedUp);
 }
 
+// Guards against a task that crashes one executor after the other for as long as its caller waits,
+// and against jobs that fail because a task ran beside the cause of one or two crashes.
+Test(job_scheduler, fails_a_job_whose_task_crashes_three_executors) {
+  Fixture fixture;
+  fixture.Submit(fixture.MakeJob("job", 1));
+  for (int crashes = 0; crashes < 3; ++crashes) {
+    cr_assert(fixture.answers.empty());
+    cr_assert_eq(fixture.ordered_tasks(), 1);
+    fixture.EndAllRuns(RunOutcome::kExecutorCrashed);
+  }
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+  cr_assert_eq(fixture.answers.size(), 1);
+  cr_assert(fixture.answers[0].answer.result == JobResult::kFailed);
+  cr_assert(fixture.answers[0].answer.reason == JobReason::kExecutorsCrashed);
+}
+
+// Guards against jobs that fail because several tasks of theirs were lost in one crash.
+Test(job_scheduler, counts_the_crashes_of_each_task_alone) {
+  Fixture fixture;
+  fixture.Submit(fixture.MakeJob("job", 3));
+  for (int crashes = 0; crashes < 2; ++crashes) {
+    fixture.EndAllRuns(RunOutcome::kExecutorCrashed);
+    cr_assert_eq(fixture.ordered_tasks(), 3);
+  }
+  fixture.EndAllRuns(RunOutcome::kDone);
+  cr_assert(fixture.answers.at(0).answer.result == JobResult::kComplete);
+}
+
 // Guards against refused starts that count as failed attempts and end the job.
 Test(job_scheduler, orders_refused_starts_again) {
   Fixture fixture;
