store client: leave out rows that cannot be decoded

With one row of another writer in a range (a value that is not base64, or `ver` missing or negative), the whole page was an error, again at each read: supervisors logged `store_lost` and stopped following the list of dispatchers, and dispatchers stopped following each other.

Cause: ParsePage gave up at the first row that it could not decode. Such a row is now left out and reported to a handler; both daemons log it as `row_unreadable`, once for each reason, because the rows are read every few seconds. Reading goes on after the last key, also if its row was odd, and a page that leads no further is an error instead of an endless read. Where one row is read (ReadRow, the configuration), an odd row stays an error, so that it is not mistaken for a missing one.

Before, leaves_out_rows_that_cannot_be_decoded failed at its first row (no result instead of two rows), and reads_on_after_a_page_that_ends_with_an_odd_row saw one call instead of two. odd_row_is_no_missing_row passed before and guards the single reads.

--- a/src/core/table_store.h
+++ b/src/core/table_store.h
@@ -20,6 +20,14 @@
   std::uint64_t version = 0;
 };
 
+// A row that cannot be decoded, for example one of another writer.
+struct UnreadableRow {
+  // Empty if the key itself cannot be decoded.
+  std::string key;
+  std::string reason;
+};
+using UnreadableRowHandler = std::function<void(const UnreadableRow& row)>;
+
 // A set of writes that takes effect atomically if every condition holds.
 struct TableTransaction {
   // The row has exactly this version; version 0 requires that it does not exist.
--- a/src/zinniamuxd/dispatcher_daemon.h
+++ b/src/zinniamuxd/dispatcher_daemon.h
@@ -24,6 +24,7 @@
 #include "zinniamuxd/configuration_watch.h"
 #include "zinniamuxd/roster_service.h"
 #include "zinniamuxd/supervisor_registry.h"
+#include "zinniamuxd/unreadable_row_log.h"
 
 namespace zinniamux::daemon {
 
@@ -63,6 +64,8 @@
   const std::uint64_t incarnation_;
   asio::io_context loop_;
   adapters::Metrics metrics_;
+  // Used by callbacks of store_client_.
+  UnreadableRowLog unreadable_rows_;
   adapters::HttpClient store_client_;
   platform::StoreClient store_;
   core::JobScheduler scheduler_;
--- a/src/zinniamuxd/supervisor_daemon.h
+++ b/src/zinniamuxd/supervisor_daemon.h
@@ -24,6 +24,7 @@
 #include "core/run_supervisor.h"
 #include "platform/store_client.h"
 #include "zinniamuxd/dispatcher_link.h"
+#include "zinniamuxd/unreadable_row_log.h"
 
 namespace zinniamux::daemon {
 
@@ -85,6 +86,8 @@
   asio::io_context loop_;
   adapters::Metrics metrics_;
   core::RunSupervisor run_supervisor_;
+  // Used by callbacks of store_client_.
+  UnreadableRowLog unreadable_rows_;
   adapters::HttpClient store_client_;
   platform::StoreClient store_;
   adapters::HttpClient executor_client_;
