json fields, executor codec, configuration codec: refuse numbers out of range

`percent` of 1e300 was converted to int, which is undefined. A huge `seq`, `born` or `clock_ms`, once taken, would make every later announcement of the real executor look outdated.

Cause: IntegerField compared as double, and 2^63 - 1 rounds up to 2^63; other numbers were converted without a check. IsInRange compares integers as integers, and floating numbers below 2^63 only. What executors count is bounded by 2^53 - 1, capacities by the amount that jobs may ask for, and the configuration's durations and `stretch` so that neither sums nor products overflow. A percent out of range counts as unknown, as one of another type does. A clock out of range in the answer to a start no longer hides the reason of a refusal.

The case of a refusal with an odd clock was not run on the earlier code.

--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -69,6 +69,44 @@
   }
 }
 
+// Guards against numbers out of range that are accepted: turned negative, they would be a negative
+// capacity; a huge sequence number, time of start or clock would make every later announcement look
+// outdated.
+Test(executor_codec, refuses_numbers_out_of_range) {
+  for (const char* field : {R"("cpu":32000)", R"("mem_mb":65536)", R"("seq":4)",
+                            R"("clock_ms":482113)", R"("born":1700000000000)"}) {
+    const std::string good = kAnnouncement;
+    const std::string name(field, std::string_view(field).find(':') + 1);
+    for (const char* number : {"9223372036854775808", "18446744073709551615", "9223372036854775807",
+                               "1e300", "1e999", "-1", "-9223372036854775808", "9.3e18"}) {
+      std::string body = good;
+      body.replace(good.find(field), std::string_view(field).size(), name + number);
+      cr_assert_not(zinniamux::platform::ParseExecutorAnnouncement("i-1", body).has_value(), "%s",
+                    body.c_str());
+    }
+  }
+}
+
+// Guards against run numbers that wrap to those of other runs, and against undefined conversions.
+Test(executor_codec, refuses_run_numbers_out_of_range) {
+  const auto decode = [](const std::string& row) {
+    return zinniamux::platform::ParseHoldResult(
+        200, R"({"clock_ms":9,"born":5,"ended":[],"running":[)" + row + "]}");
+  };
+  cr_assert_not(decode(R"(["ab.0.1.17",4294967298,"",41])").has_value());
+  cr_assert_not(decode(R"(["ab.0.1.17",1e300,"",41])").has_value());
+  cr_assert_not(decode(R"(["ab.0.1.17",-1,"",41])").has_value());
+  for (const char* percent : {"1e300", "-1e300", "-1", "18446744073709551615", "\"x\""}) {
+    const auto decoded = decode(R"(["ab.0.1.17",2,"",)" + std::string(percent) + "]");
+    cr_assert(decoded.has_value(), "%s", percent);
+    const auto& reported = decoded->running.at(0).percent;
+    cr_assert(reported >= 0 && reported <= 100, "%s", percent);
+  }
+  cr_assert_not(zinniamux::platform::ParseHoldResult(
+                    200, R"({"clock_ms":9223372036854775807,"born":5,"running":[],"ended":[]})")
+                    .has_value());
+}
+
 // Guards against one answer to a start being mistaken for another: the answer decides whether the
 // task may be started on another executor.
 Test(executor_codec, distinguishes_start_answers) {
@@ -81,6 +119,8 @@
   cr_assert(answer(409, R"({"clock_ms":1,"reason":"old"})") == StartAnswer::kOutdated);
   cr_assert(answer(409, R"({"clock_ms":1,"reason":"late"})") == StartAnswer::kLeaseExpired);
   cr_assert(answer(409, R"({"clock_ms":1,"reason":"room"})") == StartAnswer::kNoRoom);
+  cr_assert(answer(409, R"({"clock_ms":1e300,"reason":"fence"})") == StartAnswer::kFenced);
+  cr_assert(answer(409, R"({"clock_ms":1,"reason":7})") == StartAnswer::kRejected);
   cr_assert(answer(409, "") == StartAnswer::kRejected);
   cr_assert(answer(429, "") == StartAnswer::kUnhealthy);
   cr_assert(answer(503, "{}") == StartAnswer::kUnhealthy);
@@ -218,8 +258,14 @@
   cr_assert_eq(queue.slack.count(), 60);
   cr_assert_eq(queue.timeout.count(), 1500);
   cr_assert_float_eq(queue.stretch, 1.6, 1e-9);
-  for (const char* body : {"", "{}", R"({"version":1})", R"({"version":"x","routes":[]})",
-                           R"({"version":1,"routes":[{"name":"r"}]})"}) {
+  for (const char* body :
+       {"", "{}", R"({"version":1})", R"({"version":"x","routes":[]})",
+        R"({"version":1,"routes":[{"name":"r"}]})",
+        R"({"version":9223372036854775808,"routes":[]})",
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","stretch":-1}]})",
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","stretch":1e300}]})",
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","slo_ms":9e18}]})",
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","timeout_ms":9e18}]})"}) {
     cr_assert_not(zinniamux::platform::ParseConfiguration(body).has_value(), "%s", body);
   }
 }
--- a/tests/unit/store_client_test.cc
+++ b/tests/unit/store_client_test.cc
@@ -132,6 +132,7 @@
         std::string(R"({"key":"entry/b","value":"MQ=="})"),
         std::string(R"({"key":"entry/b","value":"MQ==","ver":-5})"),
         std::string(R"({"key":"entry/b","value":"MQ==","ver":1e300})"),
+        std::string(R"({"key":"entry/b","value":"MQ==","ver":9223372036854775808})"),
         std::string(R"({"key":7,"value":"MQ==","ver":5})"),
         std::string(R"({"value":"MQ==","ver":5})"), std::string(R"("entry/b")"),
         R"({"key":"entry/b","ver":5,"value":)" + nested + "}", nested}) {
