row codec: refuse entries without an id or a usable address, and report them

A row of the directory whose address does not parse (a port out of range, a host that is no IP number) counted as a dispatcher: supervisors created a link that never connected, silently, and while it was the only one, read the list every 3 s instead of every 300 ms. If it was the row of a connected dispatcher, its link was closed for the useless one. A negative or floating incarnation or counter was converted to another number. Rows that did fail were left out without a log line, and a key without the prefix raised std::out_of_range, which nothing on the store's thread catches.

ParseEntryRow now checks the key, the numbers and the address, and ParseEntryRows, used by RosterService and the supervisor, reports what it leaves out as `row_unreadable`. A connected dispatcher keeps its link while its row is odd, because links are only dropped when they are disconnected as well. Dispatchers leave such rows in the store; they belong to another writer.

--- a/src/adapters/row_codec.cc
+++ b/src/adapters/row_codec.cc
@@ -2,6 +2,10 @@
 #include "adapters/row_codec.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "adapters/listen_address.h"
 
 namespace zinniamux::adapters {
 namespace {
@@ -9,8 +13,21 @@
 using nlohmann::json;
 
 // A row that cannot be read is treated like a table that does not answer: nothing is decided on it.
+core::Error Unreadable(const std::string& reason) {
+  return {core::ErrorKind::kStoreUnavailable, "unreadable row: " + reason, {}};
+}
+
 core::Error Unreadable(const json::exception& error) {
-  return {core::ErrorKind::kStoreUnavailable, std::string("unreadable row: ") + error.what(), {}};
+  return Unreadable(std::string(error.what()));
+}
+
+constexpr char kNumberRule[] = "a number is not an integer from 0 to 2^64 - 1";
+
+// Nothing if the member is negative, has a fraction, or is too large.
+std::optional<std::uint64_t> UnsignedMember(const json& root, const char* name) {
+  const json& value = root.at(name);
+  if (!value.is_number_unsigned()) return std::nullopt;
+  return value.get<std::uint64_t>();
 }
 
 }  // namespace
@@ -38,9 +55,12 @@
 core::Result<core::ShardRow> ParseShardRow(std::string_view text) {
   try {
     const json root = json::parse(text);
-    return core::ShardRow{.epoch = root.at("epoch").get<std::uint64_t>(),
+    const auto epoch = UnsignedMember(root, "epoch");
+    const auto incarnation = UnsignedMember(root, "incarnation");
+    if (!epoch || !incarnation) return tl::unexpected(Unreadable(kNumberRule));
+    return core::ShardRow{.epoch = *epoch,
                           .owner = {.entry_id = root.at("owner_id").get<std::string>(),
-                                    .incarnation = root.at("incarnation").get<std::uint64_t>(),
+                                    .incarnation = *incarnation,
                                     .rpc_address = root.at("rpc_address").get<std::string>()}};
   } catch (const json::exception& error) {
     return tl::unexpected(Unreadable(error));
@@ -55,19 +75,42 @@
 }
 
 core::Result<core::VersionedEntryRow> ParseEntryRow(const core::TableRow& row) {
+  if (!row.key.starts_with(kEntryRowPrefix) || row.key.size() == kEntryRowPrefix.size()) {
+    return tl::unexpected(Unreadable("the key has no id"));
+  }
   try {
     const json root = json::parse(row.value);
+    const auto incarnation = UnsignedMember(root, "incarnation");
+    const auto counter = UnsignedMember(root, "counter");
+    if (!incarnation || !counter) return tl::unexpected(Unreadable(kNumberRule));
     core::VersionedEntryRow result{.version = row.version};
     result.row.entry = {.entry_id = row.key.substr(kEntryRowPrefix.size()),
-                        .incarnation = root.at("incarnation").get<std::uint64_t>(),
+                        .incarnation = *incarnation,
                         .rpc_address = root.at("rpc_address").get<std::string>()};
-    result.row.counter = root.at("counter").get<std::uint64_t>();
+    result.row.counter = *counter;
+    if (!ParseAddress(result.row.entry.rpc_address)) {
+      return tl::unexpected(Unreadable("rpc_address is not " + std::string(kAddressRule)));
+    }
     return result;
   } catch (const json::exception& error) {
     return tl::unexpected(Unreadable(error));
   }
 }
 
+std::vector<core::VersionedEntryRow> ParseEntryRows(
+    const std::vector<core::TableRow>& rows, const core::UnreadableRowHandler& on_unreadable_row) {
+  std::vector<core::VersionedEntryRow> entries;
+  for (const core::TableRow& row : rows) {
+    auto entry = ParseEntryRow(row);
+    if (entry) {
+      entries.push_back(*std::move(entry));
+    } else {
+      on_unreadable_row({.key = row.key, .reason = entry.error().message});
+    }
+  }
+  return entries;
+}
+
 std::string AgentsRowJson(std::uint64_t epoch, const std::vector<std::string>& agent_ids) {
   return json{{"epoch", epoch}, {"agents", agent_ids}}.dump();
 }
--- a/src/adapters/row_codec.h
+++ b/src/adapters/row_codec.h
@@ -29,7 +29,11 @@
 
 // {"incarnation", "rpc_address", "counter"}; the id is part of the key.
 std::string ToJson(const core::EntryRow& row);
+// Fails also if there is no id, or if nothing can connect to the address.
 core::Result<core::VersionedEntryRow> ParseEntryRow(const core::TableRow& row);
+// Reports rows that cannot be decoded to `on_unreadable_row` and leaves them out.
+std::vector<core::VersionedEntryRow> ParseEntryRows(
+    const std::vector<core::TableRow>& rows, const core::UnreadableRowHandler& on_unreadable_row);
 
 // {"epoch", "agents": [id, ...]}.
 std::string AgentsRowJson(std::uint64_t epoch, const std::vector<std::string>& agent_ids);
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -184,7 +184,8 @@
       core::EntryRoster::Options{.self = {.entry_id = settings_.id,
                                           .incarnation = incarnation_,
                                           .rpc_address = AddressText(settings_.rpc)}},
-      store_, clock_, [] {});
+      store_, clock_, [] {},
+      [this](const core::UnreadableRow& row) { unreadable_rows_.Write(row); });
   configuration_watch_ = std::make_shared<ConfigurationWatch>(
       loop_, store_, ConfigurationWatch::Options(),
       ConfigurationWatch::Handlers{
--- a/src/zinniamuxd/entry_daemon.cc
+++ b/src/zinniamuxd/entry_daemon.cc
@@ -51,6 +51,7 @@
       metrics_(clock),
       entry_metrics_(metrics_, clock, log),
       decisions_(log, {.max_bytes = settings_.limits.max_explain_bytes}),
+      unreadable_rows_(log),
       store_client_(std::make_unique<adapters::HttpClient>()),
       store_({.url = settings_.store_url}, *store_client_, clock),
       last_owned_at_(clock.now()),
@@ -130,8 +131,9 @@
 }
 
 void EntryDaemon::CreatePeers() {
-  roster_ = std::make_shared<RosterService>(core::EntryRoster::Options{.self = self_}, store_,
-                                            clock_, [this] { OnRosterChanged(); });
+  roster_ = std::make_shared<RosterService>(
+      core::EntryRoster::Options{.self = self_}, store_, clock_, [this] { OnRosterChanged(); },
+      [this](const core::UnreadableRow& row) { unreadable_rows_.Write(row); });
   peers_ = std::make_shared<PeerExchange>(
       PeerExchange::Options{.self = self_, .seeds = settings_.peers}, clock_,
       PeerExchange::Hooks{
--- a/src/zinniamuxd/entry_daemon.h
+++ b/src/zinniamuxd/entry_daemon.h
@@ -32,6 +32,7 @@
 #include "zinniamuxd/roster_service.h"
 #include "zinniamuxd/rpc_service.h"
 #include "zinniamuxd/shard_host.h"
+#include "zinniamuxd/unreadable_row_log.h"
 
 namespace zinniamux::daemon {
 
@@ -83,6 +84,8 @@
   adapters::Metrics metrics_;
   EntryMetrics entry_metrics_;
   adapters::DecisionLog decisions_;
+  // Used by callbacks of store_client_.
+  UnreadableRowLog unreadable_rows_;
   std::unique_ptr<adapters::HttpClient> store_client_;
   adapters::HttpTableStore store_;
   std::atomic<bool> stopping_{false};
--- a/src/zinniamuxd/roster_service.cc
+++ b/src/zinniamuxd/roster_service.cc
@@ -11,9 +11,11 @@
 using core::EntryRoster;
 
 RosterService::RosterService(EntryRoster::Options options, core::TableStore& store,
-                             const core::Clock& clock, std::function<void()> on_changed)
+                             const core::Clock& clock, std::function<void()> on_changed,
+                             core::UnreadableRowHandler on_unreadable_row)
     : store_(store),
       on_changed_(std::move(on_changed)),
+      on_unreadable_row_(std::move(on_unreadable_row)),
       runner_(EntryRoster(std::move(options), clock),
               [this](core::RosterAction action) { CarryOut(std::move(action)); }) {}
 
@@ -66,10 +68,7 @@
                     if (!rows) {
                       parsed = tl::unexpected(rows.error());
                     } else {
-                      for (const core::TableRow& row : *rows) {
-                        auto entry = adapters::ParseEntryRow(row);
-                        if (entry) parsed->push_back(*std::move(entry));
-                      }
+                      parsed = adapters::ParseEntryRows(*rows, self->on_unreadable_row_);
                     }
                     self->runner_.Apply([&](EntryRoster& roster) { roster.OnRowsRead(parsed); });
                   });
--- a/src/zinniamuxd/roster_service.h
+++ b/src/zinniamuxd/roster_service.h
@@ -17,9 +17,11 @@
 // creator has released it.
 class RosterService : public std::enable_shared_from_this<RosterService> {
  public:
-  // `on_changed` is called without a lock when the set of members has changed.
+  // `on_changed` is called without a lock when the set of members has changed, and
+  // `on_unreadable_row` on a thread of the store, at each read for every row that is left out.
   RosterService(core::EntryRoster::Options options, core::TableStore& store,
-                const core::Clock& clock, std::function<void()> on_changed);
+                const core::Clock& clock, std::function<void()> on_changed,
+                core::UnreadableRowHandler on_unreadable_row);
 
   void OnTimer();
   void OnEntryHeard(const core::EntryAddress& entry);
@@ -35,6 +37,7 @@
 
   core::TableStore& store_;
   const std::function<void()> on_changed_;
+  const core::UnreadableRowHandler on_unreadable_row_;
   ActionRunner<core::EntryRoster, core::RosterAction> runner_;
 };
 
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -182,17 +182,18 @@
   }
   if (!rows) return;
   std::set<std::string> present;
-  for (const core::TableRow& row : *rows) {
-    const auto entry = adapters::ParseEntryRow(row);
-    if (!entry) continue;
-    present.insert(entry->row.entry.entry_id);
-    const auto known = links_.find(entry->row.entry.entry_id);
-    if (known != links_.end() &&
-        known->second->address().rpc_address == entry->row.entry.rpc_address) {
+  const auto on_unreadable_row = [this](const core::UnreadableRow& row) {
+    unreadable_rows_.Write(row);
+  };
+  for (const core::VersionedEntryRow& row : adapters::ParseEntryRows(*rows, on_unreadable_row)) {
+    const core::EntryAddress& entry = row.row.entry;
+    present.insert(entry.entry_id);
+    const auto known = links_.find(entry.entry_id);
+    if (known != links_.end() && known->second->address().rpc_address == entry.rpc_address) {
       continue;
     }
     if (known != links_.end()) CloseLink(*known->second);
-    AddLink(entry->row.entry);
+    AddLink(entry);
   }
   std::erase_if(links_, [&](const auto& item) {
     const DispatcherLink& link = *item.second;
