dispatcher link: one link per dispatcher, whatever the directory says

A row of the directory with the address of another dispatcher made each supervisor open two links to that dispatcher. It takes the second for a new connection of the supervisor and closes the first, which connects again 100 ms later and ends the second, and so on: the supervisor was attached and detached several times a second, also after the row was gone, because a link is kept while it gets frames.

The welcome names the dispatcher. A link that another one answers now closes and does not connect again until its row has another address or incarnation. A row with a wrong address also ended the working connection of the dispatcher that it names, until the dispatcher wrote its row again, up to 5 s later; now a link that has been welcomed is kept until its connection ends, as it does when a dispatcher really moves.

--- a/src/zinniamuxd/dispatcher_link.cc
+++ b/src/zinniamuxd/dispatcher_link.cc
@@ -94,15 +94,31 @@
         MakeOwnerId(frame.welcome().entry_id(), frame.welcome().incarnation());
     if (!owner_.empty() && owner_ != owner) handlers_.on_owner_lost(owner_);
     owner_ = owner;
+    welcomed_ = true;
+    if (frame.welcome().entry_id() != address_.entry_id) {
+      misdirected_ = true;
+      owner_.clear();
+      return CloseConnection("the dispatcher at this address is " + frame.welcome().entry_id());
+    }
   }
   handlers_.on_frame(owner_, frame);
 }
 
 void DispatcherLink::OnClosed(const std::string& reason) {
+  CloseConnection(reason);
+  ScheduleReconnect();
+}
+
+void DispatcherLink::CloseConnection(const std::string& reason) {
   if (connection_) connection_->Close();
   connection_.reset();
+  welcomed_ = false;
   handlers_.on_connection_changed(address_.entry_id, false, reason);
-  ScheduleReconnect();
+}
+
+bool DispatcherLink::IsReplacedBy(const core::EntryAddress& address) const {
+  if (misdirected_) return address != address_;
+  return !welcomed_ && address.rpc_address != address_.rpc_address;
 }
 
 void DispatcherLink::Flush() {
--- a/src/zinniamuxd/dispatcher_link.h
+++ b/src/zinniamuxd/dispatcher_link.h
@@ -19,9 +19,10 @@
 
 namespace zinniamux::daemon {
 
-// Reconnects until it is closed. While disconnected, run updates are buffered for the incarnation
-// of the dispatcher that ordered the runs. All calls and callbacks run on the event loop. Created
-// with std::make_shared.
+// Reconnects until it is closed, or until another dispatcher answers at the address: it would take
+// this link for a new connection of the supervisor and close the one that it has. While
+// disconnected, run updates are buffered for the incarnation of the dispatcher that ordered the
+// runs. All calls and callbacks run on the event loop. Created with std::make_shared.
 class DispatcherLink : public std::enable_shared_from_this<DispatcherLink> {
  public:
   struct Options {
@@ -58,6 +59,11 @@
   // The dispatcher process at the other end, as MakeOwnerId forms it; empty before its welcome.
   const std::string& owner() const { return owner_; }
   bool connected() const { return connection_ != nullptr; }
+  // Another dispatcher has answered at the address, so the link does not connect any more.
+  bool misdirected() const { return misdirected_; }
+  // Whether a link to `address`, which the directory lists now, is to replace this one. A
+  // dispatcher that answers keeps its link: if it moves, the connection ends.
+  bool IsReplacedBy(const core::EntryAddress& address) const;
   // When the last frame arrived, or when the link was created if none has arrived.
   core::TimePoint last_frame_at() const { return last_frame_at_; }
 
@@ -80,6 +86,7 @@
   void ScheduleReconnect();
   void OnFrame(std::string_view bytes);
   void OnClosed(const std::string& reason);
+  void CloseConnection(const std::string& reason);
   void SendOutgoing();
 
   asio::io_context& loop_;
@@ -99,6 +106,9 @@
   runs::AgentFrame outgoing_;
   bool has_outgoing_ = false;
   bool connecting_ = false;
+  // A welcome has arrived on the present connection.
+  bool welcomed_ = false;
+  bool misdirected_ = false;
   bool closed_ = false;
 };
 
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -189,9 +189,7 @@
     const core::EntryAddress& entry = row.row.entry;
     present.insert(entry.entry_id);
     const auto known = links_.find(entry.entry_id);
-    if (known != links_.end() && known->second->address().rpc_address == entry.rpc_address) {
-      continue;
-    }
+    if (known != links_.end() && !known->second->IsReplacedBy(entry)) continue;
     if (known != links_.end()) CloseLink(*known->second);
     AddLink(entry);
   }
