--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -87,6 +87,30 @@
   }
 }
 
+// Guards against announcements that cannot be passed on: an id that is no text makes every message
+// to dispatchers malformed, and labels are part of each report.
+Test(executor_codec, refuses_unusable_ids_and_labels) {
+  const auto accepts = [](const std::string& id, const std::string& body) {
+    return zinniamux::platform::ParseExecutorAnnouncement(id, body).has_value();
+  };
+  for (const std::string& id : {std::string(), std::string("i-\xff"), std::string("i 1"),
+                                std::string("i\n"), std::string(100'000, 'i')}) {
+    cr_assert_not(accepts(id, kAnnouncement), "%s", id.substr(0, 100).c_str());
+  }
+  const auto with_labels = [](const std::string& labels) {
+    const std::string good = kAnnouncement;
+    return good.substr(0, good.find("[\"a\"")) + labels + good.substr(good.find(",\"clock"));
+  };
+  cr_assert(accepts("i-1", with_labels(R"(["a","r1"])")));
+  std::string many = "[\"a\"";
+  for (int i = 0; i < 5000; ++i) many += ",\"b\"";
+  for (const std::string& labels :
+       {std::string("7"), std::string(R"({"a":1})"), std::string(R"(["a",7])"), many + "]",
+        "[\"" + std::string(100'000, 'x') + "\"]"}) {
+    cr_assert_not(accepts("i-1", with_labels(labels)), "%s", labels.substr(0, 100).c_str());
+  }
+}
+
 // Guards against run numbers that wrap to those of other runs, and against undefined conversions.
 Test(executor_codec, refuses_run_numbers_out_of_range) {
   const auto decode = [](const std::string& row) {
