--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -111,6 +111,21 @@
   }
 }
 
+// Guards against log lines as long as a malformed announcement.
+Test(executor_codec, refusals_have_a_short_reason) {
+  const std::string good = kAnnouncement;
+  const std::string text(100'000, 'x');
+  std::string state = good;
+  state.replace(good.find("ready"), 5, text);
+  std::string address = good;
+  address.replace(good.find("10.0.0.1"), 8, text);
+  for (const std::string& body : {state, address, "\"" + text}) {
+    const auto decoded = zinniamux::platform::ParseExecutorAnnouncement("i-1", body);
+    cr_assert_not(decoded.has_value());
+    cr_assert_leq(decoded.error().message.size(), 300);
+  }
+}
+
 // Guards against run numbers that wrap to those of other runs, and against undefined conversions.
 Test(executor_codec, refuses_run_numbers_out_of_range) {
   const auto decode = [](const std::string& row) {
