codecs: limit the depth of JSON from outside

Announcements, answers of executors, jobs, configurations and rows of the store were parsed without a limit of depth: a field of unknown name, nested 200,000 deep, was accepted. It ended no process, because the parser and the destructor do not recurse and nothing copies a value (the tests passed this point on the earlier code), but one copy would: a copy of such a value overflows the stack.

Pages of the store stay unlimited, because one row would hide the others. JsonDepth jumps from quote to quote instead of looking at each byte of a string.

Before, refuses_deeply_nested_bodies failed at an announcement, and refuses_deeply_nested_rows at a row, with such a field; neither crashed.

--- a/src/adapters/checked_json.cc
+++ b/src/adapters/checked_json.cc
@@ -20,26 +20,16 @@
   return {core::ErrorKind::kInvalidRequest, std::move(message), {}};
 }
 
-// The deepest nesting of arrays and objects. Found before parsing, so that a deeply nested body
-// costs no memory.
-std::size_t DepthOf(std::string_view body) {
-  std::size_t depth = 0;
-  std::size_t deepest = 0;
-  bool in_string = false;
-  for (std::size_t i = 0; i < body.size(); ++i) {
-    const char c = body[i];
-    if (in_string) {
-      if (c == '\\') ++i;
-      if (c == '"') in_string = false;
-    } else if (c == '"') {
-      in_string = true;
-    } else if (c == '[' || c == '{') {
-      deepest = std::max(deepest, ++depth);
-    } else if ((c == ']' || c == '}') && depth > 0) {
-      --depth;
-    }
+// The position of the quote that ends the string which begins at `start`, or the body's size.
+std::size_t StringEnd(std::string_view body, std::size_t start) {
+  for (std::size_t end = body.find('"', start + 1); end != std::string_view::npos;
+       end = body.find('"', end + 1)) {
+    // A quote after an odd number of backslashes is escaped.
+    std::size_t begin = end;
+    while (begin > start + 1 && body[begin - 1] == '\\') --begin;
+    if ((end - begin) % 2 == 0) return end;
   }
-  return deepest;
+  return body.size();
 }
 
 // Notes the first member name that occurs twice in one object. nlohmann-json keeps only the last of
@@ -65,6 +55,22 @@
 
 }  // namespace
 
+std::size_t JsonDepth(std::string_view body) {
+  std::size_t depth = 0;
+  std::size_t deepest = 0;
+  for (std::size_t i = 0; i < body.size(); ++i) {
+    const char c = body[i];
+    if (c == '"') {
+      i = StringEnd(body, i);
+    } else if (c == '[' || c == '{') {
+      deepest = std::max(deepest, ++depth);
+    } else if ((c == ']' || c == '}') && depth > 0) {
+      --depth;
+    }
+  }
+  return deepest;
+}
+
 core::Result<json> ParseJson(std::string_view body, const JsonLimits& limits) {
   if (body.size() > limits.max_bytes) {
     return tl::unexpected(core::Error{
@@ -72,7 +78,7 @@
         fmt::format("body: saw {} bytes; allowed: at most {} bytes", body.size(), limits.max_bytes),
         {}});
   }
-  if (const std::size_t depth = DepthOf(body); depth > limits.max_depth) {
+  if (const std::size_t depth = JsonDepth(body); depth > limits.max_depth) {
     return tl::unexpected(Invalid(fmt::format("body: saw JSON nested {} deep; allowed: at most {}",
                                               depth, limits.max_depth)));
   }
--- a/src/adapters/checked_json.h
+++ b/src/adapters/checked_json.h
@@ -15,6 +15,10 @@
   std::size_t max_depth = 16;
 };
 
+// The deepest nesting of arrays and objects. Found without parsing, so that a deeply nested body
+// costs no memory.
+std::size_t JsonDepth(std::string_view body);
+
 // Parses a document. Fails with kTooLarge beyond `max_bytes`, and with kInvalidRequest if the text
 // is not JSON in UTF-8, is nested too deeply, or has an object with two members of one name.
 core::Result<nlohmann::json> ParseJson(std::string_view body, const JsonLimits& limits);
--- a/src/adapters/row_codec.cc
+++ b/src/adapters/row_codec.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "adapters/checked_json.h"
 #include "adapters/listen_address.h"
 
 namespace zinniamux::adapters {
@@ -21,6 +22,9 @@
   return Unreadable(std::string(error.what()));
 }
 
+// More than the store keeps in a row.
+constexpr JsonLimits kRowLimits{.max_bytes = 16U << 20U};
+
 constexpr char kNumberRule[] = "a number is not an integer from 0 to 2^64 - 1";
 
 // Nothing if the member is negative, has a fraction, or is too large.
@@ -54,14 +58,15 @@
 
 core::Result<core::ShardRow> ParseShardRow(std::string_view text) {
   try {
-    const json root = json::parse(text);
-    const auto epoch = UnsignedMember(root, "epoch");
-    const auto incarnation = UnsignedMember(root, "incarnation");
+    const core::Result<json> root = ParseJson(text, kRowLimits);
+    if (!root) return tl::unexpected(Unreadable(root.error().message));
+    const auto epoch = UnsignedMember(*root, "epoch");
+    const auto incarnation = UnsignedMember(*root, "incarnation");
     if (!epoch || !incarnation) return tl::unexpected(Unreadable(kNumberRule));
     return core::ShardRow{.epoch = *epoch,
-                          .owner = {.entry_id = root.at("owner_id").get<std::string>(),
+                          .owner = {.entry_id = root->at("owner_id").get<std::string>(),
                                     .incarnation = *incarnation,
-                                    .rpc_address = root.at("rpc_address").get<std::string>()}};
+                                    .rpc_address = root->at("rpc_address").get<std::string>()}};
   } catch (const json::exception& error) {
     return tl::unexpected(Unreadable(error));
   }
@@ -79,14 +84,15 @@
     return tl::unexpected(Unreadable("the key has no id"));
   }
   try {
-    const json root = json::parse(row.value);
-    const auto incarnation = UnsignedMember(root, "incarnation");
-    const auto counter = UnsignedMember(root, "counter");
+    const core::Result<json> root = ParseJson(row.value, kRowLimits);
+    if (!root) return tl::unexpected(Unreadable(root.error().message));
+    const auto incarnation = UnsignedMember(*root, "incarnation");
+    const auto counter = UnsignedMember(*root, "counter");
     if (!incarnation || !counter) return tl::unexpected(Unreadable(kNumberRule));
     core::VersionedEntryRow result{.version = row.version};
     result.row.entry = {.entry_id = row.key.substr(kEntryRowPrefix.size()),
                         .incarnation = *incarnation,
-                        .rpc_address = root.at("rpc_address").get<std::string>()};
+                        .rpc_address = root->at("rpc_address").get<std::string>()};
     result.row.counter = *counter;
     if (!ParseAddress(result.row.entry.rpc_address)) {
       return tl::unexpected(Unreadable("rpc_address is not " + std::string(kAddressRule)));
@@ -117,7 +123,9 @@
 
 core::Result<std::set<std::string>> ParseAgentsRow(std::string_view text) {
   try {
-    return json::parse(text).at("agents").get<std::set<std::string>>();
+    const core::Result<json> root = ParseJson(text, kRowLimits);
+    if (!root) return tl::unexpected(Unreadable(root.error().message));
+    return root->at("agents").get<std::set<std::string>>();
   } catch (const json::exception& error) {
     return tl::unexpected(Unreadable(error));
   }
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -126,6 +126,28 @@
   }
 }
 
+// Guards against bodies nested so deeply that using them ends the process.
+Test(codec_depth, refuses_deeply_nested_bodies) {
+  constexpr std::size_t kDepth = 200'000;
+  const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const auto with_field = [&nested](std::string body) {
+    return body.insert(1, R"("other":)" + nested + ",");
+  };
+  for (const std::string& body : {nested, with_field(kAnnouncement)}) {
+    cr_assert_not(zinniamux::platform::ParseExecutorAnnouncement("i-1", body).has_value());
+  }
+  cr_assert_not(zinniamux::platform::ParseHoldResult(
+                    200, with_field(R"({"clock_ms":9,"running":[],"ended":[]})"))
+                    .has_value());
+  cr_assert_not(
+      zinniamux::platform::ParseJob(with_field(R"({"spec":"s","steps":[{"cpu":1}]})")).has_value());
+  cr_assert_not(zinniamux::platform::ParseConfiguration(with_field(R"({"version":1,"routes":[]})"))
+                    .has_value());
+  cr_assert(
+      zinniamux::platform::ParseStartResult(409, with_field(R"({"reason":"fence"})")).answer ==
+      StartAnswer::kRejected);
+}
+
 // Guards against run numbers that wrap to those of other runs, and against undefined conversions.
 Test(executor_codec, refuses_run_numbers_out_of_range) {
   const auto decode = [](const std::string& row) {
--- a/tests/unit/row_codec_test.cc
+++ b/tests/unit/row_codec_test.cc
@@ -87,3 +87,16 @@
   cr_assert_eq(entries.at(1).row.entry.entry_id, "d");
   cr_assert(reported == std::vector<std::string>({"entry/b", "entry/c"}));
 }
+
+// Guards against rows nested so deeply that reading them ends the process.
+Test(row_codec, refuses_deeply_nested_rows) {
+  constexpr std::size_t kDepth = 200'000;
+  const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  cr_assert_not(ParseEntryRow(Row("d-1", nested)).has_value());
+  cr_assert_not(ParseEntryRow(Row("d-1", Value("10.0.0.7:80", nested))).has_value());
+  std::string extra = Value("10.0.0.7:80");
+  extra.insert(1, R"("other":)" + nested + ",");
+  cr_assert_not(ParseEntryRow(Row("d-1", extra)).has_value());
+  cr_assert_not(zinniamux::adapters::ParseShardRow(nested).has_value());
+  cr_assert_not(zinniamux::adapters::ParseAgentsRow(R"({"agents":)" + nested + "}").has_value());
+}
