--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -69,8 +69,10 @@
       log_(log),
       incarnation_(TimestampIncarnation()),
       metrics_(clock),
+      unreadable_rows_(log),
       store_client_(kMaxStoreConnections),
-      store_({.url = settings.store_url, .deadline = milliseconds(1000)}, store_client_, clock),
+      store_({.url = settings.store_url, .deadline = milliseconds(1000)}, store_client_, clock,
+             [this](const core::UnreadableRow& row) { unreadable_rows_.Write(row); }),
       scheduler_(SchedulerOptions(settings), clock),
       gateway_(scheduler_, clock, log, metrics_),
       registry_(
@@ -184,7 +186,8 @@
       core::EntryRoster::Options{.self = {.entry_id = settings_.id,
                                           .incarnation = incarnation_,
                                           .rpc_address = AddressText(settings_.rpc)}},
-      store_, clock_, [] {});
+      store_, clock_, [] {},
+      [this](const core::UnreadableRow& row) { unreadable_rows_.Write(row); });
   configuration_watch_ = std::make_shared<ConfigurationWatch>(
       loop_, store_, ConfigurationWatch::Options(),
       ConfigurationWatch::Handlers{
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -67,8 +67,10 @@
       metrics_(clock),
       // The incarnation is the fencing token: later processes of this VM get higher ones.
       run_supervisor_(SupervisorOptions(settings.bounds, incarnation_), clock),
+      unreadable_rows_(log),
       store_client_(kMaxStoreConnections),
-      store_({.url = settings.store_url, .deadline = milliseconds(1000)}, store_client_, clock),
+      store_({.url = settings.store_url, .deadline = milliseconds(1000)}, store_client_, clock,
+             [this](const core::UnreadableRow& row) { unreadable_rows_.Write(row); }),
       executor_client_(kMaxExecutorConnections),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       timer_(loop_),
@@ -180,17 +182,16 @@
   }
   if (!rows) return;
   std::set<std::string> present;
-  for (const core::TableRow& row : *rows) {
-    const auto entry = adapters::ParseEntryRow(row);
-    if (!entry) continue;
-    present.insert(entry->row.entry.entry_id);
-    const auto known = links_.find(entry->row.entry.entry_id);
-    if (known != links_.end() &&
-        known->second->address().rpc_address == entry->row.entry.rpc_address) {
-      continue;
-    }
+  const auto on_unreadable_row = [this](const core::UnreadableRow& row) {
+    unreadable_rows_.Write(row);
+  };
+  for (const core::VersionedEntryRow& row : adapters::ParseEntryRows(*rows, on_unreadable_row)) {
+    const core::EntryAddress& entry = row.row.entry;
+    present.insert(entry.entry_id);
+    const auto known = links_.find(entry.entry_id);
+    if (known != links_.end() && !known->second->IsReplacedBy(entry)) continue;
     if (known != links_.end()) CloseLink(*known->second);
-    AddLink(entry->row.entry);
+    AddLink(entry);
   }
   std::erase_if(links_, [&](const auto& item) {
     const DispatcherLink& link = *item.second;
