lease world: tasks that crash their executors

A task may crash each executor that starts it, 20 ms after the start; the executor then refuses connections for 3.2 s.

--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -25,6 +25,9 @@
 // `retransmit_ms` of the deployment.
 constexpr milliseconds kCallerResendDelay{1300};
 constexpr double kShareDoneAtOnce = 0.5;
+// From the start of a task that crashes its executor to the crash, and from there to its return.
+constexpr milliseconds kCrashDelay{20};
+constexpr milliseconds kCrashDownTime{3200};
 
 std::string NameOf(std::size_t dispatcher) { return "dispatcher-" + std::to_string(dispatcher); }
 
@@ -85,6 +88,7 @@
       fault_random_(options_.seed),
       start_(clock_.now()),
       executors_cut_until_(options_.executor_cpu_milli.size()),
+      executors_down_until_(options_.executor_cpu_milli.size()),
       lost_answers_(options_.lost_answers) {
   for (std::size_t i = 0; i < options_.executor_cpu_milli.size(); ++i) {
     executors_.push_back(std::make_unique<SimulatedExecutor>(
@@ -335,7 +339,10 @@
 void LeaseWorld::Announce(std::size_t executor) {
   After(kAnnouncePeriod, [this, executor] { Announce(executor); });
   Supervisor& supervisor = *supervisors_[executor];
-  if (!supervisor.core || supervisor.frozen_until > clock_.now() || IsCut(executor)) return;
+  if (!supervisor.core || supervisor.frozen_until > clock_.now() || IsCut(executor) ||
+      IsDown(executor)) {
+    return;
+  }
   supervisor.core->OnExecutorStatus(executors_[executor]->Status());
   CarryOutSupervisor(executor);
 }
@@ -436,6 +443,10 @@
                    [answer] { answer(core::StartAnswer::kNone, std::nullopt); });
   }
   After(options_.executor_delay, [this, index, call, answer] {
+    if (IsDown(index)) {
+      NoteRefusedConnection(index);
+      return answer(core::StartAnswer::kNone, std::nullopt);
+    }
     const core::StartAnswer answered = executors_[index]->Start(call);
     Deliver(supervisors_[index]->frozen_until, options_.executor_delay,
             [answer, answered, clock = executors_[index]->clock()] { answer(answered, clock); });
@@ -445,9 +456,13 @@
 void LeaseWorld::CallExecutor(std::size_t index, const core::CallStop& call) {
   Supervisor& supervisor = *supervisors_[index];
   const std::uint64_t incarnation = supervisor.incarnation;
-  const bool lost = LosesAnswer(index);
+  const bool is_refused = IsDown(index);
+  if (is_refused) NoteRefusedConnection(index);
+  const bool lost = LosesAnswer(index) || is_refused;
   Deliver(executors_cut_until_[index], lost ? DelayOfLostCall(index) : options_.executor_delay,
-          [this, index, call] { executors_[index]->Stop(call); });
+          [this, index, call, is_refused] {
+            if (!is_refused) executors_[index]->Stop(call);
+          });
   const Duration delay =
       lost ? Duration(core::RunSupervisor::Options().answer_limit) : options_.executor_delay * 2;
   Deliver(supervisor.frozen_until, delay, [this, index, incarnation, id = call.id, lost] {
@@ -467,6 +482,16 @@
 
 void LeaseWorld::WaitForEnd(std::size_t index, const core::CallHold& call, TimePoint until,
                             std::uint64_t incarnation) {
+  if (IsDown(index)) {
+    NoteRefusedConnection(index);
+    return Deliver(supervisors_[index]->frozen_until, options_.executor_delay,
+                   [this, index, incarnation, number = call.number] {
+                     Supervisor& to = *supervisors_[index];
+                     if (!to.core || to.incarnation != incarnation) return;
+                     to.core->OnHoldAnswer(number, std::nullopt);
+                     CarryOutSupervisor(index);
+                   });
+  }
   const bool is_cut = IsCut(index);
   core::HoldAnswer answer;
   if (is_cut) {
@@ -738,6 +763,24 @@
   At(at + length, [this, supervisor] { supervisors_[supervisor]->delay = {}; });
 }
 
+void LeaseWorld::Crash(std::size_t executor, const core::RunId& cause) {
+  const auto running = running_.find(cause.task);
+  if (running == running_.end() || running->second != executor) return;
+  ++crashes_[cause.task];
+  executors_[executor]->Restart();
+  executors_down_until_[executor] = clock_.now() + kCrashDownTime;
+}
+
+void LeaseWorld::NoteRefusedConnection(std::size_t executor) {
+  if (supervisors_[executor]->core) supervisors_[executor]->core->OnConnectionRefused();
+}
+
+std::size_t LeaseWorld::most_crashes_of_a_task() const {
+  std::size_t most = 0;
+  for (const auto& [task, crashes] : crashes_) most = std::max(most, crashes);
+  return most;
+}
+
 void LeaseWorld::RestartExecutor(std::size_t executor, Duration at) {
   At(at, [this, executor] { executors_[executor]->Restart(); });
 }
@@ -756,6 +799,9 @@
     Violate(name + " runs on executors " + std::to_string(running->second) + " and " +
             std::to_string(executor));
   }
+  if (work_.at(id.task.job_id).crashing_task == id.task.index) {
+    After(kCrashDelay, [this, executor, id] { Crash(executor, id); });
+  }
   JobRecord& record = records_[id.task.job_id];
   record.started = true;
   if (record.refused_copies == record.copies) {
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -32,6 +32,8 @@
   std::vector<core::Duration> run_times;
   core::Duration arrives{0};
   std::size_t dispatcher = 0;
+  // The index of a task that crashes each executor soon after it has started there.
+  std::optional<std::uint32_t> crashing_task;
 };
 
 struct JobRecord {
@@ -116,6 +118,8 @@
   const std::vector<std::string>& violations() const { return violations_; }
   std::size_t running_tasks() const { return running_.size(); }
   std::uint64_t refused_starts() const { return refused_starts_; }
+  // The largest number of executors that crashed under one task.
+  std::size_t most_crashes_of_a_task() const;
 
  private:
   struct Event {
@@ -180,6 +184,10 @@
   void CallExecutor(std::size_t index, const core::CallHold& call);
   void WaitForEnd(std::size_t index, const core::CallHold& call, core::TimePoint until,
                   std::uint64_t incarnation);
+  // Its process has ended and is not back: its port refuses connections.
+  bool IsDown(std::size_t executor) const { return executors_down_until_[executor] > clock_.now(); }
+  void Crash(std::size_t executor, const core::RunId& cause);
+  void NoteRefusedConnection(std::size_t executor);
   bool IsCut(std::size_t executor) const { return executors_cut_until_[executor] > clock_.now(); }
   bool LosesAnswer(std::size_t executor);
   // When a call without an answer is carried out.
@@ -199,6 +207,8 @@
   std::uint64_t next_event_ = 0;
   std::vector<std::unique_ptr<SimulatedExecutor>> executors_;
   std::vector<core::TimePoint> executors_cut_until_;
+  std::vector<core::TimePoint> executors_down_until_;
+  std::map<core::TaskId, std::size_t> crashes_;
   double lost_answers_;
   std::vector<std::unique_ptr<Supervisor>> supervisors_;
   std::vector<std::unique_ptr<Dispatcher>> dispatchers_;
