run supervisor: send a start of an earlier lifetime again with the present token

Since the fencing token rises with each lifetime of the executor, a start that is on its way in a restart is refused with the token of the lifetime before. The supervisor took this for a clock that had run ahead, and raised its token by a 1,024th, some 20 days of milliseconds. A later process of the supervisor, whose token is its start time, would then be refused by the executor until that restarts.

The token of a run's last start call is now kept; only a start that carried the present one raises it. A fenced start that has expired is not sent again, like one whose lease has expired.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -191,6 +191,7 @@
 void RunSupervisor::SendStart(Run& run) {
   run.state = State::kStarting;
   run.state_since = clock_.now();
+  run.fencing_token = fencing_token_;
   actions_.emplace_back(CallStart{
       .id = run.order.id,
       .spec = run.order.spec,
@@ -253,11 +254,15 @@
       run.state_since = clock_.now();
       break;
     case StartAnswer::kFenced:
-      // An earlier process of this supervisor had a clock that ran ahead. No other process calls
-      // this executor.
-      fencing_token_ += std::max<std::uint64_t>(1, fencing_token_ / 1024);
-      SendStart(run);
-      return;
+      // A call of this process may have carried the token of an earlier lifetime. Otherwise an
+      // earlier process of this supervisor had a clock that ran ahead: no other process calls this
+      // executor.
+      if (run.fencing_token == fencing_token_) {
+        fencing_token_ += std::max<std::uint64_t>(1, fencing_token_ / 1024);
+      }
+      if (clock_.now() <= run.order.expires) return SendStart(run);
+      FinishRun(found, RunOutcome::kExpired);
+      break;
     case StartAnswer::kLeaseExpired:
       if (clock_.now() <= run.order.expires) return SendStart(run);
       FinishRun(found, RunOutcome::kExpired);
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -230,6 +230,8 @@
     RunOrder order;
     State state = State::kStarting;
     TimePoint started_at;
+    // Of its last start call.
+    std::uint64_t fencing_token = 0;
     // When `state` was last set or its call last sent; answers to polls sent before do not reflect
     // it.
     TimePoint state_since;
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -415,6 +415,49 @@
   cr_assert_eq(holds[0].fencing_token, 8);
 }
 
+// Guards against an executor that comes back under its id after it has left, and carries out calls
+// of its earlier lifetime.
+Test(run_supervisor, raises_its_fencing_token_when_its_executor_has_left) {
+  Fixture fixture;
+  fixture.supervisor.OnExecutorLeft("executor");
+  LeasedExecutor returned = fixture.Status(1);
+  returned.born_ms = 11;
+  fixture.supervisor.OnExecutorStatus(returned);
+  fixture.TakeActions();
+  const auto holds = fixture.ActionsOf<CallHold>();
+  cr_assert_eq(holds.size(), 1);
+  cr_assert_eq(holds[0].fencing_token, 8);
+}
+
+// Guards against a token that runs ahead of those of later processes, which the executor then
+// refuses: a start that was on its way in a restart is fenced by the rise for the new lifetime.
+Test(run_supervisor, sends_a_start_of_the_earlier_lifetime_again_with_the_present_token) {
+  constexpr std::uint64_t kToken = 1'785'856'558'109;
+  Fixture fixture;
+  RunSupervisor supervisor({.fencing_token = kToken}, fixture.clock);
+  supervisor.OnExecutorStatus(fixture.Status(1));
+  std::uint64_t hold = 0;
+  for (const auto& action : supervisor.TakeActions()) {
+    if (const auto* call = std::get_if<CallHold>(&action)) hold = call->number;
+  }
+  supervisor.OnHoldAnswer(hold, HoldAnswer{.born_ms = 10, .clock = ExecutorTime(5000)});
+  supervisor.OnOrder(kOwner, {.id = MakeRunId(0),
+                              .need = {.cpu_milli = 1000, .memory_mb = 10},
+                              .estimate = milliseconds(100),
+                              .expires = fixture.clock.now() + milliseconds(400)});
+  LeasedExecutor restarted = fixture.Status(1);
+  restarted.born_ms = 11;
+  supervisor.OnExecutorStatus(restarted);
+  supervisor.TakeActions();
+  supervisor.OnStartAnswer(MakeRunId(0), StartAnswer::kFenced, ExecutorTime(1));
+  std::vector<CallStart> starts;
+  for (const auto& action : supervisor.TakeActions()) {
+    if (const auto* call = std::get_if<CallStart>(&action)) starts.push_back(*call);
+  }
+  cr_assert_eq(starts.size(), 1);
+  cr_assert_eq(starts[0].fencing_token, kToken + 1);
+}
+
 // Guards against a supervisor that cannot start runs because an earlier process had a clock that
 // ran ahead.
 Test(run_supervisor, raises_its_fencing_token_when_it_is_fenced) {
