run supervisor: tell a silent executor from one that has ended

One refused connection in a silence marked all runs on the executor as lost in a crash, although the other calls timed out: an executor that was cut off for longer than a lease could then fail jobs falsely.

The mark is now that of the last call: every call to an executor whose process is gone is refused.

Evidence: reports_no_crash_of_an_executor_that_is_silent saw executor_crashed before.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -232,7 +232,7 @@
       CallStop{.id = id, .executor_id = executor_->id, .fencing_token = fencing_token_});
 }
 
-void RunSupervisor::OnConnectionRefused() { executor_is_down_ = true; }
+void RunSupervisor::OnConnectionRefused() { call_was_refused_ = true; }
 
 void RunSupervisor::OnStartAnswer(const RunId& id, StartAnswer answer,
                                   std::optional<ExecutorTime> clock) {
@@ -458,9 +458,9 @@
 void RunSupervisor::RecordAnswer(bool answered) {
   const bool was_accepting = accepting();
   const TimePoint now = clock_.now();
+  executor_is_down_ = std::exchange(call_was_refused_, false);
   if (answered) {
     consecutive_unanswered_ = 0;
-    executor_is_down_ = false;
     last_answer_at_ = now;
   } else {
     last_unanswered_at_ = now;
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -333,8 +333,10 @@
   TimePoint lease_expires_at_;
   // Consecutive calls without an answer.
   int consecutive_unanswered_ = 0;
-  // No process has listened at the executor's address since its last answer.
+  // No process listens at the executor's address: the last call was refused.
   bool executor_is_down_ = false;
+  // The call whose result is about to be reported was refused.
+  bool call_was_refused_ = false;
   TimePoint last_answer_at_;
   TimePoint last_unanswered_at_;
   // Mean answer time of start calls in seconds. The initial value is that of a VM under load.
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -329,6 +329,26 @@
   cr_assert(updates[0].outcome == RunOutcome::kExecutorCrashed);
 }
 
+// Guards against jobs that fail because an executor was cut off: one refused connection in a
+// silence is no crash.
+Test(run_supervisor, reports_no_crash_of_an_executor_that_is_silent) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.supervisor.OnConnectionRefused();
+  fixture.supervisor.OnHoldAnswer(fixture.last_hold.number, std::nullopt);
+  fixture.TakeActions();
+  fixture.SaveLastHold();
+  for (int i = 0; i < 20 && fixture.ActionsOf<RunUpdate>().empty(); ++i) {
+    fixture.clock.Advance(milliseconds(100));
+    fixture.supervisor.OnHoldAnswer(fixture.last_hold.number, std::nullopt);
+    fixture.supervisor.OnOwnerHeard(kOwner);
+    fixture.supervisor.OnTimer();
+    fixture.TakeActions();
+    fixture.SaveLastHold();
+  }
+  cr_assert(fixture.ActionsOf<RunUpdate>().at(0).outcome == RunOutcome::kLapsed);
+}
+
 // Guards against jobs that fail because executors were shut down under their tasks.
 Test(run_supervisor, reports_no_crash_of_an_executor_that_was_draining) {
   Fixture fixture;
