--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -254,7 +254,7 @@
       run.state_since = clock_.now();
       break;
     case StartAnswer::kFenced:
-      // A call of this process may have carried the token of an earlier lifetime. Otherwise an
+      // A call of this process may have carried the token of an earlier incarnation. Otherwise an
       // earlier process of this supervisor had a clock that ran ahead: no other process calls this
       // executor.
       if (run.fencing_token == fencing_token_) {
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -307,7 +307,7 @@
   // Executor time minus clock_ time. Exceeds the true difference by at most the clock drift since
   // the last answer.
   std::chrono::milliseconds clock_offset_{0};
-  // Rises with each lifetime of the executor.
+  // Rises with each incarnation of the executor.
   std::uint64_t fencing_token_;
   Runs runs_;
   // Invariant: the sum of the needs of runs_.
--- a/tests/property/resent_jobs_property_test.cc
+++ b/tests/property/resent_jobs_property_test.cc
@@ -148,8 +148,8 @@
 }
 
 // Guards against starts that are carried out after their run was stopped and their executor has
-// restarted under its id: the next lifetime does not know the stop.
-Test(resent_jobs, run_once_if_stopped_starts_are_carried_out_in_the_next_lifetime) {
+// restarted under its id: the next incarnation does not know the stop.
+Test(resent_jobs, run_once_if_stopped_starts_are_carried_out_in_the_next_incarnation) {
   constexpr std::uint64_t kSeed = 36;
   std::mt19937_64 random(kSeed);
   LeaseWorld world(DrawOptions(kSeed, random));
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -422,8 +422,8 @@
 }
 
 // Guards against a start that was stopped, and is carried out seconds later in the executor's next
-// lifetime, which does not know the stop.
-Test(run_supervisor, raises_its_fencing_token_in_a_new_lifetime) {
+// incarnation, which does not know the stop.
+Test(run_supervisor, raises_its_fencing_token_in_a_new_incarnation) {
   Fixture fixture;
   fixture.StartRun(0);
   LeasedExecutor restarted = fixture.Status(1);
@@ -436,7 +436,7 @@
 }
 
 // Guards against an executor that comes back under its id after it has left, and carries out calls
-// of its earlier lifetime.
+// of its earlier incarnation.
 Test(run_supervisor, raises_its_fencing_token_when_its_executor_has_left) {
   Fixture fixture;
   fixture.supervisor.OnExecutorLeft("executor");
@@ -450,8 +450,8 @@
 }
 
 // Guards against a token that runs ahead of those of later processes, which the executor then
-// refuses: a start that was on its way in a restart is fenced by the rise for the new lifetime.
-Test(run_supervisor, sends_a_start_of_the_earlier_lifetime_again_with_the_present_token) {
+// refuses: a start that was on its way in a restart is fenced by the rise for the new incarnation.
+Test(run_supervisor, sends_a_start_of_the_earlier_incarnation_again_with_the_present_token) {
   constexpr std::uint64_t kToken = 1'785'856'558'109;
   Fixture fixture;
   RunSupervisor supervisor({.fencing_token = kToken}, fixture.clock);
