lease world: report a refused connection together with its call

executor_crash/three_crashes_under_a_task_fail_its_job failed since, with ten crashes instead of three: the world told the supervisor of a refused connection when the call was made, and of its result later, so that results of other calls came in between. The test is unchanged.

--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -457,20 +457,21 @@
   Supervisor& supervisor = *supervisors_[index];
   const std::uint64_t incarnation = supervisor.incarnation;
   const bool is_refused = IsDown(index);
-  if (is_refused) NoteRefusedConnection(index);
   const bool lost = LosesAnswer(index) || is_refused;
   Deliver(executors_cut_until_[index], lost ? DelayOfLostCall(index) : options_.executor_delay,
           [this, index, call, is_refused] {
             if (!is_refused) executors_[index]->Stop(call);
           });
-  const Duration delay =
-      lost ? Duration(core::RunSupervisor::Options().answer_limit) : options_.executor_delay * 2;
-  Deliver(supervisor.frozen_until, delay, [this, index, incarnation, id = call.id, lost] {
-    Supervisor& to = *supervisors_[index];
-    if (!to.core || to.incarnation != incarnation) return;
-    to.core->OnStopAnswer(id, !lost);
-    CarryOutSupervisor(index);
-  });
+  const Duration delay = lost && !is_refused ? Duration(core::RunSupervisor::Options().answer_limit)
+                                             : options_.executor_delay * 2;
+  Deliver(supervisor.frozen_until, delay,
+          [this, index, incarnation, id = call.id, lost, is_refused] {
+            Supervisor& to = *supervisors_[index];
+            if (!to.core || to.incarnation != incarnation) return;
+            if (is_refused) NoteRefusedConnection(index);
+            to.core->OnStopAnswer(id, !lost);
+            CarryOutSupervisor(index);
+          });
 }
 
 void LeaseWorld::CallExecutor(std::size_t index, const core::CallHold& call) {
@@ -483,11 +484,11 @@
 void LeaseWorld::WaitForEnd(std::size_t index, const core::CallHold& call, TimePoint until,
                             std::uint64_t incarnation) {
   if (IsDown(index)) {
-    NoteRefusedConnection(index);
     return Deliver(supervisors_[index]->frozen_until, options_.executor_delay,
                    [this, index, incarnation, number = call.number] {
                      Supervisor& to = *supervisors_[index];
                      if (!to.core || to.incarnation != incarnation) return;
+                     NoteRefusedConnection(index);
                      to.core->OnHoldAnswer(number, std::nullopt);
                      CarryOutSupervisor(index);
                    });
