supervisor: log why runs are stopped, and which ones lapse

Supervisors now write run_stopping with the reason and unheard_ms, run_ended for lapsed runs and for orders that meet a run of the same task, and count runs_stopping_total{reason}.

run_supervisor/tells_why_a_run_is_stopped.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -15,6 +15,20 @@
       fencing_token_(options.fencing_token),
       queue_(options.max_waiting) {}
 
+std::string_view NameOf(StopReason reason) {
+  switch (reason) {
+    case StopReason::kOrdered:
+      return "ordered";
+    case StopReason::kOwnerGone:
+      return "owner_gone";
+    case StopReason::kOwnerSilent:
+      return "owner_silent";
+    case StopReason::kStartUnanswered:
+      return "start_unanswered";
+  }
+  return "unknown";
+}
+
 bool RunSupervisor::OnExecutorStatus(const LeasedExecutor& status) {
   if (executor_) {
     if (status.born_ms < executor_->born_ms) return false;
@@ -100,11 +114,15 @@
 }
 
 void RunSupervisor::OnOwnerLost(const std::string& owner) {
-  owner_last_heard_.erase(owner);
+  LoseOwner(owner, StopReason::kOwnerGone);
+}
+
+void RunSupervisor::LoseOwner(const std::string& owner, StopReason reason) {
   RefuseOrders(queue_.TakeOwnedBy(owner), RunOutcome::kWithdrawn);
   for (auto& [id, run] : runs_) {
-    if (run.owner == owner) BeginStop(id, run, RunOutcome::kStopped);
+    if (run.owner == owner) BeginStop(id, run, reason, RunOutcome::kStopped);
   }
+  owner_last_heard_.erase(owner);
   SendDueHolds();
 }
 
@@ -213,12 +231,18 @@
   }
   const auto run = runs_.find(id);
   if (run == runs_.end() || run->second.owner != owner) return;
-  BeginStop(id, run->second, RunOutcome::kStopped);
+  BeginStop(id, run->second, StopReason::kOrdered, RunOutcome::kStopped);
   SendDueHolds();
 }
 
-void RunSupervisor::BeginStop(const RunId& id, Run& run, RunOutcome outcome_if_not_started) {
+void RunSupervisor::BeginStop(const RunId& id, Run& run, StopReason reason,
+                              RunOutcome outcome_if_not_started) {
   if (run.state == State::kStopping || run.state == State::kStopped) return;
+  const auto heard = owner_last_heard_.find(run.owner);
+  const Duration unheard =
+      heard == owner_last_heard_.end() ? Duration(0) : clock_.now() - heard->second;
+  actions_.emplace_back(
+      RunStopping{.owner = run.owner, .id = id, .reason = reason, .unheard = unheard});
   run.state = State::kStopping;
   run.outcome_if_not_started = outcome_if_not_started;
   run.stopping_since = clock_.now();
@@ -285,7 +309,7 @@
         break;
       }
       revoked_starts_[id] = clock_.now() + options_.late_execution_limit;
-      BeginStop(id, run, RunOutcome::kUnhealthy);
+      BeginStop(id, run, StopReason::kStartUnanswered, RunOutcome::kUnhealthy);
       break;
   }
   StartWaitingOrders();
@@ -541,7 +565,7 @@
   for (const auto& [owner, heard] : owner_last_heard_) {
     if (now - heard > options_.owner_silence) silent_owners.push_back(owner);
   }
-  for (const std::string& owner : silent_owners) OnOwnerLost(owner);
+  for (const std::string& owner : silent_owners) LoseOwner(owner, StopReason::kOwnerSilent);
   if (!executor_) return;
   ReportPaceChange();
   std::erase_if(revoked_starts_, [now](const auto& start) { return start.second < now; });
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -84,6 +85,30 @@
   Duration elapsed{0};
 };
 
+// Why a run is stopped.
+enum class StopReason {
+  // Its owner ordered it.
+  kOrdered,
+  // Its owner's process is known to have ended.
+  kOwnerGone,
+  // Its owner was not heard for `owner_silence`.
+  kOwnerSilent,
+  // Its start call was not answered.
+  kStartUnanswered,
+};
+
+// The name in logs and metrics, for example "owner_silent".
+std::string_view NameOf(StopReason reason);
+
+// Tells that a run is being stopped.
+struct RunStopping {
+  std::string owner;
+  RunId id;
+  StopReason reason = StopReason::kOrdered;
+  // Time since the owner was heard.
+  Duration unheard{0};
+};
+
 // Calls to the executor.
 struct CallStart {
   RunId id;
@@ -111,7 +136,8 @@
 // The report to dispatchers has changed.
 struct ReportChanged {};
 
-using SupervisorAction = std::variant<CallStart, CallStop, CallHold, RunUpdate, ReportChanged>;
+using SupervisorAction =
+    std::variant<CallStart, CallStop, CallHold, RunUpdate, RunStopping, ReportChanged>;
 
 // Starts and stops the runs that dispatchers order, and renews the executor's lease while they run.
 // Orders without room wait until they expire. An owner is one incarnation of a dispatcher.
@@ -270,7 +296,8 @@
   void BeginRun(StartQueue::WaitingOrder waiting);
   void RefuseOrders(const std::vector<StartQueue::WaitingOrder>& orders, RunOutcome outcome);
   void SendStart(Run& run);
-  void BeginStop(const RunId& id, Run& run, RunOutcome outcome_if_not_started);
+  void LoseOwner(const std::string& owner, StopReason reason);
+  void BeginStop(const RunId& id, Run& run, StopReason reason, RunOutcome outcome_if_not_started);
   void SendStop(const RunId& id, Run& run);
   Runs::iterator FinishRun(Runs::iterator run, RunOutcome outcome);
   void ProcessEndedRun(const EndedRun& ended);
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -319,9 +319,12 @@
     } else if (const auto* update = std::get_if<core::RunUpdate>(&action)) {
       capacity_changed = true;
       metrics_.Add("runs_ended_total", 1, {{"outcome", NameOf(update->outcome)}});
+      LogUnusualEnd(*update);
       DispatcherLink* link = FindLinkByOwner(update->owner);
       if (link == nullptr) continue;
       ToMessage(*update, *link->mutable_outgoing().add_updates());
+    } else if (const auto* stopping = std::get_if<core::RunStopping>(&action)) {
+      LogStop(*stopping);
     } else {
       report_to_all = true;
     }
@@ -338,6 +341,31 @@
   });
 }
 
+void SupervisorDaemon::LogStop(const core::RunStopping& stopping) {
+  metrics_.Add("runs_stopping_total", 1, {{"reason", NameOf(stopping.reason)}});
+  log_.Write(LogLevel::kInfo, "run_stopping",
+             {{"job", stopping.id.task.job_id},
+              {"step", stopping.id.task.step},
+              {"task", stopping.id.task.index},
+              {"run", stopping.id.run},
+              {"dispatcher", stopping.owner},
+              {"reason", NameOf(stopping.reason)},
+              {"unheard_ms", std::chrono::duration_cast<milliseconds>(stopping.unheard).count()}});
+}
+
+void SupervisorDaemon::LogUnusualEnd(const core::RunUpdate& update) {
+  const bool is_unusual =
+      update.outcome == core::RunOutcome::kLapsed || update.outcome == core::RunOutcome::kOutdated;
+  if (!is_unusual) return;
+  log_.Write(LogLevel::kInfo, "run_ended",
+             {{"job", update.id.task.job_id},
+              {"step", update.id.task.step},
+              {"task", update.id.task.index},
+              {"run", update.id.run},
+              {"dispatcher", update.owner},
+              {"outcome", NameOf(update.outcome)}});
+}
+
 void SupervisorDaemon::SendToExecutor(std::string_view path, const std::string& executor_id,
                                       std::string body, milliseconds timeout,
                                       std::function<void(const HttpResult&)> on_result) {
--- a/src/zinniamuxd/supervisor_daemon.h
+++ b/src/zinniamuxd/supervisor_daemon.h
@@ -54,6 +54,9 @@
 
   // Performs the actions that the run supervisor has queued.
   void RunActions();
+  void LogStop(const core::RunStopping& stopping);
+  // Logs runs whose lease has expired, and orders for a task that has a run here.
+  void LogUnusualEnd(const core::RunUpdate& update);
   void SendStart(const core::CallStart& call);
   void SendStop(const core::CallStop& call);
   void SendHold(const core::CallHold& call);
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -374,7 +374,7 @@
                       "agent-" + std::to_string(index), update.id, update.outcome, update.elapsed);
                 });
               });
-    } else {
+    } else if (std::holds_alternative<core::ReportChanged>(action)) {
       report = true;
     }
   }
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -21,9 +21,11 @@
 using zinniamux::core::ManualClock;
 using zinniamux::core::RunId;
 using zinniamux::core::RunOutcome;
+using zinniamux::core::RunStopping;
 using zinniamux::core::RunSupervisor;
 using zinniamux::core::RunUpdate;
 using zinniamux::core::StartAnswer;
+using zinniamux::core::StopReason;
 
 const std::string kOwner = "entry@1";
 
@@ -269,6 +271,24 @@
   cr_assert_eq(fixture.ActionsOf<CallStop>().size(), 1);
 }
 
+// Guards against logs that do not tell why a run was stopped.
+Test(run_supervisor, tells_why_a_run_is_stopped) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.StartRun(1);
+  fixture.supervisor.OnStopOrder(kOwner, MakeRunId(0));
+  fixture.TakeActions();
+  cr_assert(fixture.ActionsOf<RunStopping>().at(0).reason == StopReason::kOrdered);
+  fixture.clock.Advance(milliseconds(901));
+  fixture.supervisor.OnTimer();
+  fixture.TakeActions();
+  const auto stopping = fixture.ActionsOf<RunStopping>();
+  cr_assert_eq(stopping.size(), 1);
+  cr_assert(stopping[0].id == MakeRunId(1));
+  cr_assert(stopping[0].reason == StopReason::kOwnerSilent);
+  cr_assert_eq(stopping[0].unheard.count(), 901'000);
+}
+
 // Guards against a lease that is renewed for a run that the executor does not stop.
 Test(run_supervisor, stops_renewing_while_a_stop_is_not_answered) {
   Fixture fixture;
