run supervisor: end leases by the time that a silent dispatcher allows

A caller whose connection breaks sends its job to another dispatcher after 1,300 ms. Supervisors stop the runs of a dispatcher after 900 ms of silence, and a supervisor that stands still lets the lease end 1,020 ms after its last renewal. Each limit holds the 1,300 ms alone. A supervisor that freezes, or whose executor does not answer, 300 to 900 ms into the silence kept runs alive for up to 1,920 ms.

RunEndBudget derives all limits from what the deployment guarantees, and refuses settings for which there are none; supervisors silently took 500 ms of silence instead. While all dispatchers are heard, leases are as long as before. Runs of others lose by it only if their supervisor stands still, or cannot reach the executor, during the silence of a dispatcher.

--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -136,6 +136,13 @@
   read("lease_ms", bounds.lease);
   read("stop_ms", bounds.stop_time);
   read("retransmit_ms", bounds.retransmit);
+  const auto run_ends = core::RunEndBudget::For(
+      {.retransmit = bounds.retransmit, .max_lease = bounds.lease, .stop_time = bounds.stop_time});
+  if (run_ends) {
+    bounds.run_ends = *run_ends;
+  } else {
+    object.Reject("retransmit_ms", "times that fit together: " + run_ends.error().message);
+  }
   constexpr double kMaxGraceSeconds = 600;
   const double grace = object.Number("grace_s", 0, kMaxGraceSeconds,
                                      std::chrono::duration<double>(bounds.grace).count());
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -12,6 +12,7 @@
 #include "adapters/json_log.h"
 #include "adapters/listen_address.h"
 #include "core/error_kind.h"
+#include "core/run_end_budget.h"
 
 namespace zinniamux::adapters {
 
@@ -74,6 +75,8 @@
   std::chrono::milliseconds retransmit{1300};
   // A process is killed this long after SIGTERM.
   std::chrono::milliseconds grace{6000};
+  // Derived from the times above.
+  core::RunEndBudget run_ends;
 };
 
 // Settings of the dispatcher role: an entry of a deployment with leased execution.
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -371,7 +371,7 @@
   Task& task = step.tasks[index];
   const TimePoint now = clock_.now();
   const JobStep& requested_step = job.request.steps[step_index];
-  TimePoint expires = std::min(now + options_.order_expiry, job.request.deadline);
+  TimePoint expires = std::min(now + options_.budget.order_expiry(), job.request.deadline);
   if (rank != StartRank::kStarted) expires = std::min(expires, job.latest_start);
   StartTasks& start = unsent_starts_[{step_index, supervisor.view.agent_id(), choice.at_once}];
   if (start.starts.empty()) {
@@ -594,7 +594,7 @@
     supervisor.orphaned_runs.merge(supervisor.runs);
     supervisor.runs.clear();
     if (supervisor.runs_over_at == TimePoint()) {
-      supervisor.runs_over_at = clock_.now() + options_.lost_after;
+      supervisor.runs_over_at = clock_.now() + options_.budget.lost_after();
     }
   } else {
     std::set<RunId> lost;
@@ -633,7 +633,7 @@
   const auto found = supervisors_.find(supervisor_id);
   if (found == supervisors_.end()) return;
   found->second.view.set_attached(false);
-  found->second.runs_over_at = clock_.now() + options_.lost_after;
+  found->second.runs_over_at = clock_.now() + options_.budget.lost_after();
 }
 
 void JobScheduler::OnReport(const std::string& supervisor_id, ExecutorReport report) {
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -25,6 +25,7 @@
 #include "core/order_wait_limit.h"
 #include "core/room_placement.h"
 #include "core/run.h"
+#include "core/run_end_budget.h"
 #include "core/run_time_estimator.h"
 #include "core/view_trust.h"
 #include "core/wait_policy.h"
@@ -83,8 +84,8 @@
 // Schedules the jobs that one dispatcher has accepted, until each is answered. Jobs are not stored:
 // if the dispatcher fails, supervisors stop its runs and callers submit the jobs again. Invariants:
 // - A task has at most one run at a time. It is ordered again only after its supervisor has
-//   reported the end of the run, or has been disconnected for `lost_after`, when the run has
-//   certainly ended.
+//   reported the end of the run, or has been disconnected for `budget.lost_after()`, when the run
+//   has certainly ended.
 // - A job is refused only if none of its tasks was ever ordered, or if no order has started a run.
 // - Nothing is ordered after the job's deadline, and orders expire at the supervisor.
 // Not thread-safe.
@@ -95,13 +96,9 @@
     // Differs between dispatchers; see RoomPlacement::ChooseShortestWait.
     std::uint32_t placement_seed = 1;
     WaitPolicy::Options wait;
-    // A disconnected supervisor has ended every run by then: its silence limit, one lease on a
-    // clock that is 2 % slow, and the time to stop a run.
-    std::chrono::milliseconds lost_after{2100};
-    // Longest wait of an order for room on an executor, before it is placed again. Must be less
-    // than the silence after which a supervisor counts as lost: one that was frozen would otherwise
-    // start tasks that have been ordered elsewhere since.
-    std::chrono::milliseconds order_expiry{400};
+    // Gives the time after which a disconnected supervisor has ended every run, and the longest
+    // wait of an order for room on an executor, before it is placed again.
+    RunEndBudget budget;
     // Answers are kept this long, for callers that send a job again.
     std::chrono::milliseconds answer_retention{10'000};
     std::size_t max_retained_answers = 20'000;
@@ -315,7 +312,8 @@
   // Longest expected wait of an order of the job at its executor.
   Duration MaxOrderWait(const Job& job) const;
   Duration MaxOrderWait(const Job& job, StartRank rank) const {
-    return rank == StartRank::kStarted ? Duration(options_.order_expiry) : MaxOrderWait(job);
+    return rank == StartRank::kStarted ? Duration(options_.budget.order_expiry())
+                                       : MaxOrderWait(job);
   }
   Choice ChooseExecutor(const Job& job, const Task& task, RoomPlacement::Query query);
   void OrderStart(Job& job, std::uint32_t step, std::uint32_t index, StartRank rank,
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -173,7 +173,9 @@
   if (!accepting()) return RefuseOrders(queue_.TakeAll(), RunOutcome::kNotAccepting);
   RefuseOrders(queue_.TakeExpired(clock_.now()), RunOutcome::kExpired);
   UpdateUrgentUse();
-  while (auto next = queue_.TakeNextFitting(free_room(), kept_cpu_milli())) {
+  while (CanLeaseStarts()) {
+    auto next = queue_.TakeNextFitting(free_room(), kept_cpu_milli());
+    if (!next) break;
     BeginRun(*std::move(next));
     UpdateUrgentUse();
   }
@@ -210,11 +212,13 @@
   run.state = State::kStarting;
   run.state_since = clock_.now();
   run.fencing_token = fencing_token_;
+  const std::optional<ExecutorTime> lease_until = RenewLease();
   actions_.emplace_back(CallStart{
       .id = run.order.id,
       .spec = run.order.spec,
       .executor_id = executor_->id,
-      .lease_until = RenewLease(),
+      // The executor refuses a lease that is over.
+      .lease_until = lease_until.value_or(ExecutorNow()),
       .fencing_token = fencing_token_,
       .answer_limit = AnswerTimeLimit(options_.min_start_limit, options_.max_start_limit)});
 }
@@ -246,6 +250,7 @@
   run.state = State::kStopping;
   run.outcome_if_not_started = outcome_if_not_started;
   run.stopping_since = clock_.now();
+  run.must_end_by = RunEndOf(run.owner);
   SendStop(id, run);
 }
 
@@ -436,7 +441,7 @@
 bool RunSupervisor::MayRenewLease() const {
   // A renewal whose answer is lost would keep runs alive that are not monitored.
   if (consecutive_unanswered_ > kMaxConsecutiveUnanswered) return false;
-  const TimePoint limit = clock_.now() - options_.stop_limit;
+  const TimePoint limit = clock_.now() - options_.budget.stop_limit();
   return std::none_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
     return entry.second.state == State::kStopping && entry.second.stopping_since < limit;
   });
@@ -472,11 +477,34 @@
          acknowledged_ < last_seen_;
 }
 
-ExecutorTime RunSupervisor::RenewLease() {
-  constexpr int kDriftDivisor = 50;
-  lease_expires_at_ =
-      clock_.now() + options_.lease + options_.lease / kDriftDivisor + options_.stop_time;
-  return ExecutorNow() + options_.lease;
+TimePoint RunSupervisor::RunEndOf(const std::string& owner) const {
+  const auto heard = owner_last_heard_.find(owner);
+  const TimePoint since = heard == owner_last_heard_.end() ? clock_.now() : heard->second;
+  return since + options_.budget.run_end();
+}
+
+TimePoint RunSupervisor::LatestLeaseEnd() const {
+  TimePoint end = clock_.now() + RunEndBudget::LongestLease(options_.budget.lease());
+  for (const auto& [owner, heard] : owner_last_heard_) {
+    end = std::min(end, heard + options_.budget.run_end());
+  }
+  for (const auto& [id, run] : runs_) {
+    // Once its stop is answered, the run ends without the lease.
+    if (run.state == State::kStopping) end = std::min(end, run.must_end_by);
+  }
+  return end;
+}
+
+bool RunSupervisor::CanLeaseStarts() const {
+  return LatestLeaseEnd() >= clock_.now() + options_.min_start_lease;
+}
+
+std::optional<ExecutorTime> RunSupervisor::RenewLease() {
+  const TimePoint end = LatestLeaseEnd();
+  const milliseconds lease = RunEndBudget::LeaseWithin(end - clock_.now());
+  if (lease <= milliseconds(0)) return std::nullopt;
+  lease_expires_at_ = std::max(lease_expires_at_, end);
+  return ExecutorNow() + lease;
 }
 
 void RunSupervisor::RecordAnswer(bool answered) {
@@ -498,7 +526,7 @@
 
 void RunSupervisor::EndLapsedRuns() {
   if (runs_.empty() || consecutive_unanswered_ <= kMaxConsecutiveUnanswered ||
-      clock_.now() < lease_expires_at_) {
+      clock_.now() < lease_expires_at_ + options_.budget.stop_time()) {
     return;
   }
   for (auto run = runs_.begin(); run != runs_.end();) {
@@ -544,7 +572,7 @@
   if (has_running && !needs_first_poll_) call.wait = options_.hold_wait;
   // A stopped run ends soon. One that never started has no end; its absence from the answer
   // confirms the stop.
-  if (confirms_stops) call.wait = awaits_end ? options_.stop_time : milliseconds(0);
+  if (confirms_stops) call.wait = awaits_end ? options_.budget.stop_time() : milliseconds(0);
   const milliseconds limit = AnswerTimeLimit(options_.min_hold_limit, options_.max_hold_limit);
   holds_[call.number] = {.sent_at = now,
                          .overdue_at = now + call.wait + limit,
@@ -563,7 +591,7 @@
   const TimePoint now = clock_.now();
   std::vector<std::string> silent_owners;
   for (const auto& [owner, heard] : owner_last_heard_) {
-    if (now - heard > options_.owner_silence) silent_owners.push_back(owner);
+    if (now - heard > options_.budget.silence()) silent_owners.push_back(owner);
   }
   for (const std::string& owner : silent_owners) LoseOwner(owner, StopReason::kOwnerSilent);
   if (!executor_) return;
@@ -587,7 +615,7 @@
   TimePoint next = queue_.next_expiry();
   if (!runs_.empty() || !queue_.empty()) {
     for (const auto& [owner, heard] : owner_last_heard_) {
-      next = std::min(next, heard + options_.owner_silence + milliseconds(1));
+      next = std::min(next, heard + options_.budget.silence() + milliseconds(1));
     }
   }
   for (const auto& [id, run] : runs_) {
@@ -595,7 +623,7 @@
   }
   for (const auto& [id, at] : unknown_run_stops_) next = std::min(next, at);
   if (!runs_.empty() && consecutive_unanswered_ > kMaxConsecutiveUnanswered) {
-    next = std::min(next, lease_expires_at_);
+    next = std::min(next, lease_expires_at_ + options_.budget.stop_time());
   }
   if (!executor_ || !NeedsPoll()) return next;
   if (!HasEnoughHolds()) return std::min(next, next_hold_at_);
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -17,6 +17,7 @@
 #include "core/decaying_mean.h"
 #include "core/pace_meter.h"
 #include "core/run.h"
+#include "core/run_end_budget.h"
 #include "core/start_queue.h"
 #include "core/urgent_reserve.h"
 
@@ -91,7 +92,7 @@
   kOrdered,
   // Its owner's process is known to have ended.
   kOwnerGone,
-  // Its owner was not heard for `owner_silence`.
+  // Its owner was not heard for `RunEndBudget::silence`.
   kOwnerSilent,
   // Its start call was not answered.
   kStartUnanswered,
@@ -144,15 +145,16 @@
 // Invariants:
 // - A run is reported as ended, or as not started, only when the executor cannot run it any more.
 // - The room of a run is free only then.
-// - Runs of an owner that was silent for `owner_silence` are stopped. While a stop stays unanswered
-//   the lease is not renewed, so that all runs on the executor end with it.
+// - Runs of an owner that was silent for `budget.silence()` are stopped. While a stop stays
+//   unanswered the lease is not renewed, so that all runs on the executor end with it.
+// - No lease outlasts the time by which a run on the executor must have ended (see RunEndBudget),
+//   whatever stands still in between.
 // - Unknown runs on the executor are stopped.
 // Not thread-safe.
 class RunSupervisor {
  public:
   struct Options {
-    // Longest lease that executors grant (`max_hold_ms` in the deployment).
-    std::chrono::milliseconds lease{1000};
+    RunEndBudget budget;
     // How long a hold call waits for the end of a run. If its answer is lost, ends are reported
     // later by this time.
     std::chrono::milliseconds hold_wait{40};
@@ -178,13 +180,9 @@
     // The executor may still execute an unanswered call up to this much later.
     std::chrono::milliseconds late_execution_limit{13'000};
     std::chrono::milliseconds stop_retry{40};
-    // The lease is not renewed while a stop has been unanswered for this long.
-    std::chrono::milliseconds stop_limit{300};
-    // Executors end a run within this time after a stop call.
-    std::chrono::milliseconds stop_time{50};
-    // Runs of an owner are stopped after this time of silence: shorter than the time after which a
-    // caller resubmits a job to another dispatcher, by the time that stopping takes.
-    std::chrono::milliseconds owner_silence{900};
+    // Nothing starts while only shorter leases can be granted: an executor under load takes a part
+    // of it to answer.
+    std::chrono::milliseconds min_start_lease{200};
     // Limit on orders that wait for room. Dispatchers order only what can start within a share of
     // the objective, which is tens of tasks.
     std::size_t max_waiting = 512;
@@ -264,6 +262,8 @@
     TimePoint next_stop_at;
     // When the first stop call was sent.
     TimePoint stopping_since;
+    // Set when it is being stopped: the lease may not outlast this time.
+    TimePoint must_end_by;
     // Reported if the run turns out never to have started.
     RunOutcome outcome_if_not_started = RunOutcome::kUnhealthy;
     // The current incarnation of the executor has listed it or confirmed its start.
@@ -315,7 +315,15 @@
   bool MayRenewLease() const;
   ExecutorTime ExecutorNow() const;
   void UpdateClockOffset(ExecutorTime clock);
-  ExecutorTime RenewLease();
+  // By when runs of the owner must have ended.
+  TimePoint RunEndOf(const std::string& owner) const;
+  // The latest end of a lease that holds for every run on the executor, and for those that an owner
+  // may order before it is heard again.
+  TimePoint LatestLeaseEnd() const;
+  // Whether a run may start with a lease that is long enough.
+  bool CanLeaseStarts() const;
+  // The end of a lease as long as is allowed now; nothing if none is.
+  std::optional<ExecutorTime> RenewLease();
   // The mean answer time times the factor, within the bounds.
   std::chrono::milliseconds AnswerTimeLimit(std::chrono::milliseconds min,
                                             std::chrono::milliseconds max) const;
@@ -356,7 +364,7 @@
   std::uint64_t last_seen_ = 0;
   std::uint64_t acknowledged_ = 0;
   TimePoint next_hold_at_;
-  // The last requested lease has expired by then, even on a clock that is 2 % slow.
+  // All requested leases have expired by then, even on a clock that is 2 % slow.
   TimePoint lease_expires_at_;
   // Consecutive calls without an answer.
   int consecutive_unanswered_ = 0;
--- a/src/core/stall_detector.h
+++ b/src/core/stall_detector.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "core/clock.h"
+#include "core/run_end_budget.h"
 
 namespace zinniamux::core {
 
@@ -13,19 +14,20 @@
 // sent.
 class StallDetector {
  public:
-  // In a shorter stall nothing is lost: supervisors stop the runs of a silent dispatcher after
-  // 900 ms, and callers without a connection send their jobs again after 1,300 ms.
-  static constexpr std::chrono::milliseconds kLimit{800};
+  // In a stall that is shorter than `limit`, supervisors stop no runs.
+  explicit StallDetector(std::chrono::milliseconds limit = RunEndBudget().stall_limit())
+      : limit_(limit) {}
 
   // Called before events are handled. Returns how long the process stood still, if it did.
   std::optional<Duration> OnTurn(TimePoint now) {
     const Duration pause = last_turn_ == TimePoint() ? Duration(0) : now - last_turn_;
     last_turn_ = now;
-    if (pause <= kLimit) return std::nullopt;
+    if (pause <= limit_) return std::nullopt;
     return pause;
   }
 
  private:
+  std::chrono::milliseconds limit_;
   TimePoint last_turn_;
 };
 
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -50,11 +50,7 @@
   core::JobScheduler::Options options;
   options.availability_zone = settings.availability_zone;
   options.placement_seed = static_cast<std::uint32_t>(std::hash<std::string>()(settings.id));
-  const milliseconds silence = SupervisorRegistry::Options().silence_limit;
-  // A supervisor that is gone has ended its runs after its silence limit, one lease on a clock that
-  // is 2 % slow, and the time of a stop order that is under way.
-  options.lost_after =
-      silence + settings.bounds.lease + settings.bounds.lease / 50 + settings.bounds.stop_time * 2;
+  options.budget = settings.bounds.run_ends;
   return options;
 }
 
@@ -127,7 +123,8 @@
                  RunActions();
                }}),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
-      timer_(loop_) {}
+      timer_(loop_),
+      stall_detector_(settings.bounds.run_ends.stall_limit()) {}
 
 DispatcherDaemon::~DispatcherDaemon() {
   if (roster_) roster_->Close();
@@ -198,7 +195,9 @@
   log_.Write(LogLevel::kInfo, "started",
              {{"role", "dispatcher"},
               {"zone", settings_.availability_zone},
-              {"incarnation", incarnation_}});
+              {"incarnation", incarnation_},
+              {"lost_after_ms", settings_.bounds.run_ends.lost_after().count()},
+              {"isolation_limit_ms", settings_.bounds.run_ends.isolation_limit().count()}});
   configuration_watch_->Start();
   AwaitSignal();
   StartTimer();
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -42,16 +42,7 @@
 
 core::RunSupervisor::Options SupervisorOptions(const adapters::LeaseBounds& bounds,
                                                std::uint64_t fencing_token) {
-  core::RunSupervisor::Options options;
-  options.lease = bounds.lease;
-  options.stop_time = bounds.stop_time;
-  options.fencing_token = fencing_token;
-  // A caller without an answer submits its job again after `retransmit`. Runs of the first
-  // submission must have ended by then. The reserve covers the time for which stop calls are
-  // repeated before the lease is no longer renewed, and the executor's time to stop.
-  const milliseconds reserve = options.stop_limit + options.stop_time * 2;
-  options.owner_silence = std::max(bounds.retransmit - reserve, milliseconds(500));
-  return options;
+  return {.budget = bounds.run_ends, .fencing_token = fencing_token};
 }
 
 }  // namespace
@@ -106,7 +97,10 @@
   log_.Write(LogLevel::kInfo, "started",
              {{"role", "supervisor"},
               {"zone", settings_.availability_zone},
-              {"incarnation", incarnation_}});
+              {"incarnation", incarnation_},
+              {"run_end_ms", settings_.bounds.run_ends.run_end().count()},
+              {"silence_ms", settings_.bounds.run_ends.silence().count()},
+              {"lease_ms", settings_.bounds.run_ends.lease().count()}});
   AwaitSignal();
   StartTimer();
   loop_.run();
--- a/tests/property/resent_jobs_property_test.cc
+++ b/tests/property/resent_jobs_property_test.cc
@@ -71,6 +71,14 @@
   }
 }
 
+constexpr std::size_t kExecutors = 11;
+
+// Cuts dispatcher 0 off from all supervisors, and breaks the connections of its callers.
+void CutDispatcher(LeaseWorld& world, Duration at) {
+  for (std::size_t s = 0; s < kExecutors; ++s) world.CutLink(0, s, at, seconds(3));
+  world.ResetCallers(0, at + milliseconds(20), 1);
+}
+
 std::string ProblemsOf(const LeaseWorld& world) {
   std::string problems;
   for (const std::string& violation : world.violations()) problems += violation + "\n";
@@ -147,6 +155,39 @@
   cr_assert(problems.empty(), "%s", problems.c_str());
 }
 
+// Guards against time limits that hold alone and add up: supervisors wait for a silent dispatcher,
+// stand still before they have stopped its runs, and the lease goes on from their last renewal.
+Test(resent_jobs, run_once_if_supervisors_freeze_while_their_dispatcher_is_silent) {
+  for (const int after_cut : {500, 700, 850}) {
+    for (const std::uint64_t seed : {5, 10, 11, 14}) {
+      LeaseWorld world({.seed = seed});
+      AddTrace(world, {.seed = seed, .begin = kWarmUp, .length = seconds(5), .load = 0.9});
+      CutDispatcher(world, seconds(6));
+      for (std::size_t s = 0; s < kExecutors; s += 2) {
+        world.FreezeSupervisor(s, seconds(6) + milliseconds(after_cut), seconds(2));
+      }
+      world.Run(seconds(30));
+      const std::string problems = ProblemsOf(world);
+      cr_assert(problems.empty(), "%d ms, seed %lu: %s", after_cut, seed, problems.c_str());
+    }
+  }
+}
+
+// Guards against a lease that is renewed while the runs of a silent dispatcher cannot be stopped.
+Test(resent_jobs, run_once_if_executors_are_cut_off_while_their_dispatcher_is_silent) {
+  for (const std::uint64_t seed : {5, 10, 11, 14}) {
+    LeaseWorld world({.seed = seed});
+    AddTrace(world, {.seed = seed, .begin = kWarmUp, .length = seconds(5), .load = 0.9});
+    CutDispatcher(world, seconds(6));
+    for (std::size_t e = 0; e < kExecutors; e += 2) {
+      world.CutExecutor(e, seconds(6) + milliseconds(700), seconds(2), false);
+    }
+    world.Run(seconds(30));
+    const std::string problems = ProblemsOf(world);
+    cr_assert(problems.empty(), "seed %lu: %s", seed, problems.c_str());
+  }
+}
+
 // Guards against starts that are carried out after their run was stopped and their executor has
 // restarted under its id: the next incarnation does not know the stop.
 Test(resent_jobs, run_once_if_stopped_starts_are_carried_out_in_the_next_incarnation) {
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -271,6 +271,48 @@
   cr_assert_eq(fixture.ActionsOf<CallStop>().size(), 1);
 }
 
+// Guards against a run whose lease goes on when its supervisor stands still during the silence of
+// the owner: both times together are longer than a caller waits before it sends its job again.
+Test(run_supervisor, grants_no_lease_beyond_the_time_of_a_silent_owner) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  const auto heard = fixture.clock.now();
+  constexpr auto kRetransmit = milliseconds(1300);
+  constexpr double kClockRate = 0.98;
+  for (int i = 0; i < 10; ++i) {
+    fixture.clock.Advance(milliseconds(80));
+    fixture.AnswerHold({.running = {{.id = MakeRunId(0)}}});
+    if (!fixture.last_hold.lease_until) continue;
+    const auto lease = *fixture.last_hold.lease_until - fixture.ExecutorClock();
+    const auto longest =
+        std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(lease) / kClockRate);
+    cr_assert_lt((fixture.clock.now() + longest - heard).count(),
+                 zinniamux::core::Duration(kRetransmit).count());
+  }
+}
+
+// Guards against a silent dispatcher that costs the runs of the others their lease: once its runs
+// are stopped, leases are as long as before.
+Test(run_supervisor, grants_full_leases_after_the_runs_of_a_silent_owner) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.clock.Advance(milliseconds(850));
+  fixture.supervisor.OnOwnerHeard("entry@2");
+  fixture.supervisor.OnOrder("entry@2", {.id = MakeRunId(1),
+                                         .need = {.cpu_milli = 1000, .memory_mb = 10},
+                                         .expires = fixture.clock.now() + milliseconds(400)});
+  fixture.TakeActions();
+  const auto shortened = fixture.ActionsOf<CallStart>();
+  cr_assert_eq(shortened.size(), 1);
+  cr_assert_lt((shortened[0].lease_until - fixture.ExecutorClock()).count(), 500);
+  fixture.clock.Advance(milliseconds(51));
+  fixture.supervisor.OnTimer();
+  fixture.supervisor.OnStopAnswer(MakeRunId(0), true);
+  fixture.AnswerHold({.running = {{.id = MakeRunId(1)}}});
+  cr_assert(fixture.last_hold.lease_until.has_value());
+  cr_assert_eq((*fixture.last_hold.lease_until - fixture.ExecutorClock()).count(), 1000);
+}
+
 // Guards against logs that do not tell why a run was stopped.
 Test(run_supervisor, tells_why_a_run_is_stopped) {
   Fixture fixture;
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -117,3 +117,23 @@
   cr_assert(settings.has_value());
   cr_assert(settings->entry->rpc_advertised == "10.0.0.7:4003");
 }
+
+// Guards against times of a deployment that are replaced by others in silence: the runs of two
+// copies of a job would overlap.
+Test(settings, refuses_times_that_do_not_fit_together) {
+  const std::string message = MessageFor(R"(version: 1
+supervisor:
+  id: supervisor-1
+  availability_zone: oslo
+  local: 127.0.0.1:34001
+  metrics: 127.0.0.1:34002
+  executor: 127.0.0.1:34003
+  service: orders
+  store: http://127.0.0.1:34090
+  bounds:
+    retransmit_ms: 800
+)");
+  AssertReports(message, "retransmit_ms");
+  AssertReports(message, "800 ms");
+  AssertReports(message, "500 ms");
+}
