run supervisor: count the silence of a dispatcher from what it had handled

A supervisor counted the silence of a dispatcher from when it read a frame. One that had stood still, or was late, took a frame for a sign of life that was sent before its dispatcher was cut off, and kept its runs alive for up to its delay longer. A freeze of 400 ms, shorter than any limit, is enough.

Frames of dispatchers now say up to when their sender has handled its input, in the clock of the supervisor, as orders already give their expiry. That also covers a dispatcher that is behind, or that stood still: it may not know yet that callers have left. An order whose run the lease in force would outlast is refused and placed again. Frames of earlier versions count from when they are read.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -109,8 +109,9 @@
   executor_.reset();
 }
 
-void RunSupervisor::OnOwnerHeard(const std::string& owner) {
-  owner_last_heard_[owner] = clock_.now();
+void RunSupervisor::OnOwnerHeard(const std::string& owner, TimePoint input_handled) {
+  TimePoint& known = owner_input_handled_[owner];
+  known = std::max(known, std::min(input_handled, clock_.now()));
 }
 
 void RunSupervisor::OnOwnerLost(const std::string& owner) {
@@ -122,7 +123,7 @@
   for (auto& [id, run] : runs_) {
     if (run.owner == owner) BeginStop(id, run, reason, RunOutcome::kStopped);
   }
-  owner_last_heard_.erase(owner);
+  owner_input_handled_.erase(owner);
   SendDueHolds();
 }
 
@@ -138,8 +139,14 @@
   return free;
 }
 
-std::optional<RunOutcome> RunSupervisor::ReasonToRefuse(const RunOrder& order) const {
+std::optional<RunOutcome> RunSupervisor::ReasonToRefuse(const std::string& owner,
+                                                        const RunOrder& order) const {
   if (!accepting()) return RunOutcome::kNotAccepting;
+  // The lease in force would keep the run alive for too long, or a new one would end too soon.
+  const TimePoint end = RunEndOf(owner);
+  if (end < std::max(lease_expires_at_, clock_.now() + options_.min_start_lease)) {
+    return RunOutcome::kNotAccepting;
+  }
   if (clock_.now() > order.expires) return RunOutcome::kExpired;
   if (!order.need.Fits(executor_->capacity)) return RunOutcome::kNoRoom;
   if (queue_.ContainsTask(order.id.task)) return RunOutcome::kOutdated;
@@ -152,8 +159,8 @@
 }
 
 void RunSupervisor::OnOrder(const std::string& owner, const RunOrder& order) {
-  OnOwnerHeard(owner);
-  if (const std::optional<RunOutcome> reason = ReasonToRefuse(order)) {
+  owner_input_handled_.try_emplace(owner, clock_.now());
+  if (const std::optional<RunOutcome> reason = ReasonToRefuse(owner, order)) {
     actions_.emplace_back(RunUpdate{.owner = owner, .id = order.id, .outcome = *reason});
     return;
   }
@@ -229,7 +236,6 @@
 }
 
 void RunSupervisor::OnStopOrder(const std::string& owner, const RunId& id) {
-  OnOwnerHeard(owner);
   if (auto waiting = queue_.TakeOrder(owner, id)) {
     return RefuseOrders({*std::move(waiting)}, RunOutcome::kWithdrawn);
   }
@@ -242,9 +248,9 @@
 void RunSupervisor::BeginStop(const RunId& id, Run& run, StopReason reason,
                               RunOutcome outcome_if_not_started) {
   if (run.state == State::kStopping || run.state == State::kStopped) return;
-  const auto heard = owner_last_heard_.find(run.owner);
+  const auto heard = owner_input_handled_.find(run.owner);
   const Duration unheard =
-      heard == owner_last_heard_.end() ? Duration(0) : clock_.now() - heard->second;
+      heard == owner_input_handled_.end() ? Duration(0) : clock_.now() - heard->second;
   actions_.emplace_back(
       RunStopping{.owner = run.owner, .id = id, .reason = reason, .unheard = unheard});
   run.state = State::kStopping;
@@ -478,14 +484,14 @@
 }
 
 TimePoint RunSupervisor::RunEndOf(const std::string& owner) const {
-  const auto heard = owner_last_heard_.find(owner);
-  const TimePoint since = heard == owner_last_heard_.end() ? clock_.now() : heard->second;
+  const auto heard = owner_input_handled_.find(owner);
+  const TimePoint since = heard == owner_input_handled_.end() ? clock_.now() : heard->second;
   return since + options_.budget.run_end();
 }
 
 TimePoint RunSupervisor::LatestLeaseEnd() const {
   TimePoint end = clock_.now() + RunEndBudget::LongestLease(options_.budget.lease());
-  for (const auto& [owner, heard] : owner_last_heard_) {
+  for (const auto& [owner, heard] : owner_input_handled_) {
     end = std::min(end, heard + options_.budget.run_end());
   }
   for (const auto& [id, run] : runs_) {
@@ -590,7 +596,7 @@
 void RunSupervisor::OnTimer() {
   const TimePoint now = clock_.now();
   std::vector<std::string> silent_owners;
-  for (const auto& [owner, heard] : owner_last_heard_) {
+  for (const auto& [owner, heard] : owner_input_handled_) {
     if (now - heard > options_.budget.silence()) silent_owners.push_back(owner);
   }
   for (const std::string& owner : silent_owners) LoseOwner(owner, StopReason::kOwnerSilent);
@@ -614,7 +620,7 @@
 TimePoint RunSupervisor::next_timer() const {
   TimePoint next = queue_.next_expiry();
   if (!runs_.empty() || !queue_.empty()) {
-    for (const auto& [owner, heard] : owner_last_heard_) {
+    for (const auto& [owner, heard] : owner_input_handled_) {
       next = std::min(next, heard + options_.budget.silence() + milliseconds(1));
     }
   }
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -92,7 +92,7 @@
   kOrdered,
   // Its owner's process is known to have ended.
   kOwnerGone,
-  // Its owner was not heard for `RunEndBudget::silence`.
+  // Its owner is not known to have handled its input for `RunEndBudget::silence`.
   kOwnerSilent,
   // Its start call was not answered.
   kStartUnanswered,
@@ -106,7 +106,7 @@
   std::string owner;
   RunId id;
   StopReason reason = StopReason::kOrdered;
-  // Time since the owner was heard.
+  // Time since the owner is known to have handled its input.
   Duration unheard{0};
 };
 
@@ -196,7 +196,9 @@
   // The executor has announced its shutdown.
   void OnExecutorLeft(const std::string& executor_id);
 
-  void OnOwnerHeard(const std::string& owner);
+  // The owner has handled all input that had reached it by `input_handled`, and has sent the stops
+  // that follow from it.
+  void OnOwnerHeard(const std::string& owner, TimePoint input_handled);
   // The owner's process is known to be gone.
   void OnOwnerLost(const std::string& owner);
   // Starts the run, queues it until there is room, or refuses it with an update.
@@ -289,7 +291,7 @@
   // Called when the executor has restarted under the same id.
   void BeginIncarnation(std::int64_t born_ms);
   void ForgetExecutor(RunOutcome outcome);
-  std::optional<RunOutcome> ReasonToRefuse(const RunOrder& order) const;
+  std::optional<RunOutcome> ReasonToRefuse(const std::string& owner, const RunOrder& order) const;
   void StartWaitingOrders();
   void UpdateUrgentUse();
   double RunReleaseRate(bool with_urgent) const;
@@ -354,7 +356,8 @@
   UrgentReserve reserve_;
   // Milli-cores per second that urgent runs release; the time constant is that of the reserve.
   DecayingMean urgent_release_{std::chrono::seconds(1)};
-  std::map<std::string, TimePoint> owner_last_heard_;
+  // The time up to which each owner is known to have handled its input. Never decreases.
+  std::map<std::string, TimePoint> owner_input_handled_;
   // Hold calls in flight, by number.
   std::map<std::uint64_t, Hold> holds_;
   std::uint64_t next_hold_ = 1;
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -41,6 +41,9 @@
 constexpr milliseconds kAnswerMargin{800};
 constexpr milliseconds kExitMargin{500};
 constexpr long kMaxStoreConnections = 8;
+// A closed connection of a caller is posted to the loop by the HTTP server, and again by its
+// handler. Posting as often as that comes after it.
+constexpr int kInputHops = 3;
 
 double ToMilliseconds(core::Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
@@ -116,6 +119,7 @@
                  message_delays_.Record(delay);
                  backlog_.OnMessage(supervisor, delay, clock_.now());
                },
+           .input_handled = [this] { return InputHandled(); },
            .on_frame_handled =
                [this] {
                  DetectStall();
@@ -124,7 +128,9 @@
                }}),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       timer_(loop_),
-      stall_detector_(settings.bounds.run_ends.stall_limit()) {}
+      stall_detector_(settings.bounds.run_ends.stall_limit()),
+      input_handled_(clock.now()),
+      timer_started_at_(clock.now()) {}
 
 DispatcherDaemon::~DispatcherDaemon() {
   if (roster_) roster_->Close();
@@ -213,9 +219,16 @@
   });
 }
 
+core::TimePoint DispatcherDaemon::InputHandled() const {
+  // Without jobs, no input matters to a run.
+  return scheduler_.job_count() == 0 ? clock_.now() : input_handled_;
+}
+
 void DispatcherDaemon::OnTimer() {
   DetectStall();
   const TimePoint now = clock_.now();
+  // What had arrived when the timer was started is read before the timer is handled.
+  PostInputHandled(std::exchange(timer_started_at_, now), kInputHops);
   gateway_.OnTimer();
   scheduler_.OnTimer();
   if (shutdown_started_at_ != TimePoint() &&
@@ -239,6 +252,14 @@
   StartTimer();
 }
 
+void DispatcherDaemon::PostInputHandled(TimePoint arrived, int hops) {
+  if (hops == 0) {
+    input_handled_ = arrived;
+    return;
+  }
+  asio::post(loop_, [this, arrived, hops] { PostInputHandled(arrived, hops - 1); });
+}
+
 void DispatcherDaemon::DetectStall() {
   const std::optional<core::Duration> pause = stall_detector_.OnTurn(clock_.now());
   if (!pause) return;
--- a/src/zinniamuxd/dispatcher_daemon.h
+++ b/src/zinniamuxd/dispatcher_daemon.h
@@ -46,6 +46,10 @@
   void OnTimer();
   // Called before events may lead to orders.
   void DetectStall();
+  // The time up to which all input has been handled.
+  core::TimePoint InputHandled() const;
+  // Notes after this many turns of the loop that what had arrived by then is handled.
+  void PostInputHandled(core::TimePoint arrived, int hops);
   void AwaitSignal();
   void OnSignal(int signal);
   void StartShutdown();
@@ -87,6 +91,8 @@
   core::MessageDelayMeter message_delays_;
   core::BacklogMeter backlog_;
   core::StallDetector stall_detector_;
+  core::TimePoint input_handled_;
+  core::TimePoint timer_started_at_;
   std::uint64_t messages_handled_ = 0;
   std::uint64_t logged_placements_ = 0;
   // Unset until a shutdown is requested.
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -45,6 +45,12 @@
   return {.budget = bounds.run_ends, .fencing_token = fencing_token};
 }
 
+// Earlier versions of dispatchers do not tell; their frames count from now.
+TimePoint InputHandledBy(const runs::EntryFrame& frame, TimePoint now) {
+  if (frame.input_handled_clock_ms() == 0) return now;
+  return TimePoint(milliseconds(frame.input_handled_clock_ms()));
+}
+
 }  // namespace
 
 SupervisorDaemon::SupervisorDaemon(const adapters::SupervisorSettings& settings,
@@ -267,7 +273,7 @@
 void SupervisorDaemon::OnDispatcherFrame(DispatcherLink& link, const runs::EntryFrame& frame) {
   const std::string owner = link.owner();
   if (owner.empty()) return;
-  run_supervisor_.OnOwnerHeard(owner);
+  run_supervisor_.OnOwnerHeard(owner, InputHandledBy(frame, clock_.now()));
   report_schedule_.SetPause(link.address().entry_id, milliseconds(frame.report_pause_ms()));
   if (audience_.SetWanted(link.address().entry_id, frame.wants_changes())) ScheduleReports(true);
   exchange_.OnPeerVersion(link.address().entry_id, frame.config_version(), clock_.now());
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -161,6 +161,11 @@
   peer.outgoing.set_report_pause_ms(static_cast<std::uint32_t>(report_pace_.pause().count()));
   peer.outgoing.set_wants_changes(peers_by_supervisor_.size() <=
                                   options_.max_executors_for_all_changes);
+  if (handlers_.input_handled) {
+    // The first frame of the connection has set the offset.
+    peer.outgoing.set_input_handled_clock_ms(
+        ToClockMilliseconds(handlers_.input_handled() + peer.clock_offset.value()));
+  }
   const std::string bytes = peer.outgoing.SerializeAsString();
   peer.outgoing.Clear();
   peer.connection->Send(bytes);
--- a/src/zinniamuxd/supervisor_registry.h
+++ b/src/zinniamuxd/supervisor_registry.h
@@ -53,6 +53,8 @@
     std::function<void(std::uint64_t version, const std::string& body)> on_configuration;
     // How long the frame that is being handled has waited; see MessageDelayMeter.
     std::function<void(const std::string& supervisor_id, core::Duration delay)> on_message_delay;
+    // The time up to which the dispatcher has handled all input; see EntryFrame.
+    std::function<core::TimePoint()> input_handled;
     // All contents of a frame have been passed to the handlers.
     std::function<void()> on_frame_handled;
   };
--- a/tests/property/resent_jobs_property_test.cc
+++ b/tests/property/resent_jobs_property_test.cc
@@ -188,6 +188,47 @@
   }
 }
 
+// Guards against old frames that count as signs of life: supervisors that stood still when their
+// dispatcher was cut off, for less than any limit, read what it had sent before.
+Test(resent_jobs, run_once_if_supervisors_read_old_frames_of_a_dispatcher_that_is_cut_off) {
+  struct Freeze {
+    milliseconds before_cut;
+    milliseconds length;
+  };
+  for (const auto& [before_cut, length] :
+       {Freeze{milliseconds(10), milliseconds(400)}, Freeze{milliseconds(100), milliseconds(600)},
+        Freeze{milliseconds(300), milliseconds(900)}}) {
+    for (const std::uint64_t seed : {5, 10, 11, 14}) {
+      LeaseWorld world({.seed = seed});
+      AddTrace(world, {.seed = seed, .begin = kWarmUp, .length = seconds(5), .load = 0.9});
+      CutDispatcher(world, seconds(6));
+      for (std::size_t s = 0; s < kExecutors; s += 2) {
+        world.FreezeSupervisor(s, seconds(6) - before_cut, length);
+      }
+      world.Run(seconds(30));
+      const std::string problems = ProblemsOf(world);
+      cr_assert(problems.empty(), "%ld ms, seed %lu: %s", length.count(), seed, problems.c_str());
+    }
+  }
+}
+
+// Guards against supervisors that handle frames late and take them for recent ones.
+Test(resent_jobs, run_once_if_supervisors_are_late_when_their_dispatcher_is_cut_off) {
+  for (const int delay : {500, 800}) {
+    for (const std::uint64_t seed : {5, 10, 11, 14}) {
+      LeaseWorld world({.seed = seed});
+      AddTrace(world, {.seed = seed, .begin = kWarmUp, .length = seconds(5), .load = 0.9});
+      CutDispatcher(world, seconds(6));
+      for (std::size_t s = 0; s < kExecutors; s += 2) {
+        world.DelaySupervisor(s, milliseconds(delay), milliseconds(5900), seconds(2));
+      }
+      world.Run(seconds(30));
+      const std::string problems = ProblemsOf(world);
+      cr_assert(problems.empty(), "%d ms, seed %lu: %s", delay, seed, problems.c_str());
+    }
+  }
+}
+
 // Guards against starts that are carried out after their run was stopped and their executor has
 // restarted under its id: the next incarnation does not know the stop.
 Test(resent_jobs, run_once_if_stopped_starts_are_carried_out_in_the_next_incarnation) {
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -70,6 +70,9 @@
   TimePoint down_until;
   // The copies that wait for the answer of each job.
   std::map<std::string, std::set<std::size_t>> waiting;
+  // As in DispatcherDaemon.
+  TimePoint input_handled;
+  TimePoint timer_started_at;
 };
 
 struct LeaseWorld::Supervisor {
@@ -163,7 +166,9 @@
   for (std::size_t i = 0; i < dispatchers_.size(); ++i) {
     if (dispatchers_[i]->frozen_until > clock_.now()) continue;
     HandleInTurn(i, Duration(0), [this, i] {
-      dispatchers_[i]->scheduler->OnTimer();
+      Dispatcher& dispatcher = *dispatchers_[i];
+      dispatcher.input_handled = std::exchange(dispatcher.timer_started_at, clock_.now());
+      dispatcher.scheduler->OnTimer();
       CarryOutDispatcher(i);
     });
   }
@@ -219,9 +224,10 @@
       if (frozen || link.cut_until > clock_.now()) continue;
       Deliver(supervisors_[s]->frozen_until,
               TransitTime(link, link.last_to_supervisor, supervisors_[s]->delay),
-              [this, d, s, generation, pause = dispatchers_[d]->report_pace.pause()] {
+              [this, d, s, generation, handled = InputHandled(d),
+               pause = dispatchers_[d]->report_pace.pause()] {
                 if (LinkOf(d, s).generation != generation || !supervisors_[s]->core) return;
-                supervisors_[s]->core->OnOwnerHeard(OwnerOf(d));
+                supervisors_[s]->core->OnOwnerHeard(OwnerOf(d), handled);
                 supervisors_[s]->schedule.SetPause(NameOf(d), pause);
               });
     }
@@ -252,6 +258,7 @@
   CarryOutDispatcher(dispatcher);
   if (link.owner != OwnerOf(dispatcher)) LoseOwner(dispatcher, supervisor);
   link.owner = OwnerOf(dispatcher);
+  agent.core->OnOwnerHeard(link.owner, InputHandled(dispatcher));
   agent.audience->Add(NameOf(dispatcher));
   agent.audience->SetWanted(NameOf(dispatcher),
                             supervisors_.size() <= core::ReportAudience::kFewExecutors);
@@ -269,6 +276,11 @@
   return NameOf(dispatcher) + "." + std::to_string(dispatchers_[dispatcher]->incarnation);
 }
 
+TimePoint LeaseWorld::InputHandled(std::size_t dispatcher) const {
+  const Dispatcher& of = *dispatchers_[dispatcher];
+  return of.scheduler->job_count() == 0 ? clock_.now() : of.input_handled;
+}
+
 void LeaseWorld::LoseOwner(std::size_t dispatcher, std::size_t supervisor) {
   const std::string owner = std::exchange(LinkOf(dispatcher, supervisor).owner, "");
   if (owner.empty() || !supervisors_[supervisor]->core) return;
@@ -525,6 +537,7 @@
   options.availability_zone = "zone-" + std::to_string(index % options_.zones);
   options.placement_seed = static_cast<std::uint32_t>(index + 1);
   dispatchers_[index]->scheduler = std::make_unique<core::JobScheduler>(options, clock_);
+  dispatchers_[index]->input_handled = dispatchers_[index]->timer_started_at = clock_.now();
 }
 
 // --- Callers
@@ -632,10 +645,12 @@
     if (!link.connected) continue;
     Deliver(supervisors_[s]->frozen_until,
             TransitTime(link, link.last_to_supervisor, supervisors_[s]->delay),
-            [this, index, s, generation = link.generation, action = std::move(action)] {
+            [this, index, s, generation = link.generation, handled = InputHandled(index),
+             action = std::move(action)] {
               Supervisor& to = *supervisors_[s];
               if (LinkOf(index, s).generation != generation || !to.core) return;
               const std::string owner = OwnerOf(index);
+              to.core->OnOwnerHeard(owner, handled);
               if (const auto* stop = std::get_if<core::StopTask>(&action)) {
                 to.core->OnStopOrder(owner, stop->id);
               }
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -105,7 +105,7 @@
       clock.Advance(milliseconds(100));
       supervisor.OnConnectionRefused();
       supervisor.OnHoldAnswer(last_hold.number, std::nullopt);
-      supervisor.OnOwnerHeard(kOwner);
+      supervisor.OnOwnerHeard(kOwner, clock.now());
       supervisor.OnTimer();
       TakeActions();
       SaveLastHold();
@@ -297,7 +297,7 @@
   Fixture fixture;
   fixture.StartRun(0);
   fixture.clock.Advance(milliseconds(850));
-  fixture.supervisor.OnOwnerHeard("entry@2");
+  fixture.supervisor.OnOwnerHeard("entry@2", fixture.clock.now());
   fixture.supervisor.OnOrder("entry@2", {.id = MakeRunId(1),
                                          .need = {.cpu_milli = 1000, .memory_mb = 10},
                                          .expires = fixture.clock.now() + milliseconds(400)});
@@ -313,6 +313,38 @@
   cr_assert_eq((*fixture.last_hold.lease_until - fixture.ExecutorClock()).count(), 1000);
 }
 
+// Guards against an old frame that counts as a sign of life: it was sent before its dispatcher was
+// cut off, and read after its supervisor had stood still.
+Test(run_supervisor, counts_the_silence_of_an_owner_from_what_it_had_handled) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  const auto sent_at = fixture.clock.now();
+  fixture.clock.Advance(milliseconds(600));
+  fixture.supervisor.OnOwnerHeard(kOwner, sent_at);
+  fixture.clock.Advance(milliseconds(301));
+  fixture.supervisor.OnTimer();
+  fixture.TakeActions();
+  cr_assert_eq(fixture.ActionsOf<CallStop>().size(), 1);
+}
+
+// Guards against a run that the lease in force keeps alive for longer than its owner allows.
+Test(run_supervisor, refuses_orders_that_the_lease_in_force_would_outlast) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  const auto order_from = [&](const std::string& owner, milliseconds age) {
+    fixture.supervisor.OnOwnerHeard(owner, fixture.clock.now() - age);
+    fixture.supervisor.OnOrder(owner, {.id = MakeRunId(1),
+                                       .need = {.cpu_milli = 1000, .memory_mb = 10},
+                                       .expires = fixture.clock.now() + milliseconds(400)});
+    fixture.TakeActions();
+  };
+  order_from("entry@2", milliseconds(300));
+  cr_assert_eq(fixture.ActionsOf<CallStart>().size(), 0);
+  cr_assert(fixture.ActionsOf<RunUpdate>().at(0).outcome == RunOutcome::kNotAccepting);
+  order_from("entry@3", milliseconds(200));
+  cr_assert_eq(fixture.ActionsOf<CallStart>().size(), 1);
+}
+
 // Guards against logs that do not tell why a run was stopped.
 Test(run_supervisor, tells_why_a_run_is_stopped) {
   Fixture fixture;
@@ -350,7 +382,7 @@
   for (int i = 0; i < 12; ++i) {
     fixture.clock.Advance(milliseconds(150));
     fixture.supervisor.OnHoldAnswer(fixture.last_hold.number, std::nullopt);
-    fixture.supervisor.OnOwnerHeard(kOwner);
+    fixture.supervisor.OnOwnerHeard(kOwner, fixture.clock.now());
     fixture.supervisor.OnTimer();
     fixture.TakeActions();
     fixture.SaveLastHold();
@@ -403,7 +435,7 @@
   for (int i = 0; i < 20 && fixture.ActionsOf<RunUpdate>().empty(); ++i) {
     fixture.clock.Advance(milliseconds(100));
     fixture.supervisor.OnHoldAnswer(fixture.last_hold.number, std::nullopt);
-    fixture.supervisor.OnOwnerHeard(kOwner);
+    fixture.supervisor.OnOwnerHeard(kOwner, fixture.clock.now());
     fixture.supervisor.OnTimer();
     fixture.TakeActions();
     fixture.SaveLastHold();
