run supervisor: grant no lease while an unknown run is not stopped

A run that an earlier process of the supervisor left behind is stopped, and the stop repeated until it is answered. Meanwhile leases were renewed for the runs of the new process, and starts renewed them, too, so that the unknown run lived on; dispatchers take it for ended 2,020 ms after the earlier process was lost. The new process does not know whose run it is. It now grants no lease until the stop is answered: 2 ms, or 40 ms more for each lost answer, while the lease in force goes on.

Fails before: run_supervisor/grants_no_lease_while_an_unknown_run_is_not_stopped.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -74,7 +74,7 @@
   // Calls that were on their way, also late ones, are refused from the first call with this token.
   ++fencing_token_;
   last_seen_ = acknowledged_ = 0;
-  unknown_run_stops_.clear();
+  unknown_runs_.clear();
   // It is unknown which of them the earlier incarnation has run.
   for (auto& [id, run] : runs_) {
     run.may_have_run = true;
@@ -82,7 +82,8 @@
     run.seen_running = false;
   }
   // The new incarnation does not know that these were revoked.
-  for (const auto& [id, until] : revoked_starts_) unknown_run_stops_.emplace(id, clock_.now());
+  for (const auto& [id, until] : revoked_starts_)
+    unknown_runs_[id] = {.next_stop_at = clock_.now()};
   consecutive_unanswered_ = 0;
   executor_is_down_ = false;
   pace_ = PaceMeter();
@@ -97,7 +98,7 @@
     const bool crashed = outcome == RunOutcome::kBroken && IsLostInCrash(run->second);
     run = FinishRun(run, crashed ? RunOutcome::kExecutorCrashed : outcome);
   }
-  unknown_run_stops_.clear();
+  unknown_runs_.clear();
   holds_.clear();
   consecutive_unanswered_ = 0;
   executor_is_down_ = false;
@@ -329,13 +330,14 @@
 
 void RunSupervisor::OnStopAnswer(const RunId& id, bool answered) {
   RecordAnswer(answered);
-  StartWaitingOrders();
-  if (!answered) return;
-  unknown_run_stops_.erase(id);
+  if (!answered) return StartWaitingOrders();
+  unknown_runs_.erase(id);
   const auto found = runs_.find(id);
-  if (found == runs_.end() || found->second.state != State::kStopping) return;
-  found->second.state = State::kStopped;
-  found->second.state_since = clock_.now();
+  if (found != runs_.end() && found->second.state == State::kStopping) {
+    found->second.state = State::kStopped;
+    found->second.state_since = clock_.now();
+  }
+  StartWaitingOrders();
   SendDueHolds();
 }
 
@@ -356,7 +358,7 @@
 void RunSupervisor::ProcessEndedRun(const EndedRun& ended) {
   if (ended.number <= last_seen_) return;
   last_seen_ = ended.number;
-  unknown_run_stops_.erase(ended.id);
+  unknown_runs_.erase(ended.id);
   const auto run = runs_.find(ended.id);
   if (run != runs_.end()) FinishRun(run, ended.outcome);
 }
@@ -380,8 +382,10 @@
     const auto found = runs_.find(listed.id);
     if (found == runs_.end()) {
       // Left behind by an earlier process of the supervisor, or a start that was executed late.
-      if (unknown_run_stops_.contains(listed.id)) continue;
-      unknown_run_stops_.emplace(listed.id, now + options_.stop_retry);
+      const auto [unknown, is_new] = unknown_runs_.try_emplace(
+          listed.id, UnknownRun{.next_stop_at = now + options_.stop_retry});
+      unknown->second.is_listed = true;
+      if (!is_new) continue;
       actions_.emplace_back(
           CallStop{.id = listed.id, .executor_id = executor_->id, .fencing_token = fencing_token_});
       continue;
@@ -479,7 +483,7 @@
 }
 
 bool RunSupervisor::NeedsPoll() const {
-  return !runs_.empty() || !unknown_run_stops_.empty() || needs_first_poll_ ||
+  return !runs_.empty() || !unknown_runs_.empty() || needs_first_poll_ ||
          acknowledged_ < last_seen_;
 }
 
@@ -490,6 +494,10 @@
 }
 
 TimePoint RunSupervisor::LatestLeaseEnd() const {
+  // Whose run it is, and until when it may go on, is unknown.
+  const bool has_unknown = std::any_of(unknown_runs_.begin(), unknown_runs_.end(),
+                                       [](const auto& entry) { return entry.second.is_listed; });
+  if (has_unknown) return clock_.now();
   TimePoint end = clock_.now() + RunEndBudget::LongestLease(options_.budget.lease());
   for (const auto& [owner, heard] : owner_input_handled_) {
     end = std::min(end, heard + options_.budget.run_end());
@@ -608,9 +616,9 @@
   for (auto& [id, run] : runs_) {
     if (run.state == State::kStopping && run.next_stop_at <= now) SendStop(id, run);
   }
-  for (auto& [id, next] : unknown_run_stops_) {
-    if (next > now) continue;
-    next = now + options_.stop_retry;
+  for (auto& [id, run] : unknown_runs_) {
+    if (run.next_stop_at > now) continue;
+    run.next_stop_at = now + options_.stop_retry;
     actions_.emplace_back(
         CallStop{.id = id, .executor_id = executor_->id, .fencing_token = fencing_token_});
   }
@@ -627,7 +635,7 @@
   for (const auto& [id, run] : runs_) {
     if (run.state == State::kStopping) next = std::min(next, run.next_stop_at);
   }
-  for (const auto& [id, at] : unknown_run_stops_) next = std::min(next, at);
+  for (const auto& [id, run] : unknown_runs_) next = std::min(next, run.next_stop_at);
   if (!runs_.empty() && consecutive_unanswered_ > kMaxConsecutiveUnanswered) {
     next = std::min(next, lease_expires_at_ + options_.budget.stop_time());
   }
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -383,8 +383,13 @@
   double reported_pace_ = 0;
   // Set until a poll has shown which runs an earlier process of the supervisor left behind.
   bool needs_first_poll_ = false;
-  // Unknown runs that are being stopped, with the time of the next stop call.
-  std::map<RunId, TimePoint> unknown_run_stops_;
+  // Unknown runs that are being stopped.
+  struct UnknownRun {
+    TimePoint next_stop_at;
+    // The executor runs it.
+    bool is_listed = false;
+  };
+  std::map<RunId, UnknownRun> unknown_runs_;
   // Revoked starts, with the time after which the executor cannot execute them late any more.
   std::map<RunId, TimePoint> revoked_starts_;
   bool stopped_accepting_ = false;
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -479,6 +479,25 @@
   cr_assert(supervisor.accepting());
 }
 
+// Guards against a run of an earlier process that lives on the leases of new ones: its dispatcher
+// takes it for ended by the lease of that process.
+Test(run_supervisor, grants_no_lease_while_an_unknown_run_is_not_stopped) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  const RunId unknown = MakeRunId(9);
+  fixture.clock.Advance(milliseconds(1));
+  fixture.AnswerHold({.running = {{.id = MakeRunId(0)}, {.id = unknown}}});
+  cr_assert_not(fixture.last_hold.lease_until.has_value());
+  fixture.OrderRun(1);
+  cr_assert_eq(fixture.ActionsOf<CallStart>().size(), 0);
+  fixture.supervisor.OnStopAnswer(unknown, false);
+  fixture.TakeActions();
+  cr_assert_eq(fixture.ActionsOf<CallStart>().size(), 0);
+  fixture.supervisor.OnStopAnswer(unknown, true);
+  fixture.TakeActions();
+  cr_assert_eq(fixture.ActionsOf<CallStart>().size(), 1);
+}
+
 // Guards against a delayed status of an earlier incarnation that replaces a later one.
 Test(run_supervisor, ignores_the_status_of_an_earlier_incarnation) {
   Fixture fixture;
