run supervisor: take the clock of the executor's new incarnation at once

An executor that restarts under its id begins its clock anew. When its announcement told of the restart, leases were still given on the old clock until the first answer, and a late answer to an earlier start brought the old clock back. The executor cuts a lease that is far ahead to the longest one, so that a run could outlast the time that a silent dispatcher allows.

Fails before: run_supervisor/grants_leases_on_the_clock_of_the_new_incarnation.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -39,6 +39,7 @@
       ForgetExecutor(RunOutcome::kBroken);
     } else if (!same_incarnation) {
       BeginIncarnation(status.born_ms);
+      UpdateClockOffset(status.clock);
       holds_.clear();
     }
   }
@@ -49,8 +50,7 @@
   executor_ = status;
   if (is_new) {
     needs_first_poll_ = true;
-    clock_offset_ =
-        status.clock - std::chrono::duration_cast<milliseconds>(clock_.now().time_since_epoch());
+    UpdateClockOffset(status.clock);
   }
   if (changed) actions_.emplace_back(ReportChanged{});
   StartWaitingOrders();
@@ -272,11 +272,12 @@
 
 void RunSupervisor::OnStartAnswer(const RunId& id, StartAnswer answer,
                                   std::optional<ExecutorTime> clock) {
-  if (clock) UpdateClockOffset(*clock);
   RecordAnswer(answer != StartAnswer::kNone);
   const auto found = runs_.find(id);
   if (found == runs_.end()) return;
   Run& run = found->second;
+  // A late answer may be of an earlier incarnation, which had another clock.
+  if (clock && run.fencing_token == fencing_token_) UpdateClockOffset(*clock);
   if (answer == StartAnswer::kStarted) run.seen_running = true;
   if (answer != StartAnswer::kNone && run.state == State::kStarting) {
     constexpr double kWeight = 0.2;
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -423,6 +423,30 @@
   cr_assert(updates[0].outcome == RunOutcome::kExecutorCrashed);
 }
 
+// Guards against leases in the clock of the executor's earlier incarnation: the new clock begins
+// anew, and the executor cuts such a lease to the longest one instead of the one that was meant.
+Test(run_supervisor, grants_leases_on_the_clock_of_the_new_incarnation) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.OrderRun(1);
+  LeasedExecutor restarted = fixture.Status(1);
+  restarted.born_ms = 11;
+  restarted.clock = ExecutorTime(100);
+  fixture.supervisor.OnExecutorStatus(restarted);
+  fixture.TakeActions();
+  fixture.SaveLastHold();
+  cr_assert(fixture.last_hold.lease_until.has_value());
+  cr_assert_eq(fixture.last_hold.lease_until->count(), 1100);
+  fixture.AnswerHold(
+      {.born_ms = 11, .clock = ExecutorTime(100), .running = {{.id = MakeRunId(1)}}});
+  // To the start before the restart.
+  fixture.supervisor.OnStartAnswer(MakeRunId(1), StartAnswer::kStarted, ExecutorTime(9000));
+  fixture.OrderRun(2);
+  const auto starts = fixture.ActionsOf<CallStart>();
+  cr_assert_eq(starts.size(), 1);
+  cr_assert_eq(starts[0].lease_until.count(), 1100);
+}
+
 // Guards against jobs that fail because an executor was cut off: one refused connection in a
 // silence is no crash.
 Test(run_supervisor, reports_no_crash_of_an_executor_that_is_silent) {
