run supervisor: track unanswered starts whose run was stopped meanwhile

A start without an answer may be carried out seconds later. It was tracked as revoked, and stopped again after a restart of the executor, only if its dispatcher had not ordered the stop before the answer was overdue.

Fails before: run_supervisor/stops_unanswered_starts_again_after_a_restart.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -284,6 +284,9 @@
     const double seconds = std::chrono::duration<double>(clock_.now() - run.state_since).count();
     mean_answer_seconds_ += (seconds - mean_answer_seconds_) * kWeight;
   }
+  if (answer == StartAnswer::kNone && !run.seen_running) {
+    revoked_starts_[id] = clock_.now() + options_.late_execution_limit;
+  }
   if (run.state != State::kStarting) return;
   switch (answer) {
     case StartAnswer::kStarted:
@@ -321,7 +324,6 @@
         run.state_since = clock_.now();
         break;
       }
-      revoked_starts_[id] = clock_.now() + options_.late_execution_limit;
       BeginStop(id, run, StopReason::kStartUnanswered, RunOutcome::kUnhealthy);
       break;
   }
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -423,6 +423,28 @@
   cr_assert(updates[0].outcome == RunOutcome::kExecutorCrashed);
 }
 
+// Guards against a start that is carried out by the next incarnation of the executor, because its
+// run was stopped by its dispatcher before the start turned out to be unanswered.
+Test(run_supervisor, stops_unanswered_starts_again_after_a_restart) {
+  Fixture fixture;
+  fixture.OrderRun(0);
+  fixture.supervisor.OnStopOrder(kOwner, MakeRunId(0));
+  fixture.supervisor.OnStartAnswer(MakeRunId(0), StartAnswer::kNone, std::nullopt);
+  fixture.supervisor.OnStopAnswer(MakeRunId(0), true);
+  fixture.clock.Advance(milliseconds(1));
+  fixture.AnswerHold({});
+  fixture.AnswerHold({});
+  LeasedExecutor restarted = fixture.Status(1);
+  restarted.born_ms = 11;
+  fixture.supervisor.OnExecutorStatus(restarted);
+  fixture.clock.Advance(milliseconds(1));
+  fixture.supervisor.OnTimer();
+  fixture.TakeActions();
+  const auto stops = fixture.ActionsOf<CallStop>();
+  cr_assert_eq(stops.size(), 1);
+  cr_assert(stops[0].id == MakeRunId(0));
+}
+
 // Guards against leases in the clock of the executor's earlier incarnation: the new clock begins
 // anew, and the executor cuts such a lease to the longest one instead of the one that was meant.
 Test(run_supervisor, grants_leases_on_the_clock_of_the_new_incarnation) {
