job scheduler: tell the runs of two submissions on one executor apart

When a job is submitted again to the same dispatcher before the runs of its first submission have ended, and a task comes to the same executor, both runs had the number 1: the end of the first one was taken for the end of the second, whose task was then ordered again while it ran. A number that is still in use at a supervisor is now skipped.

Fails before: job_scheduler/tells_two_submissions_on_one_executor_apart.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -402,7 +402,12 @@
                        .rank = rank,
                        .urgent = job.request.urgent};
   }
-  ++task.run;
+  RunId id{.task = {.job_id = job.request.id, .step = step_index, .index = index},
+           .run = ++task.run};
+  // A run of an earlier submission of the job may not have ended there.
+  while (supervisor.runs.contains(id) || supervisor.orphaned_runs.contains(id)) {
+    id.run = ++task.run;
+  }
   task.state = TaskState::kOrdered;
   task.ordered_at = now;
   task.may_wait = !choice.at_once && rank == StartRank::kNormal;
@@ -413,8 +418,7 @@
   if (job.first_ordered == TimePoint()) job.first_ordered = now;
   start.starts.push_back({.index = index, .run = task.run});
   supervisor.view.OnOrder(start.order, requested_step.need);
-  supervisor.runs.insert(
-      {.task = {.job_id = job.request.id, .step = step_index, .index = index}, .run = task.run});
+  supervisor.runs.insert(std::move(id));
 }
 
 // --- Runs
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -484,6 +484,28 @@
   cr_assert_eq(fixture.ordered_tasks(), 0);
 }
 
+// Guards against the end of a run of an earlier submission that is taken for the end of the present
+// one on the same executor, whose task is then ordered a second time while it runs.
+Test(job_scheduler, tells_two_submissions_on_one_executor_apart) {
+  Fixture fixture({"a"});
+  fixture.Submit(fixture.MakeJob("job", 1));
+  fixture.scheduler.OnCancel("job");
+  fixture.starts.clear();
+  fixture.Submit(fixture.MakeJob("job", 1));
+  cr_assert_eq(fixture.ordered_tasks(), 1);
+  const RunId present{.task = {.job_id = "job"}, .run = fixture.starts.at(0).starts.at(0).run};
+  fixture.starts.clear();
+  fixture.answers.clear();
+  fixture.scheduler.OnRunUpdate("a", {.task = {.job_id = "job"}, .run = 1}, RunOutcome::kStopped,
+                                milliseconds(0));
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+  fixture.scheduler.OnRunUpdate("a", present, RunOutcome::kDone, milliseconds(100));
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.answers.size(), 1);
+  cr_assert(fixture.answers[0].answer.result == JobResult::kComplete);
+}
+
 // Guards against runs that stay on an executor that has become slow, while others have room.
 Test(job_scheduler, moves_a_run_off_a_slow_executor) {
   Fixture fixture({"a", "b", "c"});
