--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -506,6 +506,58 @@
   cr_assert(fixture.answers[0].answer.result == JobResult::kComplete);
 }
 
+// Guards against a job that is ordered again although its caller may have sent it elsewhere while
+// the dispatcher was cut off, and against a caller that still waits and gets no answer.
+Test(job_scheduler, gives_up_jobs_from_before_an_isolation) {
+  Fixture fixture;
+  fixture.Submit(fixture.MakeJob("started", 1));
+  const StartTasks start = fixture.starts.at(0);
+  const RunId run{.task = {.job_id = "started"}, .run = start.starts.at(0).run};
+  fixture.starts.clear();
+  fixture.clock.Advance(milliseconds(600));
+  fixture.Report("a", 4000);
+  fixture.scheduler.OnRunUpdate(start.agent_id, run, RunOutcome::kLapsed, milliseconds(0));
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+  cr_assert_eq(fixture.answers.size(), 1);
+  cr_assert(fixture.answers[0].answer.result == JobResult::kAbandoned);
+  cr_assert(fixture.answers[0].answer.reason == JobReason::kIsolated);
+  fixture.Submit(fixture.MakeJob("later", 1));
+  cr_assert_eq(fixture.ordered_tasks(), 1);
+}
+
+// Guards against a run that goes on after an isolation for longer than supervisors let it: the
+// closed connection of its caller may still be on its way.
+Test(job_scheduler, stops_runs_from_before_an_isolation_in_time) {
+  Fixture fixture;
+  fixture.Submit(fixture.MakeJob("job", 1));
+  fixture.clock.Advance(milliseconds(600));
+  fixture.Report("a", 4000);
+  fixture.scheduler.OnTimer();
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.stops.size(), 0);
+  fixture.clock.Advance(milliseconds(300));
+  fixture.scheduler.OnTimer();
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.stops.size(), 1);
+  cr_assert(fixture.answers.at(0).answer.reason == JobReason::kIsolated);
+}
+
+// Guards against jobs that are given up because one supervisor was silent: callers and the other
+// supervisors were heard.
+Test(job_scheduler, keeps_jobs_while_anything_arrives) {
+  Fixture fixture;
+  fixture.Submit(fixture.MakeJob("job", 1));
+  for (int i = 0; i < 4; ++i) {
+    fixture.clock.Advance(milliseconds(300));
+    fixture.Report("b", 4000);
+    fixture.scheduler.OnTimer();
+    fixture.PlaceAndTakeActions();
+  }
+  cr_assert_eq(fixture.stops.size(), 0);
+  cr_assert_eq(fixture.answers.size(), 0);
+}
+
 // Guards against runs that stay on an executor that has become slow, while others have room.
 Test(job_scheduler, moves_a_run_off_a_slow_executor) {
   Fixture fixture({"a", "b", "c"});
