registry, supervisor: handle stops before what counts as a sign of life

A frame of a dispatcher says up to when its sender had handled its input. The stops in the same frame follow from that input, so the runs that they stop have to end by what was handled before; the supervisor noted the new time first, up to 0.7 s later after a freeze of the dispatcher. A welcome was sent without the stops that could not be sent while there was no connection. With a supervisor that then stands still, or a stop that is not answered, a run could outlast its time.

Fails before: dispatcher_link/welcome_comes_together_with_stops. The order within a frame is shown by reading only.

--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -273,6 +273,10 @@
 void SupervisorDaemon::OnDispatcherFrame(DispatcherLink& link, const runs::EntryFrame& frame) {
   const std::string owner = link.owner();
   if (owner.empty()) return;
+  // The runs that it stops have to end by what the dispatcher had handled before.
+  for (const runs::RunRef& stop : frame.stops()) {
+    run_supervisor_.OnStopOrder(owner, FromMessage(stop));
+  }
   run_supervisor_.OnOwnerHeard(owner, InputHandledBy(frame, clock_.now()));
   report_schedule_.SetPause(link.address().entry_id, milliseconds(frame.report_pause_ms()));
   if (audience_.SetWanted(link.address().entry_id, frame.wants_changes())) ScheduleReports(true);
@@ -287,6 +291,7 @@
     std::uint64_t& seen = orders_seen_[owner];
     seen = std::max(seen, message.order());
   }
+  // Runs that the same frame has ordered.
   for (const runs::RunRef& stop : frame.stops()) {
     run_supervisor_.OnStopOrder(owner, FromMessage(stop));
   }
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -81,9 +81,6 @@
   if (frame.has_hello()) OnHello(peer, frame.hello());
   if (peer->supervisor_id.empty()) return ClosePeer(peer, "no hello in the first frame");
   handlers_.on_message_delay(peer->supervisor_id, delay);
-  // Sending the welcome may have closed the connection.
-  const auto registered = peers_by_supervisor_.find(peer->supervisor_id);
-  if (registered == peers_by_supervisor_.end() || registered->second != peer) return;
   for (const runs::RunUpdate& update : frame.updates()) {
     handlers_.on_update(peer->supervisor_id, FromMessage(update.run()), OutcomeFromMessage(update),
                         std::chrono::milliseconds(update.elapsed_ms()));
@@ -100,6 +97,11 @@
     handlers_.on_configuration(frame.config_version(), frame.config_body());
   }
   handlers_.on_frame_handled();
+  // A welcome comes together with the stops of runs that belong to no job any more, so that it does
+  // not count as a sign of life for them.
+  const auto registered = peers_by_supervisor_.find(peer->supervisor_id);
+  const bool is_registered = registered != peers_by_supervisor_.end() && registered->second == peer;
+  if (is_registered && peer->has_outgoing) SendOutgoing(*peer);
 }
 
 void SupervisorRegistry::OnHello(const std::shared_ptr<Peer>& peer, const runs::AgentHello& hello) {
@@ -116,7 +118,6 @@
   welcome->set_entry_id(options_.entry_id);
   welcome->set_incarnation(options_.incarnation);
   peer->has_outgoing = true;
-  SendOutgoing(*peer);
 }
 
 void SupervisorRegistry::ClosePeer(const std::shared_ptr<Peer>& peer, const std::string& reason) {
--- a/tests/unit/dispatcher_link_test.cc
+++ b/tests/unit/dispatcher_link_test.cc
@@ -31,6 +31,8 @@
   zinniamux::testing::PortBlock ports;
   std::uint16_t port = ports.Next();
   int attachments = 0;
+  std::function<void()> on_frame_handled = [] {};
+  std::vector<zinniamux::runs::EntryFrame> frames;
   std::optional<SupervisorRegistry> registry;
   // "ID: REASON" of each connection that ended.
   std::vector<std::string> disconnections;
@@ -47,7 +49,7 @@
                                      .on_update = [](const auto&...) {},
                                      .on_configuration = [](const auto&...) {},
                                      .on_message_delay = [](const auto&...) {},
-                                     .on_frame_handled = [] {}});
+                                     .on_frame_handled = [this] { on_frame_handled(); }});
     cr_assert(registry->Listen().has_value());
   }
   ~Fixture() {
@@ -68,7 +70,9 @@
                   frame.mutable_hello()->set_agent_id("s-1");
                 },
             .fill_heartbeat = [](const auto&...) {},
-            .on_frame = [](const auto&...) {},
+            .on_frame = [this](
+                            const std::string& /*owner*/,
+                            const zinniamux::runs::EntryFrame& frame) { frames.push_back(frame); },
             .on_owner_lost = [](const auto&...) {},
             .on_connection_changed =
                 [this](const std::string& id, bool connected, const std::string& reason) {
@@ -123,6 +127,21 @@
   cr_assert(odd.IsReplacedBy(address));
 }
 
+// Guards against a welcome that counts as a sign of life for runs whose stops come after it: they
+// could not be sent while there was no connection.
+Test(dispatcher_link, welcome_comes_together_with_stops) {
+  Fixture f;
+  const zinniamux::core::RunId run{.task = {.job_id = "job"}, .run = 1};
+  f.on_frame_handled = [&f, run] {
+    f.registry->QueueStop({.agent_id = "s-1", .id = run});
+    f.registry->Flush();
+  };
+  f.AddLink(f.Address("d-1"));
+  cr_assert(f.RunUntil([&f] { return !f.frames.empty(); }));
+  cr_assert(f.frames.front().has_welcome());
+  cr_assert_eq(f.frames.front().stops_size(), 1);
+}
+
 // Guards against a row with a wrong address that ends a connection which works, and against a
 // dispatcher that is not found at its new address.
 Test(dispatcher_link, wrong_address_in_a_row_ends_no_working_connection) {
