run supervisor: refuse what no lease is left for, at once and by its name

While leases were withheld, orders that expect room were refused as no_room, so that dispatchers took the executor for full; an order of a dispatcher that counts as silent was started and stopped 1 ms later; a start whose lease was over was sent again at once, 300 times in 120 ms.

Fail before: run_supervisor/refuses_orders_without_a_lease_as_not_accepted, refuses_orders_of_an_owner_that_counts_as_silent, ends_a_start_for_which_no_lease_is_left. Also grants_no_lease_beyond_the_time_of_a_run_that_is_being_stopped, which fails if that bound is removed; nothing guarded it.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -143,11 +143,10 @@
 std::optional<RunOutcome> RunSupervisor::ReasonToRefuse(const std::string& owner,
                                                         const RunOrder& order) const {
   if (!accepting()) return RunOutcome::kNotAccepting;
-  // The lease in force would keep the run alive for too long, or a new one would end too soon.
+  // The owner counts as silent, or the lease in force would keep the run alive for too long.
   const TimePoint end = RunEndOf(owner);
-  if (end < std::max(lease_expires_at_, clock_.now() + options_.min_start_lease)) {
-    return RunOutcome::kNotAccepting;
-  }
+  const TimePoint silent_at = end - options_.budget.run_end() + options_.budget.silence();
+  if (silent_at < clock_.now() || end < lease_expires_at_) return RunOutcome::kNotAccepting;
   if (clock_.now() > order.expires) return RunOutcome::kExpired;
   if (!order.need.Fits(executor_->capacity)) return RunOutcome::kNoRoom;
   if (queue_.ContainsTask(order.id.task)) return RunOutcome::kOutdated;
@@ -173,7 +172,8 @@
   StartWaitingOrders();
   if (!order.at_once) return;
   if (auto waiting = queue_.TakeOrder(owner, order.id)) {
-    RefuseOrders({*std::move(waiting)}, RunOutcome::kNoRoom);
+    RefuseOrders({*std::move(waiting)},
+                 CanLeaseStarts() ? RunOutcome::kNoRoom : RunOutcome::kNotAccepting);
   }
 }
 
@@ -300,11 +300,11 @@
       if (run.fencing_token == fencing_token_) {
         fencing_token_ += std::max<std::uint64_t>(1, fencing_token_ / 1024);
       }
-      if (clock_.now() <= run.order.expires) return SendStart(run);
+      if (clock_.now() <= run.order.expires && CanLeaseStarts()) return SendStart(run);
       FinishRun(found, RunOutcome::kExpired);
       break;
     case StartAnswer::kLeaseExpired:
-      if (clock_.now() <= run.order.expires) return SendStart(run);
+      if (clock_.now() <= run.order.expires && CanLeaseStarts()) return SendStart(run);
       FinishRun(found, RunOutcome::kExpired);
       break;
     case StartAnswer::kNoRoom:
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -345,6 +345,70 @@
   cr_assert_eq(fixture.ActionsOf<CallStart>().size(), 1);
 }
 
+// Guards against an order whose run is stopped at once, because its owner counts as silent.
+Test(run_supervisor, refuses_orders_of_an_owner_that_counts_as_silent) {
+  Fixture fixture;
+  fixture.supervisor.OnOwnerHeard(kOwner, fixture.clock.now() - milliseconds(950));
+  fixture.OrderRun(0);
+  cr_assert_eq(fixture.ActionsOf<CallStart>().size(), 0);
+  cr_assert(fixture.ActionsOf<RunUpdate>().at(0).outcome == RunOutcome::kNotAccepting);
+}
+
+// Guards against dispatchers that take an executor for full while it only grants no lease.
+Test(run_supervisor, refuses_orders_without_a_lease_as_not_accepted) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.clock.Advance(milliseconds(1));
+  fixture.AnswerHold({.running = {{.id = MakeRunId(0)}, {.id = MakeRunId(9)}}});
+  fixture.OrderRun(1, 1000, true);
+  cr_assert(fixture.ActionsOf<RunUpdate>().at(0).outcome == RunOutcome::kNotAccepting);
+}
+
+// Guards against starts that are sent again and again while the lease that they need is withheld.
+Test(run_supervisor, ends_a_start_for_which_no_lease_is_left) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.clock.Advance(milliseconds(860));
+  fixture.supervisor.OnOwnerHeard("entry@2", fixture.clock.now());
+  fixture.supervisor.OnOrder("entry@2", {.id = MakeRunId(1),
+                                         .need = {.cpu_milli = 1000, .memory_mb = 10},
+                                         .expires = fixture.clock.now() + milliseconds(400)});
+  fixture.clock.Advance(milliseconds(220));
+  fixture.TakeActions();
+  fixture.supervisor.OnStartAnswer(MakeRunId(1), StartAnswer::kLeaseExpired, std::nullopt);
+  fixture.TakeActions();
+  cr_assert_eq(fixture.ActionsOf<CallStart>().size(), 0);
+  cr_assert(fixture.ActionsOf<RunUpdate>().at(0).outcome == RunOutcome::kExpired);
+}
+
+// Guards against a run that lives on the leases of others because its stop is not answered: its
+// owner is heard again, but must not extend its time.
+Test(run_supervisor, grants_no_lease_beyond_the_time_of_a_run_that_is_being_stopped) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  const auto heard = fixture.clock.now();
+  fixture.supervisor.OnStopOrder(kOwner, MakeRunId(0));
+  fixture.clock.Advance(milliseconds(250));
+  fixture.supervisor.OnOwnerHeard(kOwner, fixture.clock.now());
+  fixture.AnswerHold({.running = {{.id = MakeRunId(0)}}});
+  fixture.supervisor.OnOrder(kOwner, {.id = MakeRunId(1),
+                                      .need = {.cpu_milli = 1000, .memory_mb = 10},
+                                      .expires = fixture.clock.now() + milliseconds(400)});
+  fixture.clock.Advance(milliseconds(200));
+  fixture.supervisor.OnOwnerHeard(kOwner, fixture.clock.now());
+  fixture.supervisor.OnOrder(kOwner, {.id = MakeRunId(2),
+                                      .need = {.cpu_milli = 1000, .memory_mb = 10},
+                                      .expires = fixture.clock.now() + milliseconds(400)});
+  fixture.TakeActions();
+  const auto starts = fixture.ActionsOf<CallStart>();
+  cr_assert_eq(starts.size(), 2);
+  constexpr double kClockRate = 0.98;
+  const auto lease = starts[1].lease_until - fixture.ExecutorClock();
+  const auto end = fixture.clock.now() + std::chrono::duration_cast<milliseconds>(
+                                             std::chrono::duration<double>(lease) / kClockRate);
+  cr_assert_leq((end - heard).count(), 1'251'000);
+}
+
 // Guards against logs that do not tell why a run was stopped.
 Test(run_supervisor, tells_why_a_run_is_stopped) {
   Fixture fixture;
