run end budget: refuse times for which heartbeats look like an isolation

With retransmit_ms of 900 to 1,100 the isolation limit was 100 to 300 ms, no longer than the time between two heartbeats, so that each quiet moment counted as an isolation and cost the waiting jobs. Such settings are refused at the start: 1,200 ms is the least with a stop_ms of 50.

Fails before: run_end_budget/ends_runs_before_a_second_copy_starts with retransmit 900.

--- a/src/core/run_end_budget.cc
+++ b/src/core/run_end_budget.cc
@@ -31,8 +31,8 @@
 
 Result<RunEndBudget> RunEndBudget::For(const Deployment& deployment) {
   const RunEndBudget budget(deployment);
-  // A heartbeat, and one timer on each side.
-  constexpr milliseconds kMinSilence = kHeartbeat + kDelivery * 4;
+  // Isolation is noticed one heartbeat before the silence ends, and heartbeats do not count as one.
+  constexpr milliseconds kMinSilence = (kHeartbeat + kDelivery * 2) * 2;
   if (budget.silence_ < kMinSilence) {
     return tl::unexpected(Contradiction("callers that send again after " +
                                         Text(deployment.retransmit) + " and executors that take " +
--- a/src/core/run_end_budget.h
+++ b/src/core/run_end_budget.h
@@ -56,8 +56,9 @@
   std::chrono::milliseconds order_expiry() const { return kOrderExpiry; }
   // After a longer stall, a dispatcher orders nothing until it has handled its input.
   std::chrono::milliseconds stall_limit() const { return silence_ - kDelivery * 2; }
-  // A dispatcher that has heard no supervisor for this long may have been cut off from its callers,
-  // too. Shorter than the silence by one heartbeat, as any of them may have been the last one.
+  // A dispatcher that has heard neither a caller nor a supervisor for this long may have been cut
+  // off from both. Shorter than the silence by one heartbeat, as any of them may have been the last
+  // one.
   std::chrono::milliseconds isolation_limit() const {
     return silence_ - kHeartbeat - kDelivery * 2;
   }
