job scheduler: count no isolation before the first supervisor

A job that came in the first second after the start, before any supervisor was connected, was refused as isolated when the first supervisor came more than 500 ms later. Nothing can have been ordered by then.

Fails before: job_scheduler/keeps_jobs_that_wait_for_the_first_supervisor. Also orders_nothing_for_jobs_that_waited_in_an_isolation, which fails if nothing holds orders back at placement.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -16,7 +16,8 @@
       started_(clock.now()),
       wait_policy_(options.wait),
       placement_({.availability_zone = options.availability_zone}),
-      placement_random_(options.placement_seed) {}
+      placement_random_(options.placement_seed),
+      last_input_(started_) {}
 
 // --- Admission
 
@@ -71,9 +72,10 @@
 
 void JobScheduler::NoteInput() {
   const TimePoint now = clock_.now();
-  if (last_input_ && now - *last_input_ > options_.budget.isolation_limit()) {
+  // Until the first supervisor has come, nothing was ordered.
+  if (!supervisors_.empty() && now - last_input_ > options_.budget.isolation_limit()) {
     isolation_began_ = last_input_;
-    actions_.emplace_back(IsolationEnded{.length = now - *last_input_});
+    actions_.emplace_back(IsolationEnded{.length = now - last_input_});
   }
   last_input_ = now;
 }
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -95,9 +95,8 @@
 // - A job is refused only if none of its tasks was ever ordered, or if no order has started a run.
 // - Nothing is ordered after the job's deadline, and orders expire at the supervisor.
 // - After an isolation, nothing is ordered for jobs that were accepted before it, and their runs
-// end
-//   as if supervisors had not heard the dispatcher: their callers may have sent them elsewhere, and
-//   the closed connections may still be on their way.
+//   end as if supervisors had not heard the dispatcher: their callers may have sent them elsewhere,
+//   and the closed connections may still be on their way.
 // Not thread-safe.
 class JobScheduler {
  public:
@@ -165,6 +164,8 @@
 
   std::vector<SchedulerAction> TakeActions();
 
+  // When callers or supervisors last sent something; before that, when the process started.
+  TimePoint last_input() const { return last_input_; }
   bool Knows(const std::string& job_id) const { return jobs_.contains(job_id); }
   std::size_t job_count() const { return jobs_.size(); }
   // Jobs with ready tasks that are not ordered.
@@ -387,8 +388,7 @@
   std::map<OrderKey, StartTasks> unsent_starts_;
   // Set after a stall.
   std::optional<TimePoint> orders_paused_until_;
-  // When something last arrived; unset before the first time.
-  std::optional<TimePoint> last_input_;
+  TimePoint last_input_;
   // Since then, nothing arrived for longer than `isolation_limit`. Of the last such time.
   std::optional<TimePoint> isolation_began_;
   std::uint64_t next_order_ = 1;
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -526,6 +526,50 @@
   cr_assert_eq(fixture.ordered_tasks(), 1);
 }
 
+// Guards against a job that waits for room to run again, and is ordered after an isolation.
+Test(job_scheduler, orders_nothing_for_jobs_that_waited_in_an_isolation) {
+  Fixture fixture({"a"});
+  fixture.Submit(fixture.MakeJob("job", 1));
+  fixture.Report("a", 0, 1, fixture.starts.at(0).order);
+  fixture.scheduler.OnRunUpdate("a", {.task = {.job_id = "job"}, .run = 1}, RunOutcome::kLapsed,
+                                milliseconds(0));
+  fixture.starts.clear();
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+  cr_assert_eq(fixture.answers.size(), 0);
+  fixture.clock.Advance(milliseconds(600));
+  fixture.Report("a", 4000);
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+  cr_assert_eq(fixture.answers.size(), 1);
+  cr_assert(fixture.answers[0].answer.reason == JobReason::kIsolated);
+}
+
+// Guards against jobs that are given up because the first supervisor came late.
+Test(job_scheduler, keeps_jobs_that_wait_for_the_first_supervisor) {
+  Fixture fixture(std::vector<std::string>{});
+  JobRequest job = fixture.MakeJob("early", 1);
+  job.slack = seconds(1);
+  JobScheduler scheduler({.availability_zone = "zone"}, fixture.clock);
+  fixture.clock.Advance(milliseconds(50));
+  scheduler.OnJob(job);
+  scheduler.Place();
+  fixture.clock.Advance(milliseconds(600));
+  scheduler.OnAgentAttached("a", "zone", 1, {});
+  scheduler.OnReport("a", {.executor_id = "executor-a",
+                           .service = "service",
+                           .accepting = true,
+                           .capacity = {.cpu_milli = 4000, .memory_mb = 1000},
+                           .free = {.cpu_milli = 4000, .memory_mb = 1000},
+                           .pace = 1});
+  scheduler.Place();
+  std::size_t started = 0;
+  for (const auto& action : scheduler.TakeActions()) {
+    started += std::holds_alternative<StartTasks>(action) ? 1 : 0;
+  }
+  cr_assert_eq(started, 1);
+}
+
 // Guards against a run that goes on after an isolation for longer than supervisors let it: the
 // closed connection of its caller may still be on its way.
 Test(job_scheduler, stops_runs_from_before_an_isolation_in_time) {
