dispatcher: claim no handled input while nothing arrives

In a cut in one direction, supervisors hear a dispatcher that hears nothing, neither them nor the closed connections of callers. Its frames went on to claim that all input was handled. The claim now ends with the last input that came.

In the simulated world the claim was also wrong with processor shares: a tick that waited in the queue claimed the time at which the one before it was handled, not its own arrival, so that a dispatcher that is behind looked as if it were not.

The repository has no test of its own for it yet.

--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -1,6 +1,7 @@
 // Connects the scheduler to callers, supervisors, the store and the timers.
 #include "zinniamuxd/dispatcher_daemon.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <chrono>
 #include <csignal>
@@ -221,7 +222,9 @@
 
 core::TimePoint DispatcherDaemon::InputHandled() const {
   // Without jobs, no input matters to a run.
-  return scheduler_.job_count() == 0 ? clock_.now() : input_handled_;
+  if (scheduler_.job_count() == 0) return clock_.now();
+  // While nothing arrives, it is unknown what is on its way.
+  return std::min(input_handled_, scheduler_.last_input());
 }
 
 void DispatcherDaemon::OnTimer() {
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -73,9 +73,7 @@
   // Closed connections of callers are on their way until then.
   TimePoint closes_held_until;
   TimePoint callers_cut_until;
-  // As in DispatcherDaemon.
   TimePoint input_handled;
-  TimePoint timer_started_at;
 };
 
 struct LeaseWorld::Supervisor {
@@ -168,10 +166,10 @@
   }
   for (std::size_t i = 0; i < dispatchers_.size(); ++i) {
     if (dispatchers_[i]->frozen_until > clock_.now()) continue;
-    HandleInTurn(i, Duration(0), [this, i] {
-      Dispatcher& dispatcher = *dispatchers_[i];
-      dispatcher.input_handled = std::exchange(dispatcher.timer_started_at, clock_.now());
-      dispatcher.scheduler->OnTimer();
+    HandleInTurn(i, Duration(0), [this, i, arrived = clock_.now()] {
+      // What arrived before has been handled.
+      dispatchers_[i]->input_handled = arrived;
+      dispatchers_[i]->scheduler->OnTimer();
       CarryOutDispatcher(i);
     });
   }
@@ -281,7 +279,8 @@
 
 TimePoint LeaseWorld::InputHandled(std::size_t dispatcher) const {
   const Dispatcher& of = *dispatchers_[dispatcher];
-  return of.scheduler->job_count() == 0 ? clock_.now() : of.input_handled;
+  if (of.scheduler->job_count() == 0) return clock_.now();
+  return std::min(of.input_handled, of.scheduler->last_input());
 }
 
 void LeaseWorld::LoseOwner(std::size_t dispatcher, std::size_t supervisor) {
@@ -540,7 +539,7 @@
   options.availability_zone = "zone-" + std::to_string(index % options_.zones);
   options.placement_seed = static_cast<std::uint32_t>(index + 1);
   dispatchers_[index]->scheduler = std::make_unique<core::JobScheduler>(options, clock_);
-  dispatchers_[index]->input_handled = dispatchers_[index]->timer_started_at = clock_.now();
+  dispatchers_[index]->input_handled = clock_.now();
 }
 
 // --- Callers
