--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,6 +1,9 @@
 #!/usr/bin/env bash
 # Runs drawn fault rounds with real processes; prints one JSON line per round.
 # Usage: scripts/faults.sh --seed N --rounds N [--parallel N] [--faults NAME,NAME] [--entries N]
+#        scripts/faults.sh --roles leased --seed N --rounds N [--parallel N] [--daemon FILE]
+# The roles are entry and agent, or dispatcher and supervisor with executors that keep leases. Exits
+# with 1 if a round broke a rule; logs and records of such a round are kept in its "directory".
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
