--- a/tests/fault_rounds/main.cc
+++ b/tests/fault_rounds/main.cc
@@ -56,6 +56,8 @@
   TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of the first round", false, 1, "N",
                                       command);
   TCLAP::ValueArg<std::size_t> rounds("", "rounds", "number of rounds", false, 1, "N", command);
+  TCLAP::ValueArg<std::size_t> skip("", "skip", "rounds of the seed to leave out at first", false,
+                                    0, "N", command);
   TCLAP::ValueArg<std::size_t> parallel("", "parallel", "rounds at a time", false, 1, "N", command);
   TCLAP::ValueArg<std::size_t> entries("", "entries", "entries", false, 2, "N", command);
   TCLAP::ValueArg<std::string> names("", "faults", "comma-separated faults instead of drawn ones",
@@ -97,7 +99,7 @@
   std::mutex output;
   const auto work = [&] {
     for (std::size_t index = next++; index < rounds.getValue(); index = next++) {
-      const std::uint64_t round_seed = seed.getValue() * 1'000'000 + index;
+      const std::uint64_t round_seed = seed.getValue() * 1'000'000 + skip.getValue() + index;
       try {
         const Verdict verdict = run_round(round_seed);
         if (!verdict.clean) ++unclean;
--- a/tests/support/leased_deployment.cc
+++ b/tests/support/leased_deployment.cc
@@ -75,25 +75,24 @@
     }
     StartExecutor(index);
   }
-  loop_thread_ = std::thread([this] { loop_.run(); });
+  loop_thread_ = std::jthread([this](const std::stop_token& stop) {
+    const std::stop_callback on_stop(stop, [this] { loop_.stop(); });
+    loop_.run();
+  });
   for (std::size_t index = 0; index < dispatchers_.size(); ++index) StartDispatcher(index);
   for (std::size_t index = 0; index < supervisors_.size(); ++index) StartSupervisor(index);
   const bool ready = WaitFor([this] {
     return std::all_of(dispatchers_.begin(), dispatchers_.end(),
                        [this](const Dispatcher& dispatcher) { return IsReady(dispatcher); });
   });
-  if (ready) return;
-  keep_directory_ = true;
-  loop_.stop();
-  loop_thread_.join();
-  throw std::runtime_error("the deployment did not become ready: " + directory_.string());
+  if (!ready) {
+    throw std::runtime_error("the deployment did not become ready: " + directory_.string());
+  }
 }
 
 LeasedDeployment::~LeasedDeployment() {
   for (Supervisor& supervisor : supervisors_) supervisor.process.reset();
   for (Dispatcher& dispatcher : dispatchers_) dispatcher.process.reset();
-  loop_.stop();
-  loop_thread_.join();
   if (!keep_directory_ && std::getenv("ZINNIAMUX_KEEP_LOGS") == nullptr) {
     std::filesystem::remove_all(directory_);
   }
--- a/tests/support/leased_deployment.h
+++ b/tests/support/leased_deployment.h
@@ -105,7 +105,8 @@
   std::vector<std::unique_ptr<LeasedExecutor>> executors_;
   std::vector<Dispatcher> dispatchers_;
   std::vector<Supervisor> supervisors_;
-  std::thread loop_thread_;
+  // Last, so that the loop has ended before what it uses is destroyed.
+  std::jthread loop_thread_;
 };
 
 }  // namespace zinniamux::testing
