lease world: unread requests in a cut, freezes in a pass, batches of closes, traces

For draws of several faults at a time, the world was too kind in four places:

- A caller whose connection breaks while its dispatcher is cut off from it cannot know whether its request was read.
- A dispatcher can stand still in the middle of a pass (FreezeDispatcherInPass): its clock jumps, and what it ordered is sent afterwards.
- Closed connections can take processor time.
At most 128 are then handled at a time, with timers and messages in between, as asio does.
- A shorter cut no longer ends a longer one, and a freeze does not bring a killed process back.

The world can record what happens to one job.

--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -53,16 +53,52 @@
   std::string owner;
 };
 
+// The clock that a dispatcher reads. It may jump during an event, if the process stands still then.
+class LeaseWorld::DispatcherClock : public core::Clock {
+ public:
+  explicit DispatcherClock(const core::Clock& clock) : clock_(clock) {}
+
+  TimePoint now() const override {
+    if (reads_left_ > 0 && --reads_left_ == 0) stands_until_ = clock_.now() + length_;
+    return std::max(clock_.now(), stands_until_);
+  }
+  void StandStill(std::size_t reads, Duration length) {
+    reads_left_ = reads;
+    length_ = length;
+  }
+  void Reset() {
+    reads_left_ = 0;
+    stands_until_ = {};
+  }
+  // The end of the last standstill.
+  TimePoint stands_until() const { return stands_until_; }
+
+ private:
+  const core::Clock& clock_;
+  mutable std::size_t reads_left_ = 0;
+  mutable TimePoint stands_until_;
+  Duration length_{0};
+};
+
 struct LeaseWorld::Dispatcher {
+  explicit Dispatcher(const core::Clock& world_clock) : clock(world_clock) {}
+
   struct Arrived {
     Duration cost{0};
     std::function<void()> action;
   };
+  struct Close {
+    std::string id;
+    std::size_t copy = 0;
+  };
+  DispatcherClock clock;
   std::unique_ptr<core::JobScheduler> scheduler;
   TimePoint frozen_until;
   // What has arrived and waits for the processor.
   std::deque<Arrived> inbox;
   bool busy = false;
+  // Closed connections that have arrived.
+  std::deque<Close> closes;
   core::ReportPace report_pace;
   core::BacklogMeter backlog;
   core::StallDetector stall_detector;
@@ -117,7 +153,7 @@
     supervisors_.push_back(std::make_unique<Supervisor>());
   }
   for (std::size_t i = 0; i < options_.dispatchers; ++i) {
-    dispatchers_.push_back(std::make_unique<Dispatcher>());
+    dispatchers_.push_back(std::make_unique<Dispatcher>(clock_));
     StartDispatcher(i);
   }
   links_.resize(options_.dispatchers * supervisors_.size());
@@ -181,6 +217,8 @@
   Dispatcher& by = *dispatchers_[dispatcher];
   if (by.stall_detector.OnTurn(clock_.now())) by.scheduler->OnStall();
   action();
+  // It has stood still in this event.
+  by.frozen_until = std::max(by.frozen_until, by.clock.stands_until());
 }
 
 void LeaseWorld::HandleInTurn(std::size_t dispatcher, Duration cost, std::function<void()> action) {
@@ -367,6 +405,12 @@
   bool report = false;
   std::set<std::size_t> informed;
   for (core::SupervisorAction& action : supervisors_[index]->core->TakeActions()) {
+    if (const auto* stopping = std::get_if<core::RunStopping>(&action)) {
+      const auto unheard = std::chrono::duration_cast<milliseconds>(stopping->unheard).count();
+      Trace(stopping->id, "is stopped by agent-" + std::to_string(index) + ", " +
+                              std::string(core::NameOf(stopping->reason)) + ", its dispatcher " +
+                              "unheard for " + std::to_string(unheard) + " ms");
+    }
     if (const auto* start = std::get_if<core::CallStart>(&action)) {
       CallExecutor(index, *start);
     } else if (const auto* stop = std::get_if<core::CallStop>(&action)) {
@@ -376,6 +420,8 @@
     } else if (const auto* update = std::get_if<core::RunUpdate>(&action)) {
       room_changed = true;
       if (!HasStarted(update->outcome)) ++refused_starts_;
+      Trace(update->id, "is over for agent-" + std::to_string(index) + ": " +
+                            std::string(core::NameOf(update->outcome)));
       const std::size_t d = IndexOf(update->owner);
       Link& link = LinkOf(d, index);
       if (!link.connected || link.owner != update->owner) continue;
@@ -539,7 +585,8 @@
   core::JobScheduler::Options options = options_.scheduler;
   options.availability_zone = "zone-" + std::to_string(index % options_.zones);
   options.placement_seed = static_cast<std::uint32_t>(index + 1);
-  dispatchers_[index]->scheduler = std::make_unique<core::JobScheduler>(options, clock_);
+  dispatchers_[index]->scheduler =
+      std::make_unique<core::JobScheduler>(options, dispatchers_[index]->clock);
   dispatchers_[index]->input_handled = dispatchers_[index]->timer_started_at = clock_.now();
 }
 
@@ -569,6 +616,8 @@
   caller.is_waiting = true;
   caller.is_read = false;
   const TimePoint cut_until = dispatchers_[to]->callers_cut_until;
+  caller.is_held = cut_until > clock_.now();
+  Trace(id, "copy " + std::to_string(caller.copy + 1) + " is sent to " + NameOf(to));
   const Duration delay =
       cut_until > clock_.now() ? cut_until - clock_.now() + kResendDelay : Duration(0);
   Deliver(dispatchers_[to]->frozen_until, delay,
@@ -583,7 +632,10 @@
   Dispatcher& by = *dispatchers_[dispatcher];
   Caller& caller = callers_.at(id);
   const bool is_open = caller.copy == copy && caller.is_waiting;
-  if (!is_open && options_.drop_unread_copies) return;
+  if (!is_open && options_.drop_unread_copies && IsKnownClosed(caller, copy)) {
+    return Trace(id, "copy " + std::to_string(copy) + " is dropped by " + NameOf(dispatcher));
+  }
+  Trace(id, "copy " + std::to_string(copy) + " is read by " + NameOf(dispatcher));
   if (is_open) caller.is_read = true;
   if (const auto reply = by.scheduler->Remembered(id)) return NoteReply(id, copy, *reply);
   const SimulatedJob& job = work_.at(id);
@@ -596,6 +648,44 @@
   CarryOutDispatcher(dispatcher);
 }
 
+bool LeaseWorld::IsKnownClosed(const Caller& caller, std::size_t copy) const {
+  const auto close = caller.closes.find(copy);
+  // Connections that end otherwise were answered.
+  return close == caller.closes.end() || close->second <= clock_.now();
+}
+
+void LeaseWorld::SendClose(const std::string& id, std::size_t dispatcher, std::size_t copy) {
+  Dispatcher& to = *dispatchers_[dispatcher];
+  if (to.callers_cut_until > clock_.now()) {
+    return After(to.closes_held_until - clock_.now(),
+                 [this, id, dispatcher, copy] { SendClose(id, dispatcher, copy); });
+  }
+  Deliver(to.frozen_until, Duration(0), [this, id, dispatcher, copy] {
+    Dispatcher& by = *dispatchers_[dispatcher];
+    if (options_.close_cost == Duration(0)) {
+      return HandleInTurn(dispatcher, Duration(0),
+                          [this, id, dispatcher, copy] { OnCallerClosed(id, dispatcher, copy); });
+    }
+    by.closes.push_back({.id = id, .copy = copy});
+    if (by.closes.size() == 1) HandleCloses(dispatcher);
+  });
+}
+
+void LeaseWorld::HandleCloses(std::size_t dispatcher) {
+  const std::size_t count =
+      std::min(dispatchers_[dispatcher]->closes.size(), options_.closes_per_turn);
+  const auto cost = options_.close_cost * static_cast<std::int64_t>(count);
+  HandleInTurn(dispatcher, cost, [this, dispatcher, count] {
+    std::deque<Dispatcher::Close>& closes = dispatchers_[dispatcher]->closes;
+    for (std::size_t i = 0; i < count && !closes.empty(); ++i) {
+      const Dispatcher::Close close = std::move(closes.front());
+      closes.pop_front();
+      OnCallerClosed(close.id, dispatcher, close.copy);
+    }
+    if (!closes.empty()) HandleCloses(dispatcher);
+  });
+}
+
 void LeaseWorld::OnCallerClosed(const std::string& id, std::size_t dispatcher, std::size_t copy) {
   Dispatcher& by = *dispatchers_[dispatcher];
   const auto waiting = by.waiting.find(id);
@@ -609,15 +699,15 @@
 void LeaseWorld::BreakConnection(const std::string& id) {
   Caller& caller = callers_.at(id);
   caller.is_waiting = false;
-  const std::size_t from = caller.dispatcher;
-  const Dispatcher& dispatcher = *dispatchers_[from];
-  const Duration delay = dispatcher.callers_cut_until > clock_.now()
-                             ? dispatcher.closes_held_until - clock_.now()
-                             : Duration(0);
-  Deliver(dispatcher.frozen_until, delay, [this, id, from, copy = caller.copy] {
-    HandleInTurn(from, Duration(0), [this, id, from, copy] { OnCallerClosed(id, from, copy); });
-  });
-  SendAgain(id, caller.is_read ? Duration(kCallerResendDelay) : Duration(0));
+  const Dispatcher& dispatcher = *dispatchers_[caller.dispatcher];
+  const bool is_cut = dispatcher.callers_cut_until > clock_.now();
+  Trace(id, "copy " + std::to_string(caller.copy) + " breaks, " +
+                (caller.is_read ? "read" : "not read") + (is_cut ? ", in a cut" : ""));
+  // A request that was sent in the cut comes together with the close.
+  caller.closes[caller.copy] =
+      is_cut && !caller.is_held ? dispatcher.closes_held_until : clock_.now();
+  SendClose(id, caller.dispatcher, caller.copy);
+  SendAgain(id, caller.is_read || is_cut ? Duration(kCallerResendDelay) : Duration(0));
 }
 
 void LeaseWorld::SendAgain(const std::string& id, Duration delay) {
@@ -635,10 +725,19 @@
 }
 
 void LeaseWorld::CarryOutDispatcher(std::size_t index) {
+  const Dispatcher& by = *dispatchers_[index];
+  if (by.clock.stands_until() > clock_.now()) {
+    return After(by.clock.stands_until() - clock_.now(), [this, index, process = by.incarnation] {
+      if (dispatchers_[index]->incarnation == process) CarryOutDispatcher(index);
+    });
+  }
   for (core::SchedulerAction& action : dispatchers_[index]->scheduler->TakeActions()) {
     if (const auto* answer = std::get_if<core::AnswerJob>(&action)) {
       const auto found = dispatchers_[index]->waiting.extract(answer->answer.job_id);
       const bool is_cancelled = answer->answer.reason == core::JobReason::kCancelled;
+      Trace(answer->answer.job_id, NameOf(index) + " answers " +
+                                       std::string(core::NameOf(answer->answer.result)) + ", " +
+                                       std::string(core::NameOf(answer->answer.reason)));
       if (found.empty() && !is_cancelled) Violate(answer->answer.job_id + " is answered twice");
       if (found.empty()) continue;
       for (const std::size_t copy : found.mapped()) {
@@ -652,6 +751,7 @@
     if (agent_id.empty()) continue;
     const std::size_t s = IndexOf(agent_id);
     Link& link = LinkOf(index, s);
+    TraceOrder(index, action, link.connected);
     if (!link.connected) continue;
     Deliver(supervisors_[s]->frozen_until,
             TransitTime(link, link.last_to_supervisor, supervisors_[s]->delay),
@@ -666,6 +766,8 @@
               }
               if (const auto* start = std::get_if<core::StartTasks>(&action)) {
                 for (const auto& each : start->starts) {
+                  Trace(start->job_id, "agent-" + std::to_string(s) + " takes the order of task " +
+                                           std::to_string(each.index));
                   to.core->OnOrder(owner, {.id = {.task = {.job_id = start->job_id,
                                                            .step = start->step,
                                                            .index = each.index},
@@ -692,7 +794,7 @@
 void LeaseWorld::CutLink(std::size_t dispatcher, std::size_t supervisor, Duration at,
                          Duration length) {
   At(at, [this, dispatcher, supervisor, length] {
-    LinkOf(dispatcher, supervisor).cut_until = clock_.now() + length;
+    Extend(LinkOf(dispatcher, supervisor).cut_until, length);
   });
 }
 
@@ -719,7 +821,16 @@
 
 void LeaseWorld::FreezeDispatcher(std::size_t dispatcher, Duration at, Duration length) {
   At(at, [this, dispatcher, length] {
-    dispatchers_[dispatcher]->frozen_until = clock_.now() + length;
+    Dispatcher& frozen = *dispatchers_[dispatcher];
+    // A process that is down does not come back sooner.
+    frozen.frozen_until = std::max(clock_.now() + length, frozen.down_until);
+  });
+}
+
+void LeaseWorld::FreezeDispatcherInPass(std::size_t dispatcher, Duration at, Duration length,
+                                        std::size_t clock_reads) {
+  At(at, [this, dispatcher, length, clock_reads] {
+    dispatchers_[dispatcher]->clock.StandStill(clock_reads, length);
   });
 }
 
@@ -728,7 +839,9 @@
     Dispatcher& killed = *dispatchers_[dispatcher];
     ++killed.incarnation;
     killed.down_until = killed.frozen_until = clock_.now() + down;
+    killed.clock.Reset();
     killed.inbox.clear();
+    killed.closes.clear();
     killed.waiting.clear();
     StartDispatcher(dispatcher);
     for (std::size_t s = 0; s < supervisors_.size(); ++s) {
@@ -765,8 +878,8 @@
 
 void LeaseWorld::CutCallers(std::size_t dispatcher, Duration at, Duration length, Duration late) {
   At(at, [this, dispatcher, length, late] {
-    dispatchers_[dispatcher]->callers_cut_until = clock_.now() + length;
-    dispatchers_[dispatcher]->closes_held_until = clock_.now() + length + late;
+    Extend(dispatchers_[dispatcher]->callers_cut_until, length);
+    Extend(dispatchers_[dispatcher]->closes_held_until, length + late);
   });
 }
 
@@ -781,7 +894,7 @@
 }
 
 void LeaseWorld::CutExecutor(std::size_t executor, Duration at, Duration length, bool restarts) {
-  At(at, [this, executor, length] { executors_cut_until_[executor] = clock_.now() + length; });
+  At(at, [this, executor, length] { Extend(executors_cut_until_[executor], length); });
   if (restarts) RestartExecutor(executor, at + length / 2);
 }
 
@@ -820,6 +933,37 @@
 
 // --- Judgement
 
+void LeaseWorld::Trace(const std::string& job_id, const std::string& what) {
+  if (job_id != options_.traced_job || job_id.empty()) return;
+  const double seconds = std::chrono::duration<double>(Elapsed()).count();
+  trace_.push_back(std::to_string(seconds) + " s: " + what);
+}
+
+void LeaseWorld::Trace(const core::RunId& id, const std::string& what) {
+  if (id.task.job_id != options_.traced_job) return;
+  Trace(id.task.job_id,
+        "task " + std::to_string(id.task.index) + " run " + std::to_string(id.run) + " " + what);
+}
+
+void LeaseWorld::TraceOrder(std::size_t dispatcher, const core::SchedulerAction& action,
+                            bool is_sent) {
+  const std::string suffix = is_sent ? "" : ", not connected";
+  const auto trace = [&](const core::RunId& id, const std::string& agent_id,
+                         const std::string& what) {
+    Trace(id, "is " + what + " by " + NameOf(dispatcher) + " at " + agent_id + suffix);
+  };
+  if (const auto* stop = std::get_if<core::StopTask>(&action)) {
+    trace(stop->id, stop->agent_id, "ordered to stop");
+  }
+  const auto* start = std::get_if<core::StartTasks>(&action);
+  if (start == nullptr) return;
+  for (const core::StartTasks::Start& each : start->starts) {
+    trace({.task = {.job_id = start->job_id, .step = start->step, .index = each.index},
+           .run = each.run},
+          start->agent_id, "ordered");
+  }
+}
+
 void LeaseWorld::Violate(const std::string& what) {
   const double seconds = std::chrono::duration<double>(Elapsed()).count();
   violations_.push_back("at " + std::to_string(seconds) + " s: " + what);
@@ -827,6 +971,7 @@
 
 void LeaseWorld::NoteStart(std::size_t executor, const core::RunId& id) {
   const std::string name = id.task.job_id + "." + std::to_string(id.task.index);
+  Trace(id, "starts on executor " + std::to_string(executor));
   const auto [running, is_new] = running_.emplace(id.task, executor);
   if (!is_new) {
     Violate(name + " runs on executors " + std::to_string(running->second) + " and " +
@@ -843,6 +988,7 @@
 }
 
 void LeaseWorld::NoteEnd(const core::RunId& id, core::RunOutcome outcome) {
+  Trace(id, "ends: " + std::string(core::NameOf(outcome)));
   running_.erase(id.task);
   if (outcome == core::RunOutcome::kDone) done_.insert(id.task);
 }
@@ -850,6 +996,7 @@
 void LeaseWorld::NoteReply(const std::string& id, std::size_t copy, const core::JobReply& reply) {
   Caller& caller = callers_.at(id);
   if (caller.copy != copy || !caller.is_waiting) return;
+  Trace(id, "copy " + std::to_string(copy) + " is answered");
   caller.is_waiting = false;
   JobRecord& record = records_.at(id);
   const SimulatedJob& job = work_.at(id);
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -2,6 +2,7 @@
 #ifndef ZINNIAMUX_TESTS_SUPPORT_LEASE_WORLD_H_
 #define ZINNIAMUX_TESTS_SUPPORT_LEASE_WORLD_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -79,6 +80,12 @@
     // does. Without it, the first copy of a job may be placed although its caller has sent it
     // again.
     bool drop_unread_copies = true;
+    // Time of a whole core that a closed connection of a caller takes. Dispatchers then handle at
+    // most `closes_per_turn` of them at a time, and timers and messages in between, as asio does.
+    core::Duration close_cost{0};
+    std::size_t closes_per_turn = 128;
+    // Records what happens to this job; see trace().
+    std::string traced_job;
   };
 
   explicit LeaseWorld(Options options);
@@ -93,12 +100,17 @@
   void KillSupervisor(std::size_t supervisor, core::Duration at, core::Duration down);
   void FreezeSupervisor(std::size_t supervisor, core::Duration at, core::Duration length);
   void FreezeDispatcher(std::size_t dispatcher, core::Duration at, core::Duration length);
+  // The dispatcher stands still while it handles an event, when it looks at the clock for this time
+  // after `at`: in the middle of a placement pass. What it has ordered before is sent afterwards.
+  void FreezeDispatcherInPass(std::size_t dispatcher, core::Duration at, core::Duration length,
+                              std::size_t clock_reads);
   // Ends the dispatcher's process. A new one takes its place.
   void KillDispatcher(std::size_t dispatcher, core::Duration at, core::Duration down);
   // Breaks the connections of this share of the callers that wait for the dispatcher.
   void ResetCallers(std::size_t dispatcher, core::Duration at, double share);
-  // Cuts the dispatcher off from its callers: it hears of connections that break meanwhile this
-  // much after the end of the cut.
+  // Cuts the dispatcher off from its callers. It hears of connections that break meanwhile this
+  // much after the end of the cut. These callers do not know whether it has read their request, so
+  // they send it again later, and it is read as long as the closed connection is on its way.
   void CutCallers(std::size_t dispatcher, core::Duration at, core::Duration length,
                   core::Duration late);
   void SlowExecutor(std::size_t executor, double slowness, core::Duration at,
@@ -121,6 +133,8 @@
   // What broke a rule, in the order in which it happened.
   const std::vector<std::string>& violations() const { return violations_; }
   std::size_t running_tasks() const { return running_.size(); }
+  // What happened to the traced job, with times.
+  const std::vector<std::string>& trace() const { return trace_; }
   std::uint64_t refused_starts() const { return refused_starts_; }
   // The largest number of executors that crashed under one task.
   std::size_t most_crashes_of_a_task() const;
@@ -134,6 +148,7 @@
       return std::tie(time, number) > std::tie(other.time, other.number);
     }
   };
+  class DispatcherClock;
   struct Dispatcher;
   struct Supervisor;
   struct Link;
@@ -144,6 +159,10 @@
     bool is_waiting = false;
     // The dispatcher has read the copy.
     bool is_read = false;
+    // The copy was sent while the dispatcher was cut off.
+    bool is_held = false;
+    // When the closed connections of copies reach their dispatcher.
+    std::map<std::size_t, core::TimePoint> closes;
   };
 
   core::Duration Elapsed() const { return clock_.now() - start_; }
@@ -155,6 +174,10 @@
   void HandleInTurn(std::size_t dispatcher, core::Duration cost, std::function<void()> action);
   void HandleNext(std::size_t dispatcher);
   void Handle(std::size_t dispatcher, const std::function<void()>& action);
+  // A cut does not end an earlier one that lasts longer.
+  void Extend(core::TimePoint& until, core::Duration length) const {
+    until = std::max(until, clock_.now() + length);
+  }
   void Tick();
   void Heartbeat();
   void Announce(std::size_t executor);
@@ -181,6 +204,11 @@
   void CarryOutDispatcher(std::size_t index);
   void SendCopy(const std::string& id);
   void ReadCopy(const std::string& id, std::size_t dispatcher, std::size_t copy);
+  // Whether a copy that the dispatcher reads now is known there to have no caller any more.
+  bool IsKnownClosed(const Caller& caller, std::size_t copy) const;
+  void SendClose(const std::string& id, std::size_t dispatcher, std::size_t copy);
+  // Handles a batch of closed connections.
+  void HandleCloses(std::size_t dispatcher);
   void OnCallerClosed(const std::string& id, std::size_t dispatcher, std::size_t copy);
   void BreakConnection(const std::string& id);
   void SendAgain(const std::string& id, core::Duration delay);
@@ -202,6 +230,9 @@
   void NoteEnd(const core::RunId& id, core::RunOutcome outcome);
   void NoteReply(const std::string& id, std::size_t copy, const core::JobReply& reply);
   void Violate(const std::string& what);
+  void Trace(const std::string& job_id, const std::string& what);
+  void TraceOrder(std::size_t dispatcher, const core::SchedulerAction& action, bool is_sent);
+  void Trace(const core::RunId& id, const std::string& what);
 
   const Options options_;
   std::mt19937_64 random_;
@@ -227,6 +258,7 @@
   std::set<core::TaskId> done_;
   std::vector<std::string> violations_;
   std::uint64_t refused_starts_ = 0;
+  std::vector<std::string> trace_;
 };
 
 }  // namespace zinniamux::testing
