lease world: hold messages in cuts that begin while they wait

What waited for the end of one cut passed in the middle of the next one: messages between dispatchers and supervisors, and requests of callers. A dispatcher then counted as heard in between.

--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -263,14 +263,13 @@
       SendReport(s, d);
       const std::uint64_t generation = link.generation;
       if (frozen || link.cut_until > clock_.now()) continue;
-      Deliver(supervisors_[s]->frozen_until,
-              TransitTime(link, link.last_to_supervisor, supervisors_[s]->delay),
-              [this, d, s, generation, handled = InputHandled(d),
-               pause = dispatchers_[d]->report_pace.pause()] {
-                if (LinkOf(d, s).generation != generation || !supervisors_[s]->core) return;
-                supervisors_[s]->core->OnOwnerHeard(OwnerOf(d), handled);
-                supervisors_[s]->schedule.SetPause(NameOf(d), pause);
-              });
+      Transmit(link, link.last_to_supervisor, supervisors_[s]->frozen_until, supervisors_[s]->delay,
+               [this, d, s, generation, handled = InputHandled(d),
+                pause = dispatchers_[d]->report_pace.pause()] {
+                 if (LinkOf(d, s).generation != generation || !supervisors_[s]->core) return;
+                 supervisors_[s]->core->OnOwnerHeard(OwnerOf(d), handled);
+                 supervisors_[s]->schedule.SetPause(NameOf(d), pause);
+               });
     }
   }
 }
@@ -306,11 +305,27 @@
   SendReports(supervisor);
 }
 
-Duration LeaseWorld::TransitTime(const Link& link, TimePoint& last_arrival, Duration delay) {
+void LeaseWorld::Transmit(const Link& link, TimePoint& last_arrival, const TimePoint& frozen_until,
+                          Duration delay, std::function<void()> action) {
   const TimePoint now = clock_.now();
   const TimePoint sent = link.cut_until > now ? link.cut_until + kResendDelay : now;
   last_arrival = std::max(last_arrival, sent + options_.link_delay + delay);
-  return last_arrival - now;
+  // It waits for the end of a cut, or behind messages that do.
+  const bool is_held = last_arrival > now + options_.link_delay + delay;
+  Arrive(link, frozen_until, last_arrival - now, is_held, std::move(action));
+}
+
+void LeaseWorld::Arrive(const Link& link, const TimePoint& frozen_until, Duration delay,
+                        bool is_held, std::function<void()> action) {
+  After(delay, [this, &link, &frozen_until, is_held, action = std::move(action)]() mutable {
+    if (is_held && link.cut_until > clock_.now()) {
+      // Before what was sent later.
+      return Arrive(link, frozen_until, link.cut_until + kResendDelay - clock_.now(), is_held,
+                    std::move(action));
+    }
+    if (frozen_until <= clock_.now()) return action();
+    Deliver(frozen_until, frozen_until - clock_.now(), std::move(action));
+  });
 }
 
 std::string LeaseWorld::OwnerOf(std::size_t dispatcher) const {
@@ -357,24 +372,24 @@
   if (!link.connected || !agent.core || agent.frozen_until > clock_.now()) return;
   if (link.cut_until > clock_.now()) return;
   const std::uint64_t generation = link.generation;
-  Deliver(dispatchers_[dispatcher]->frozen_until, TransitTime(link, link.last_to_dispatcher),
-          [this, supervisor, dispatcher, generation, report = ReportOf(supervisor, dispatcher)] {
-            HandleInTurn(
-                dispatcher, options_.message_cost,
-                [this, supervisor, dispatcher, generation, arrived = clock_.now(), report] {
-                  Link& to = LinkOf(dispatcher, supervisor);
-                  if (to.generation != generation) return;
-                  to.dispatcher_heard = clock_.now();
-                  const std::string agent_id = "agent-" + std::to_string(supervisor);
-                  const Duration delay = clock_.now() - arrived;
-                  dispatchers_[dispatcher]->report_pace.OnMessage(delay, clock_.now());
-                  dispatchers_[dispatcher]->backlog.OnMessage(agent_id, delay, clock_.now());
-                  core::JobScheduler& scheduler = *dispatchers_[dispatcher]->scheduler;
-                  scheduler.OnReport(agent_id, report);
-                  scheduler.Place();
-                  CarryOutDispatcher(dispatcher);
-                });
-          });
+  Transmit(link, link.last_to_dispatcher, dispatchers_[dispatcher]->frozen_until, Duration(0),
+           [this, supervisor, dispatcher, generation, report = ReportOf(supervisor, dispatcher)] {
+             HandleInTurn(
+                 dispatcher, options_.message_cost,
+                 [this, supervisor, dispatcher, generation, arrived = clock_.now(), report] {
+                   Link& to = LinkOf(dispatcher, supervisor);
+                   if (to.generation != generation) return;
+                   to.dispatcher_heard = clock_.now();
+                   const std::string agent_id = "agent-" + std::to_string(supervisor);
+                   const Duration delay = clock_.now() - arrived;
+                   dispatchers_[dispatcher]->report_pace.OnMessage(delay, clock_.now());
+                   dispatchers_[dispatcher]->backlog.OnMessage(agent_id, delay, clock_.now());
+                   core::JobScheduler& scheduler = *dispatchers_[dispatcher]->scheduler;
+                   scheduler.OnReport(agent_id, report);
+                   scheduler.Place();
+                   CarryOutDispatcher(dispatcher);
+                 });
+           });
 }
 
 // --- Supervisors
@@ -426,15 +441,15 @@
       Link& link = LinkOf(d, index);
       if (!link.connected || link.owner != update->owner) continue;
       informed.insert(d);
-      Deliver(dispatchers_[d]->frozen_until, TransitTime(link, link.last_to_dispatcher),
-              [this, index, d, generation = link.generation, update = *update] {
-                // In one message with the report that follows.
-                HandleInTurn(d, Duration(0), [this, index, d, generation, update] {
-                  if (LinkOf(d, index).generation != generation) return;
-                  dispatchers_[d]->scheduler->OnRunUpdate(
-                      "agent-" + std::to_string(index), update.id, update.outcome, update.elapsed);
-                });
-              });
+      Transmit(link, link.last_to_dispatcher, dispatchers_[d]->frozen_until, Duration(0),
+               [this, index, d, generation = link.generation, update = *update] {
+                 // In one message with the report that follows.
+                 HandleInTurn(d, Duration(0), [this, index, d, generation, update] {
+                   if (LinkOf(d, index).generation != generation) return;
+                   dispatchers_[d]->scheduler->OnRunUpdate(
+                       "agent-" + std::to_string(index), update.id, update.outcome, update.elapsed);
+                 });
+               });
     } else if (std::holds_alternative<core::ReportChanged>(action)) {
       report = true;
     }
@@ -618,14 +633,25 @@
   const TimePoint cut_until = dispatchers_[to]->callers_cut_until;
   caller.is_held = cut_until > clock_.now();
   Trace(id, "copy " + std::to_string(caller.copy + 1) + " is sent to " + NameOf(to));
-  const Duration delay =
-      cut_until > clock_.now() ? cut_until - clock_.now() + kResendDelay : Duration(0);
-  Deliver(dispatchers_[to]->frozen_until, delay,
-          [this, id, to, copy = ++caller.copy, process = dispatchers_[to]->incarnation] {
-            HandleInTurn(to, options_.message_cost, [this, id, to, copy, process] {
-              if (dispatchers_[to]->incarnation == process) ReadCopy(id, to, copy);
-            });
-          });
+  DeliverCopy(id, to, ++caller.copy, caller.is_held);
+}
+
+void LeaseWorld::DeliverCopy(const std::string& id, std::size_t dispatcher, std::size_t copy,
+                             bool is_held) {
+  const Dispatcher& to = *dispatchers_[dispatcher];
+  const std::uint64_t process = to.incarnation;
+  if (is_held && to.callers_cut_until > clock_.now()) {
+    return After(to.callers_cut_until - clock_.now() + kResendDelay,
+                 [this, id, dispatcher, copy, process] {
+                   if (dispatchers_[dispatcher]->incarnation != process) return;
+                   DeliverCopy(id, dispatcher, copy, true);
+                 });
+  }
+  Deliver(to.frozen_until, Duration(0), [this, id, dispatcher, copy, process] {
+    HandleInTurn(dispatcher, options_.message_cost, [this, id, dispatcher, copy, process] {
+      if (dispatchers_[dispatcher]->incarnation == process) ReadCopy(id, dispatcher, copy);
+    });
+  });
 }
 
 void LeaseWorld::ReadCopy(const std::string& id, std::size_t dispatcher, std::size_t copy) {
@@ -753,39 +779,38 @@
     Link& link = LinkOf(index, s);
     TraceOrder(index, action, link.connected);
     if (!link.connected) continue;
-    Deliver(supervisors_[s]->frozen_until,
-            TransitTime(link, link.last_to_supervisor, supervisors_[s]->delay),
-            [this, index, s, generation = link.generation, handled = InputHandled(index),
-             action = std::move(action)] {
-              Supervisor& to = *supervisors_[s];
-              if (LinkOf(index, s).generation != generation || !to.core) return;
-              const std::string owner = OwnerOf(index);
-              to.core->OnOwnerHeard(owner, handled);
-              if (const auto* stop = std::get_if<core::StopTask>(&action)) {
-                to.core->OnStopOrder(owner, stop->id);
-              }
-              if (const auto* start = std::get_if<core::StartTasks>(&action)) {
-                for (const auto& each : start->starts) {
-                  Trace(start->job_id, "agent-" + std::to_string(s) + " takes the order of task " +
-                                           std::to_string(each.index));
-                  to.core->OnOrder(owner, {.id = {.task = {.job_id = start->job_id,
-                                                           .step = start->step,
-                                                           .index = each.index},
-                                                  .run = each.run},
-                                           .spec = start->spec,
-                                           .need = start->need,
-                                           .estimate = start->estimate,
-                                           .expires = start->expires,
-                                           .at_once = start->at_once,
-                                           .rank = start->rank,
-                                           .urgent = start->urgent});
-                }
-                LinkOf(index, s).orders_seen = start->order;
-                SendReportsToClose(s);
-                SendReport(s, index);
-              }
-              CarryOutSupervisor(s);
-            });
+    Transmit(link, link.last_to_supervisor, supervisors_[s]->frozen_until, supervisors_[s]->delay,
+             [this, index, s, generation = link.generation, handled = InputHandled(index),
+              action = std::move(action)] {
+               Supervisor& to = *supervisors_[s];
+               if (LinkOf(index, s).generation != generation || !to.core) return;
+               const std::string owner = OwnerOf(index);
+               to.core->OnOwnerHeard(owner, handled);
+               if (const auto* stop = std::get_if<core::StopTask>(&action)) {
+                 to.core->OnStopOrder(owner, stop->id);
+               }
+               if (const auto* start = std::get_if<core::StartTasks>(&action)) {
+                 for (const auto& each : start->starts) {
+                   Trace(start->job_id, "agent-" + std::to_string(s) + " takes the order of task " +
+                                            std::to_string(each.index));
+                   to.core->OnOrder(owner, {.id = {.task = {.job_id = start->job_id,
+                                                            .step = start->step,
+                                                            .index = each.index},
+                                                   .run = each.run},
+                                            .spec = start->spec,
+                                            .need = start->need,
+                                            .estimate = start->estimate,
+                                            .expires = start->expires,
+                                            .at_once = start->at_once,
+                                            .rank = start->rank,
+                                            .urgent = start->urgent});
+                 }
+                 LinkOf(index, s).orders_seen = start->order;
+                 SendReportsToClose(s);
+                 SendReport(s, index);
+               }
+               CarryOutSupervisor(s);
+             });
   }
 }
 
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -185,10 +185,14 @@
   Link& LinkOf(std::size_t dispatcher, std::size_t supervisor);
   void Connect(std::size_t dispatcher, std::size_t supervisor);
   core::ExecutorReport ReportOf(std::size_t supervisor, std::size_t dispatcher) const;
-  // How long a message takes on a connection. Messages stay in order, and those that are sent while
-  // the link is cut are sent again after it.
-  core::Duration TransitTime(const Link& link, core::TimePoint& last_arrival,
-                             core::Duration delay = core::Duration(0));
+  // Sends a message on a connection to a process that may be frozen. Messages stay in order, and
+  // those that are sent while the link is cut are sent again after it.
+  void Transmit(const Link& link, core::TimePoint& last_arrival,
+                const core::TimePoint& frozen_until, core::Duration delay,
+                std::function<void()> action);
+  // `is_held`: the message waits for the end of a cut, and of cuts that begin meanwhile.
+  void Arrive(const Link& link, const core::TimePoint& frozen_until, core::Duration delay,
+              bool is_held, std::function<void()> action);
   // The process of the dispatcher, as supervisors know it.
   std::string OwnerOf(std::size_t dispatcher) const;
   // The time up to which the dispatcher has handled its input.
@@ -203,6 +207,8 @@
   void StartDispatcher(std::size_t index);
   void CarryOutDispatcher(std::size_t index);
   void SendCopy(const std::string& id);
+  // `is_held`: the copy was sent in a cut, and waits for the end of cuts that begin meanwhile.
+  void DeliverCopy(const std::string& id, std::size_t dispatcher, std::size_t copy, bool is_held);
   void ReadCopy(const std::string& id, std::size_t dispatcher, std::size_t copy);
   // Whether a copy that the dispatcher reads now is known there to have no caller any more.
   bool IsKnownClosed(const Caller& caller, std::size_t copy) const;
