job scheduler: give up jobs whose supervisor did not hear the dispatcher

A dispatcher whose supervisors did not hear it for 900 ms ordered the stopped runs again when it was connected again. Isolation covers that only while nothing at all reaches the dispatcher: one supervisor that still does, or requests of new callers between short cuts, defeats it, and the closed connections of earlier callers are still on their way.

Supervisors now report a run that they stop for silence as owner_silent (to dispatchers of earlier versions as stopped), and the job is given up with isolated: refused if nothing of it ran, abandoned otherwise; its caller decides. Connections that were reset lose nothing by it: their orders are placed again, as before.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -494,6 +494,7 @@
       return FinishJob(job, JobResult::kFailed, JobReason::kAttemptsUsedUp);
     }
   }
+  if (WasOwnerSilent(task, outcome)) return RefuseOrAbandon(job, JobReason::kIsolated);
   if (outcome == RunOutcome::kExecutorCrashed &&
       ++task.executor_crashes >= options_.max_executor_crashes) {
     return FinishJob(job, JobResult::kFailed, JobReason::kExecutorsCrashed);
@@ -634,10 +635,14 @@
     std::set_difference(supervisor.runs.begin(), supervisor.runs.end(), held.begin(), held.end(),
                         std::inserter(lost, lost.end()));
     for (const RunId& id : lost) supervisor.runs.erase(id);
-    EndLostRuns(supervisor, lost);
+    // Without any message for so long, orders may not have arrived for the same reason for which
+    // the supervisor did not hear this dispatcher.
+    const bool was_silent = clock_.now() - supervisor.heard_at > options_.budget.isolation_limit();
+    EndLostRuns(supervisor, lost, was_silent ? RunOutcome::kOwnerSilent : RunOutcome::kLapsed);
     if (supervisor.orphaned_runs.empty()) supervisor.runs_over_at = {};
   }
   supervisor.incarnation = incarnation;
+  supervisor.heard_at = clock_.now();
   for (const RunId& id : held_runs) {
     if (IsCurrentRun(supervisor_id, id)) continue;
     // For example, its job was cancelled while there was no connection.
@@ -657,8 +662,9 @@
          task.supervisor_id == supervisor_id;
 }
 
-void JobScheduler::EndLostRuns(const Supervisor& supervisor, const std::set<RunId>& lost) {
-  for (const RunId& id : lost) OnRunEnded(supervisor, id, RunOutcome::kLapsed, Duration(0));
+void JobScheduler::EndLostRuns(const Supervisor& supervisor, const std::set<RunId>& lost,
+                               RunOutcome outcome) {
+  for (const RunId& id : lost) OnRunEnded(supervisor, id, outcome, Duration(0));
 }
 
 void JobScheduler::OnAgentDetached(const std::string& supervisor_id) {
@@ -672,6 +678,7 @@
   NoteInput();
   const auto found = supervisors_.find(supervisor_id);
   if (found == supervisors_.end()) return;
+  found->second.heard_at = clock_.now();
   // On average, one of the dispatchers that see the same room may take the last of it.
   const std::uint32_t competitors = std::max<std::uint32_t>(report.close_entries, 1);
   ExecutorView& view = found->second.view;
@@ -714,8 +721,9 @@
   for (auto& [id, supervisor] : supervisors_) {
     if (supervisor.runs_over_at == TimePoint() || supervisor.runs_over_at > now) continue;
     supervisor.runs_over_at = {};
-    EndLostRuns(supervisor, std::exchange(supervisor.orphaned_runs, {}));
-    if (!supervisor.view.attached()) EndLostRuns(supervisor, std::exchange(supervisor.runs, {}));
+    EndLostRuns(supervisor, std::exchange(supervisor.orphaned_runs, {}), RunOutcome::kLapsed);
+    if (supervisor.view.attached()) continue;
+    EndLostRuns(supervisor, std::exchange(supervisor.runs, {}), RunOutcome::kLapsed);
   }
   ForgetExpiredAnswers();
   MoveStragglers();
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -94,6 +94,7 @@
 //   has certainly ended.
 // - A job is refused only if none of its tasks was ever ordered, or if no order has started a run.
 // - Nothing is ordered after the job's deadline, and orders expire at the supervisor.
+// - A job is given up when a supervisor has ended its run because it did not hear the dispatcher.
 // - After an isolation, nothing is ordered for jobs that may have arrived before its end, and their
 //   runs end as if supervisors had not heard the dispatcher: their callers may have sent them
 //   elsewhere, and the closed connections may still be on their way.
@@ -277,6 +278,7 @@
 
   struct Supervisor {
     ExecutorView view;
+    TimePoint heard_at;
     std::uint64_t incarnation = 0;
     // Runs that this incarnation may have.
     std::set<RunId> runs;
@@ -345,13 +347,19 @@
   // Learns from an order that may have waited at its executor.
   void RecordOrderWait(const Job& job, const RunId& id, RunOutcome outcome, Duration elapsed);
   void ApplyOutcome(Job& job, const RunId& id, RunOutcome outcome);
+  // The supervisor gave the run up because it did not hear this dispatcher. The caller may not have
+  // been able to reach it either, and have sent the job elsewhere.
+  static bool WasOwnerSilent(const Task& task, RunOutcome outcome) {
+    return outcome == RunOutcome::kOwnerSilent ||
+           (outcome == RunOutcome::kWithdrawn && !task.moved);
+  }
   static bool MayHaveRun(const Job& job) { return job.any_run_started || job.ordered > 0; }
   void FinishJob(Job& job, JobResult result, JobReason reason,
                  Duration expected_wait = Duration(0));
   void StopRuns(const Job& job);
   void RememberAnswer(const JobReply& answer);
   void ForgetExpiredAnswers();
-  void EndLostRuns(const Supervisor& supervisor, const std::set<RunId>& lost);
+  void EndLostRuns(const Supervisor& supervisor, const std::set<RunId>& lost, RunOutcome outcome);
   // Whether a task of a job in progress is ordered as this run, at this supervisor.
   bool IsCurrentRun(const std::string& supervisor_id, const RunId& id) const;
   bool InStartupGrace() const { return clock_.now() < started_ + options_.startup_grace; }
--- a/src/core/run.cc
+++ b/src/core/run.cc
@@ -29,6 +29,8 @@
       return "not_accepting";
     case RunOutcome::kWithdrawn:
       return "withdrawn";
+    case RunOutcome::kOwnerSilent:
+      return "owner_silent";
     case RunOutcome::kExecutorCrashed:
       return "executor_crashed";
   }
--- a/src/core/run.h
+++ b/src/core/run.h
@@ -125,11 +125,14 @@
   kWithdrawn,
   // The executor's process ended while the run was on it.
   kExecutorCrashed,
+  // It was stopped, or withdrawn while it waited for room, because its dispatcher was not heard.
+  kOwnerSilent,
 };
 
 // True if the run was started. Only kFailed counts as an attempt.
 constexpr bool HasStarted(RunOutcome outcome) {
-  return outcome <= RunOutcome::kAlone || outcome == RunOutcome::kExecutorCrashed;
+  return outcome <= RunOutcome::kAlone || outcome == RunOutcome::kExecutorCrashed ||
+         outcome == RunOutcome::kOwnerSilent;
 }
 
 // The name in logs and metrics, for example "no_room".
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -257,6 +257,7 @@
   run.state = State::kStopping;
   run.outcome_if_not_started = outcome_if_not_started;
   run.stopping_since = clock_.now();
+  run.stop_reason = reason;
   run.must_end_by = RunEndOf(run.owner);
   SendStop(id, run);
 }
@@ -345,6 +346,8 @@
 }
 
 RunSupervisor::Runs::iterator RunSupervisor::FinishRun(Runs::iterator run, RunOutcome outcome) {
+  const bool is_silent = run->second.stop_reason == StopReason::kOwnerSilent;
+  if (outcome == RunOutcome::kStopped && is_silent) outcome = RunOutcome::kOwnerSilent;
   const RunOrder& order = run->second.order;
   used_ -= order.need;
   if (order.urgent) urgent_used_milli_ -= order.need.cpu_milli;
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -264,6 +264,7 @@
     TimePoint next_stop_at;
     // When the first stop call was sent.
     TimePoint stopping_since;
+    StopReason stop_reason = StopReason::kOrdered;
     // Set when it is being stopped: the lease may not outlast this time.
     TimePoint must_end_by;
     // Reported if the run turns out never to have started.
--- a/tests/property/silence_property_test.cc
+++ b/tests/property/silence_property_test.cc
@@ -311,3 +311,23 @@
     cr_expect(problems.empty(), "seed %lu, cut of %ld ms: %s", seed, cut.count(), problems.c_str());
   }
 }
+
+// Guards against short cuts that follow each other: requests of new callers that come in between
+// do not show that the closed connections of earlier ones have come, too.
+Test(silence, runs_tasks_once_if_a_dispatcher_is_cut_off_again_and_again) {
+  for (const milliseconds gap : {milliseconds(20), milliseconds(60)}) {
+    for (const std::uint64_t seed : {1, 3}) {
+      LeaseWorld world({.seed = seed});
+      AddTrace(world, {.seed = seed, .begin = kWarmUp, .length = seconds(4), .load = 0.9});
+      for (int cut = 0; cut < 3; ++cut) {
+        IsolateDispatcher(world, seconds(6) + cut * (milliseconds(400) + gap), milliseconds(400),
+                          milliseconds(300));
+      }
+      world.ResetCallers(0, milliseconds(6020), 1);
+      world.Run(seconds(25));
+      const std::string problems = ProblemsOf(world);
+      cr_expect(problems.empty(), "seed %lu, %ld ms between cuts: %s", seed, gap.count(),
+                problems.c_str());
+    }
+  }
+}
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -51,6 +51,8 @@
   TimePoint last_to_supervisor;
   // The dispatcher's process that the supervisor knows.
   std::string owner;
+  // Ends of its runs that the supervisor could not send.
+  std::vector<core::RunUpdate> pending;
 };
 
 // The clock that a dispatcher reads. It may jump during an event, if the process stands still then.
@@ -288,10 +290,16 @@
   ++link.generation;
   link.orders_seen = 0;
   link.dispatcher_heard = clock_.now();
-  const std::vector<core::RunId> held = agent.core->RunsOf(link.owner);
+  if (link.owner != OwnerOf(dispatcher)) link.pending.clear();
+  std::vector<core::RunId> held = agent.core->RunsOf(link.owner);
+  for (const core::RunUpdate& update : link.pending) held.push_back(update.id);
   const std::string zone = "zone-" + std::to_string(supervisor % options_.zones);
   dispatchers_[dispatcher]->scheduler->OnAgentAttached("agent-" + std::to_string(supervisor), zone,
                                                        agent.incarnation, held);
+  for (const core::RunUpdate& update : std::exchange(link.pending, {})) {
+    dispatchers_[dispatcher]->scheduler->OnRunUpdate("agent-" + std::to_string(supervisor),
+                                                     update.id, update.outcome, update.elapsed);
+  }
   CarryOutDispatcher(dispatcher);
   if (link.owner != OwnerOf(dispatcher)) LoseOwner(dispatcher, supervisor);
   link.owner = OwnerOf(dispatcher);
@@ -431,7 +439,11 @@
                             std::string(core::NameOf(update->outcome)));
       const std::size_t d = IndexOf(update->owner);
       Link& link = LinkOf(d, index);
-      if (!link.connected || link.owner != update->owner) continue;
+      if (link.owner != update->owner) continue;
+      if (!link.connected) {
+        link.pending.push_back(*update);
+        continue;
+      }
       informed.insert(d);
       Transmit(link, link.last_to_dispatcher, dispatchers_[d]->frozen_until, Duration(0),
                [this, index, d, generation = link.generation, update = *update] {
@@ -822,6 +834,7 @@
     for (std::size_t d = 0; d < dispatchers_.size(); ++d) {
       Link& link = LinkOf(d, supervisor);
       link.connected = false;
+      link.pending.clear();
       ++link.generation;
       dispatchers_[d]->scheduler->OnAgentDetached("agent-" + std::to_string(supervisor));
     }
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -570,6 +570,43 @@
   cr_assert_eq(started, 1);
 }
 
+// Guards against a job that is ordered again after its supervisor did not hear this dispatcher: the
+// caller may have sent it elsewhere for the same reason.
+Test(job_scheduler, gives_up_a_job_whose_supervisor_did_not_hear_the_dispatcher) {
+  Fixture fixture;
+  fixture.Submit(fixture.MakeJob("stopped", 1));
+  const StartTasks start = fixture.starts.at(0);
+  fixture.starts.clear();
+  fixture.scheduler.OnRunUpdate(start.agent_id, {.task = {.job_id = "stopped"}, .run = 1},
+                                RunOutcome::kOwnerSilent, milliseconds(100));
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+  cr_assert(fixture.answers.at(0).answer.result == JobResult::kAbandoned);
+  cr_assert(fixture.answers[0].answer.reason == JobReason::kIsolated);
+  // An order that was withdrawn before it started has not run.
+  fixture.Submit(fixture.MakeJob("withdrawn", 1));
+  const std::string supervisor = fixture.starts.at(0).agent_id;
+  fixture.starts.clear();
+  fixture.scheduler.OnRunUpdate(supervisor, {.task = {.job_id = "withdrawn"}, .run = 1},
+                                RunOutcome::kWithdrawn, milliseconds(0));
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+  cr_assert(fixture.answers.at(1).answer.result == JobResult::kRefused);
+}
+
+// Guards against jobs that are given up because a connection was reset: the supervisor was heard
+// just before, and what it had not received is ordered again.
+Test(job_scheduler, orders_again_what_a_reset_connection_has_lost) {
+  Fixture fixture({"a"});
+  fixture.Submit(fixture.MakeJob("job", 1));
+  fixture.starts.clear();
+  fixture.clock.Advance(milliseconds(100));
+  fixture.scheduler.OnAgentDetached("a");
+  fixture.Attach("a", 1);
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.ordered_tasks(), 1);
+}
+
 // Guards against a run that goes on after an isolation for longer than supervisors let it: the
 // closed connection of its caller may still be on its way.
 Test(job_scheduler, stops_runs_from_before_an_isolation_in_time) {
--- a/tests/unit/run_codec_test.cc
+++ b/tests/unit/run_codec_test.cc
@@ -12,6 +12,18 @@
 
 }  // namespace
 
+// Guards against dispatchers of an earlier version that do not know why a run was stopped, and
+// against present ones that order its task again.
+Test(run_codec, tells_earlier_versions_of_a_silent_owner_as_a_stop) {
+  const RunUpdate update{.owner = "dispatcher",
+                         .id = {.task = {.job_id = "job"}, .run = 2},
+                         .outcome = RunOutcome::kOwnerSilent};
+  zinniamux::runs::RunUpdate message;
+  zinniamux::daemon::ToMessage(update, message);
+  cr_assert_eq(message.outcome(), static_cast<std::uint32_t>(RunOutcome::kStopped));
+  cr_assert(zinniamux::daemon::OutcomeFromMessage(message) == RunOutcome::kOwnerSilent);
+}
+
 // Guards against dispatchers of an earlier version that take an outcome they do not know for a run
 // that was never started, and tell the caller so.
 Test(run_codec, tells_earlier_versions_of_a_crash_as_an_expired_lease) {
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -409,6 +409,19 @@
   cr_assert_leq((end - heard).count(), 1'251'000);
 }
 
+// Guards against dispatchers that cannot tell why a run was stopped, and order its task again.
+Test(run_supervisor, reports_that_the_owner_was_silent) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.clock.Advance(milliseconds(901));
+  fixture.supervisor.OnTimer();
+  fixture.supervisor.OnStopAnswer(MakeRunId(0), true);
+  fixture.clock.Advance(milliseconds(1));
+  fixture.AnswerHold(
+      {.ended = {{.number = 1, .id = MakeRunId(0), .outcome = RunOutcome::kStopped}}});
+  cr_assert(fixture.ActionsOf<RunUpdate>().at(0).outcome == RunOutcome::kOwnerSilent);
+}
+
 // Guards against logs that do not tell why a run was stopped.
 Test(run_supervisor, tells_why_a_run_is_stopped) {
   Fixture fixture;
