silence: a close that TCP sends again, beside executors that are cut off

A lease that was renewed just before lasts 1,020 ms more if the stop cannot reach the executor. Room for one resend would shorten the silence and the lease for all.

--- a/tests/property/silence_property_test.cc
+++ b/tests/property/silence_property_test.cc
@@ -331,3 +331,26 @@
     }
   }
 }
+
+// Guards against closed connections that TCP has to send again: leases that were renewed before
+// they came go on for 1,020 ms if the stops that follow cannot reach the executors.
+Test(silence, runs_tasks_once_if_executors_are_cut_off_when_a_late_close_comes) {
+  struct Case {
+    milliseconds cut;
+    milliseconds late;
+  };
+  for (const auto& [cut, late] :
+       {Case{milliseconds(70), milliseconds(300)}, Case{milliseconds(200), milliseconds(200)}}) {
+    constexpr std::uint64_t kSeed = 5;
+    LeaseWorld world({.seed = kSeed});
+    AddTrace(world, {.seed = kSeed, .begin = kWarmUp, .length = seconds(4), .load = 0.9});
+    world.CutCallers(0, seconds(6), cut, late);
+    world.ResetCallers(0, milliseconds(6010), 1);
+    for (std::size_t e = 0; e < kExecutors; e += 2) {
+      world.CutExecutor(e, seconds(6) + cut + late - milliseconds(20), seconds(1), false);
+    }
+    world.Run(seconds(25));
+    const std::string problems = ProblemsOf(world);
+    cr_expect(problems.empty(), "cut of %ld ms: %s", cut.count(), problems.c_str());
+  }
+}
