job scheduler: settle an isolation before anything else is ordered

A dispatcher now claims what it had handled before the isolation, and orders nothing, until it has handled what came in it (two turns of the timer, 40 ms), and then gives up the jobs from before.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -74,7 +74,8 @@
   const TimePoint now = clock_.now();
   // Until the first supervisor has come, nothing was ordered.
   if (!supervisors_.empty() && now - last_input_ > options_.budget.isolation_limit()) {
-    isolation_ = Isolation{.began = last_input_, .ended = now};
+    const TimePoint began = IsSettling() ? isolation_->began : last_input_;
+    isolation_ = Isolation{.began = began, .ended = now};
     actions_.emplace_back(IsolationEnded{.length = now - last_input_});
   }
   last_input_ = now;
@@ -85,7 +86,8 @@
   // Without jobs, no input matters to a run.
   if (jobs_.empty()) return now;
   // While nothing arrives, it is unknown what is on its way.
-  return std::min(input_handled_.value_or(now), last_input_);
+  const TimePoint handled = std::min(input_handled_.value_or(now), last_input_);
+  return IsSettling() ? std::min(handled, isolation_->began) : handled;
 }
 
 bool JobScheduler::OnJob(JobRequest request) {
@@ -198,7 +200,7 @@
 // --- Placement
 
 void JobScheduler::PlaceQueuedJobs(bool retry_waiting) {
-  if (queue_.empty() || orders_paused_until_) return;
+  if (queue_.empty() || orders_paused_until_ || IsSettling()) return;
   median_pace_ = RoomPlacement::MedianPace(views_);
   unmet_needs_.clear();
   if (retry_waiting) waiting_needs_.clear();
@@ -207,10 +209,6 @@
     if (queued.is_waiting && !retry_waiting) continue;
     // The job may be answered, which removes it from the queue.
     Job& job = *queued.job;
-    if (MayHaveLeft(job)) {
-      RefuseOrAbandon(job, JobReason::kIsolated);
-      continue;
-    }
     queued.is_waiting = true;
     const UnmetNeed* unmet = FindUnmetNeed(job);
     const bool found_none = unmet != nullptr || !PlaceJob(job);
@@ -695,17 +693,23 @@
   if (!orders_paused_until_) orders_paused_until_ = clock_.now() + options_.stall_recovery;
 }
 
+void JobScheduler::SettleIsolation() {
+  if (!IsSettling() || input_handled_.value_or(clock_.now()) < isolation_->ended) return;
+  isolation_->is_settling = false;
+  std::vector<std::string> left;
+  for (const auto& [id, job] : jobs_) {
+    if (MayHaveLeft(job)) left.push_back(id);
+  }
+  for (const std::string& id : left) RefuseOrAbandon(jobs_.at(id), JobReason::kIsolated);
+}
+
 void JobScheduler::OnTimer() {
   const TimePoint now = clock_.now();
   if (orders_paused_until_ && *orders_paused_until_ <= now) orders_paused_until_.reset();
+  SettleIsolation();
   std::vector<std::string> late;
-  std::vector<std::string> left;
   for (const auto& [id, job] : jobs_) {
     const bool is_waiting = !MayHaveRun(job);
-    if (MayHaveLeft(job) && isolation_->began + options_.budget.silence() <= now) {
-      left.push_back(id);
-      continue;
-    }
     if (job.request.deadline <= now || (is_waiting && job.start_by <= now)) late.push_back(id);
   }
   for (const std::string& id : late) {
@@ -714,7 +718,6 @@
     const JobReason refusal = overloaded ? JobReason::kOverloaded : JobReason::kNoExecutors;
     RefuseOrAbandon(job, MayHaveRun(job) ? JobReason::kDeadline : refusal);
   }
-  for (const std::string& id : left) RefuseOrAbandon(jobs_.at(id), JobReason::kIsolated);
   for (const ExecutorHealth::Change& change : health_.OnTimer(now)) {
     actions_.emplace_back(ExecutorJudged{change});
   }
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -95,9 +95,10 @@
 // - A job is refused only if none of its tasks was ever ordered, or if no order has started a run.
 // - Nothing is ordered after the job's deadline, and orders expire at the supervisor.
 // - A job is given up when a supervisor has ended its run because it did not hear the dispatcher.
-// - After an isolation, nothing is ordered for jobs that may have arrived before its end, and their
-//   runs end as if supervisors had not heard the dispatcher: their callers may have sent them
-//   elsewhere, and the closed connections may still be on their way.
+// - After an isolation, nothing is ordered until the input that came in it is handled, and jobs
+// that
+//   may have arrived before its end are given up then: their callers may have sent them elsewhere,
+//   and the closed connections may still be on their way.
 // Not thread-safe.
 class JobScheduler {
  public:
@@ -295,6 +296,8 @@
   bool MayHaveLeft(const Job& job) const {
     return isolation_ && job.arrived_after < isolation_->ended;
   }
+  bool IsSettling() const { return isolation_ && isolation_->is_settling; }
+  void SettleIsolation();
   void Accept(JobRequest request);
   std::optional<JobReason> ReasonToRefuse(const JobRequest& request) const;
   void RefuseOrAbandon(Job& job, JobReason reason);
@@ -407,6 +410,8 @@
   struct Isolation {
     TimePoint began;
     TimePoint ended;
+    // What arrived in it is still being handled. Then the jobs from before are given up.
+    bool is_settling = true;
   };
   std::optional<Isolation> isolation_;
   std::uint64_t next_order_ = 1;
