--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -29,7 +29,7 @@
 check_file() {
   local file=$1 key
   # The key covers the file and every header of this repository that it includes.
-  key=$({ echo "$config_hash"; cat "$file"; git ls-files 'src/*.h' 'platform/*.h' 'tests/*.h' 'bench/*.h' \
+  key=$({ echo "$config_hash"; cat "$file"; git ls-files 'src/*.h' 'platform/*.h' 'tests/*.h' 'bench/*.h' 'model/*.h' \
     | grep -v '/generated/' | xargs cat; } | sha256sum | cut -c1-32)
   [ -e "$cache/$key" ] && return 0
   if ! clang-tidy --quiet -p "$build" "$file" 2>/dev/null; then
