lease model: count the loss of a supervisor from the last order at least

An order is sent on a connection that is alive, so a supervisor cannot be lost for as long as the limit sooner than that after it. The model took a run for ended whose supervisor had stood still before the order: a false alarm with three faults (77 million states).

--- a/model/dispatcher_model.cc
+++ b/model/dispatcher_model.cc
@@ -1,7 +1,6 @@
 // Orders and ends of the modelled dispatcher.
 #include "model/dispatcher_model.h"
 
-#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -51,8 +50,7 @@
       state_.isolation_age >= options_.limits.silence) {
     EndJob("gives up its job after an isolation");
   }
-  if (state_.job == JobState::kOrdered &&
-      std::min(state_.heard[state_.target], state_.order_age) >= options_.limits.lost_after) {
+  if (state_.job == JobState::kOrdered && state_.order_age >= options_.limits.lost_after) {
     Note([&] { return std::string("takes its run for ended: supervisor lost"); });
     state_.job = JobState::kReady;
   }
@@ -117,6 +115,7 @@
   if (std::exchange(link.has_report, std::uint8_t{0}) == 0) return;
   NoteInput();
   state_.heard[supervisor] = 0;
+  if (state_.target == supervisor) state_.order_age = 0;
   const Refusal refusal = std::exchange(link.refusal, Refusal::kNone);
   if (state_.job == JobState::kOrdered && state_.target == supervisor && !IsHeld(supervisor)) {
     Note([&] {
