--- a/model/options.cc
+++ b/model/options.cc
@@ -79,7 +79,7 @@
                 .run_end = Up(budget->run_end()),
                 .stop_time = Up(budget->stop_time()),
                 .stop_limit = Up(budget->stop_limit()),
-                .lost_after = Down(budget->lost_after()),
+                .lost_after = Down(budget->silence() + budget->lost_after()),
                 .order_expiry = Up(budget->order_expiry()),
                 .stall = Up(budget->stall_limit()),
                 .isolation = Up(budget->isolation_limit()),
--- a/model/options.h
+++ b/model/options.h
@@ -113,6 +113,8 @@
   Steps run_end = 0;
   Steps stop_time = 0;
   Steps stop_limit = 0;
+  // After this silence, a dispatcher takes the runs of a supervisor for ended. Its connection is
+  // closed after `silence`.
   Steps lost_after = 0;
   Steps order_expiry = 0;
   Steps stall = 0;
--- a/model/supervisor_model.h
+++ b/model/supervisor_model.h
@@ -24,14 +24,13 @@
   // Handles what has arrived, and its timers.
   void Handle();
 
-  // How long a lease that begins now may be.
-  Steps LongestLease() const;
-
  private:
   bool has_cap() const { return options_.rules.contains(Rule::kLeaseCap); }
   bool is_accepting() const;
   bool HasAnswers() const { return executor_.path == PathState::kUp; }
   bool CarriesOut() const { return executor_.path != PathState::kCallsLost; }
+  // How long a lease that begins now may be.
+  Steps LongestLease() const;
   Steps RunEndOf(std::size_t owner) const;
   void ReadFrames(std::size_t owner);
   void Poll();
--- a/model/world_model.h
+++ b/model/world_model.h
@@ -9,13 +9,13 @@
 // sooner. The decisions are a transcription of RunSupervisor and JobScheduler.
 //
 // Left out: dispatchers and supervisors that restart (so unknown runs come from delayed starts
-// only), cuts of dispatcher 1 and of single connections to supervisors, runs that end on their own,
-// failed runs and jobs that come a second time to the same dispatcher (so the ends of an earlier
-// submission do not occur), callers that send again what was answered or cancel, room on executors
-// and the queue for it, clocks that run fast, requests of other callers while a dispatcher is cut
-// off, more than one delayed start at a time, delayed hold and stop calls, time within a step
-// (placement passes, the order in which a process reads its connections), and processes that are
-// known to have gone.
+// only), cuts of dispatcher 1 and of single connections to supervisors, connections that break
+// before their silence limit, runs that end on their own, failed runs and jobs that come a second
+// time to the same dispatcher (so the ends of an earlier submission do not occur), callers that
+// send again what was answered or cancel, room on executors and the queue for it, clocks that run
+// fast, requests of other callers while a dispatcher is cut off, more than one delayed start at a
+// time, delayed hold and stop calls, time within a step (placement passes, the order in which a
+// process reads its connections), and processes that are known to have gone.
 #ifndef ZINNIAMUX_MODEL_WORLD_MODEL_H_
 #define ZINNIAMUX_MODEL_WORLD_MODEL_H_
 
