lease model: leave out old requests only where they are the open case

Without old-request the model dropped every request that was read while the closed connection of its caller was held back, also by a dispatcher that was not isolated. It now drops only what is first read after an isolation.

--- a/model/dispatcher_model.cc
+++ b/model/dispatcher_model.cc
@@ -76,7 +76,8 @@
     EndJob("drops the unread request");
     return false;
   }
-  const bool is_old = index_ == 0 && world_.close_left > 1;
+  const bool is_old =
+      index_ == 0 && world_.close_left > 1 && state_.input_age > options_.limits.isolation;
   if (is_old && !options_.faults.contains(Fault::kOldRequest)) {
     EndJob("drops the request of a caller that has left");
     return false;
--- a/model/options.h
+++ b/model/options.h
@@ -54,8 +54,8 @@
   // is late as well. A property of the cut; it is not counted. Without it, the closed connection
   // comes in the first step after such a cut.
   kLateClose,
-  // A request whose caller has left during a cut is read for the first time after it, while its
-  // closed connection is late. Not counted. Without it, such requests are dropped.
+  // A request whose caller has left, and whose closed connection a cut holds back, is first read
+  // after an isolation. Not counted. Without it, such requests are dropped.
   kOldRequest,
 };
 inline constexpr std::size_t kFaultCount = 11;
