--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -95,8 +95,7 @@
 // - A job is refused only if none of its tasks was ever ordered, or if no order has started a run.
 // - Nothing is ordered after the job's deadline, and orders expire at the supervisor.
 // - A job is given up when a supervisor has ended its run because it did not hear the dispatcher.
-// - After an isolation, nothing is ordered until the input that came in it is handled, and jobs
-// that
+// - After an isolation, nothing is ordered until the input that came in it is handled. Jobs that
 //   may have arrived before its end are given up then: their callers may have sent them elsewhere,
 //   and the closed connections may still be on their way.
 // Not thread-safe.
--- a/src/core/run.h
+++ b/src/core/run.h
@@ -125,7 +125,7 @@
   kWithdrawn,
   // The executor's process ended while the run was on it.
   kExecutorCrashed,
-  // It was stopped, or withdrawn while it waited for room, because its dispatcher was not heard.
+  // It was stopped because its dispatcher was not heard.
   kOwnerSilent,
 };
 
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -82,8 +82,9 @@
     run.seen_running = false;
   }
   // The new incarnation does not know that these were revoked.
-  for (const auto& [id, until] : revoked_starts_)
+  for (const auto& [id, until] : revoked_starts_) {
     unknown_runs_[id] = {.next_stop_at = clock_.now()};
+  }
   consecutive_unanswered_ = 0;
   executor_is_down_ = false;
   pace_ = PaceMeter();
