--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -278,6 +278,7 @@
 
   struct Supervisor {
     ExecutorView view;
+    // When it was last connected or sent something.
     TimePoint heard_at;
     std::uint64_t incarnation = 0;
     // Runs that this incarnation may have.
@@ -296,6 +297,7 @@
     return isolation_ && job.arrived_after < isolation_->ended;
   }
   bool IsSettling() const { return isolation_ && isolation_->is_settling; }
+  // Gives up the jobs from before an isolation once all input that came in it is handled.
   void SettleIsolation();
   void Accept(JobRequest request);
   std::optional<JobReason> ReasonToRefuse(const JobRequest& request) const;
