review: a job is started on after its cancelling was acknowledged by another dispatcher

Promise: UNASKED, no machine in touch starts a task later than cancel_ms after the job's cancelling was acknowledged.

Breaks it: the channel of a DELETE is reset, and its retry reaches another dispatcher. That one answers 410, as it does not hold the job, and the job goes on: tasks of its second step start 3.35 s later.

--- a/review/rig/deployment.cc
+++ b/review/rig/deployment.cc
@@ -2,6 +2,7 @@
 #include "deployment.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -70,6 +71,8 @@
   const std::string path = output.string();
   pid_ = fork();
   if (pid_ != 0) return;
+  // Also if this process is killed.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int file = open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(file, STDOUT_FILENO);
   dup2(file, STDERR_FILENO);
@@ -198,17 +201,21 @@
 }
 
 Call SubmitCall(const Job& job, std::uint16_t port) {
-  const json step{{"count", job.count},
-                  {"cpu", job.cpu_milli},
-                  {"mem_mb", job.memory_mb},
-                  {"estimate_ms", job.work_ms}};
+  json steps = json::array();
+  for (std::uint32_t number = 0; number < job.steps; ++number) {
+    steps.push_back({{"count", job.count},
+                     {"cpu", job.cpu_milli},
+                     {"mem_mb", job.memory_mb},
+                     {"estimate_ms", job.work_ms}});
+    if (number > 0) steps.back()["after"] = json::array({number - 1});
+  }
   return {
       .port = port,
       .method = "POST",
       .target = Deployment::kPrefix + job.id,
       .headers = {{"Host", Deployment::kHost},
                   {"X-Deadline-Ms", std::to_string(job.deadline.count())}},
-      .body = json{{"spec", std::to_string(job.work_ms)}, {"steps", {step}}, {"best_effort", true}}
+      .body = json{{"spec", std::to_string(job.work_ms)}, {"steps", steps}, {"best_effort", true}}
                   .dump(),
       .timeout = job.deadline};
 }
--- a/review/rig/deployment.h
+++ b/review/rig/deployment.h
@@ -97,6 +97,8 @@
   std::int64_t memory_mb = 64;
   std::int64_t work_ms = 900;
   milliseconds deadline{1500};
+  // Equal steps, each after the one before.
+  std::uint32_t steps = 1;
 };
 
 // The call that hands it in.
--- a/review/rig/platform.cc
+++ b/review/rig/platform.cc
@@ -331,7 +331,7 @@
     if (closed != closed_.end() && key.second <= closed->second) return Refuse("old");
     const std::int64_t used = static_cast<std::int64_t>(runs_.size()) * options_.task_milli;
     if (used + options_.task_milli > options_.capacity_milli) return Refuse("room");
-    const milliseconds work(std::stoll(body.at("spec").get<std::string>()));
+    const milliseconds work(std::strtoll(body.at("spec").get<std::string>().c_str(), nullptr, 10));
     runs_[key] = {.record = record_.RunBegan(options_.id, key.first, key.second),
                   .done_at = Clock::now() + work};
   }
