review: tasks start on an executor without the label that they require

Promise: ROUTE, no start on an executor without the label in required_label.

Breaks it: behind a one-way cut an executor crashes and starts again under its id as another kind. The supervisor learns of the new lifetime from the answer to a hold call and goes on to report the labels and the capacity of the earlier one, until the first announcement arrives.

--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -43,9 +43,10 @@
 
 int RunCase(bool trouble, const std::string& record_file) {
   Record record(record_file);
-  Deployment deployment({}, record);
+  Deployment deployment({.supervisors = 6}, record);
   if (!deployment.WaitUntilReady()) {
     record.Note("the deployment did not become ready");
+    std::cerr << "the deployment did not become ready\n";
     return kNotRun;
   }
   const std::vector<std::uint16_t> ports{deployment.caller_port(0), deployment.caller_port(1)};
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -41,6 +41,7 @@
   Deployment deployment({}, record);
   if (!deployment.WaitUntilReady()) {
     record.Note("the deployment did not become ready");
+    std::cerr << "the deployment did not become ready\n";
     return kNotRun;
   }
   // Supervisors and dispatchers have just started.
--- a/review/rig/deployment.cc
+++ b/review/rig/deployment.cc
@@ -146,7 +146,8 @@
                                                      .service = kService,
                                                      .zone = "zone-a",
                                                      .port = supervisor.app,
-                                                     .control_port = supervisor.control},
+                                                     .control_port = supervisor.control,
+                                                     .labels = options.labels},
                                    record);
   }
 }
@@ -207,6 +208,7 @@
                      {"cpu", job.cpu_milli},
                      {"mem_mb", job.memory_mb},
                      {"estimate_ms", job.work_ms}});
+    if (!job.required_label.empty()) steps.back()["required_label"] = job.required_label;
     if (number > 0) steps.back()["after"] = json::array({number - 1});
   }
   return {
--- a/review/rig/deployment.h
+++ b/review/rig/deployment.h
@@ -42,6 +42,8 @@
   struct Options {
     std::size_t dispatchers = 2;
     std::size_t supervisors = 3;
+    // Of the executors' first lifetimes.
+    std::vector<std::string> labels{"a", "r1-1"};
   };
   static constexpr const char* kHost = "jobs.example";
   static constexpr const char* kPrefix = "/jobs/";
@@ -99,6 +101,7 @@
   milliseconds deadline{1500};
   // Equal steps, each after the one before.
   std::uint32_t steps = 1;
+  std::string required_label;
 };
 
 // The call that hands it in.
--- a/review/rig/http.cc
+++ b/review/rig/http.cc
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <random>
 #include <stdexcept>
 
 namespace zinniamux::review {
@@ -222,20 +223,27 @@
 }
 
 std::vector<std::uint16_t> FreePorts(std::size_t count) {
+  // Below the range from which connections get their own ports.
+  constexpr int kFirst = 12'000;
+  constexpr int kLast = 31'000;
+  std::mt19937 random(std::random_device{}());
+  std::uniform_int_distribution<int> any(kFirst, kLast);
   // All are held until the last one is known, so that none comes twice.
   std::vector<int> sockets;
   std::vector<std::uint16_t> ports;
-  for (std::size_t i = 0; i < count; ++i) {
-    sockets.push_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    sockaddr_in address = Loopback(0);
-    socklen_t size = sizeof(address);
-    if (bind(sockets.back(), reinterpret_cast<const sockaddr*>(&address), size) != 0 ||
-        getsockname(sockets.back(), reinterpret_cast<sockaddr*>(&address), &size) != 0) {
-      throw std::runtime_error("no free port");
+  for (int tries = 0; ports.size() < count && tries < kLast; ++tries) {
+    const auto port = static_cast<std::uint16_t>(any(random));
+    const int candidate = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(port);
+    if (bind(candidate, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+      close(candidate);
+      continue;
     }
-    ports.push_back(ntohs(address.sin_port));
+    sockets.push_back(candidate);
+    ports.push_back(port);
   }
   for (const int each : sockets) close(each);
+  if (ports.size() < count) throw std::runtime_error("no free ports");
   return ports;
 }
 
--- a/review/rig/platform.cc
+++ b/review/rig/platform.cc
@@ -151,7 +151,8 @@
 
 // --- Executor
 
-Executor::Executor(const Options& options, Record& record) : options_(options), record_(record) {
+Executor::Executor(const Options& options, Record& record)
+    : options_(options), record_(record), labels_(options.labels) {
   Begin();
   ticker_ = std::thread([this] { Tick(); });
   announcer_ = std::thread([this] {
@@ -161,8 +162,11 @@
       if (due) {
         next_announcement_ = Clock::now() + options_.heartbeat;
         lock.unlock();
-        Announce();
+        const bool arrived = Announce();
         lock.lock();
+        if (!arrived && lifetime_ == 1 && sequence_ < 50) {
+          next_announcement_ = Clock::now() + milliseconds(100);
+        }
       }
       changed_.wait_for(lock, milliseconds(2));
     }
@@ -193,7 +197,7 @@
     ++lifetime_;
     born_ms_ = UnixMs();
     born_ = Clock::now();
-    next_announcement_ = {};
+    next_announcement_ = Clock::now() + options_.heartbeat;
     sequence_ = 0;
     fence_ = 0;
     lease_until_ms_ = 0;
@@ -203,6 +207,11 @@
     record_.Note(options_.id + " begins lifetime " + std::to_string(lifetime_) + ", born " +
                  std::to_string(born_ms_));
   }
+  // Its supervisor may not be up yet at the first start; the next announcement comes soon then.
+  if (!Announce() && !control_cut_) {
+    const std::lock_guard lock(mutex_);
+    next_announcement_ = Clock::now() + milliseconds(100);
+  }
   server_ = std::make_unique<HttpServer>(
       options_.port, [this](const HttpRequest& request) { return Handle(request); });
 }
@@ -240,6 +249,7 @@
 }
 
 bool Executor::Announce() {
+  if (control_cut_) return false;
   Call call{.port = options_.control_port,
             .method = "PUT",
             .target = "/zinniamux/instances/" + options_.id,
@@ -255,7 +265,7 @@
               {"cold_left_ms", 0},
               {"capacity",
                {{"cpu", options_.capacity_milli}, {"mem_mb", options_.memory_mb}, {"gpu", 0}}},
-              {"labels", {"a", "r1-1"}},
+              {"labels", labels_},
               {"clock_ms", ClockMs()},
               {"born", born_ms_},
               {"seq", ++sequence_}};
@@ -332,7 +342,7 @@
     const std::int64_t used = static_cast<std::int64_t>(runs_.size()) * options_.task_milli;
     if (used + options_.task_milli > options_.capacity_milli) return Refuse("room");
     const milliseconds work(std::strtoll(body.at("spec").get<std::string>().c_str(), nullptr, 10));
-    runs_[key] = {.record = record_.RunBegan(options_.id, key.first, key.second),
+    runs_[key] = {.record = record_.RunBegan(options_.id, lifetime_, key.first, key.second),
                   .done_at = Clock::now() + work};
   }
   Lease(until_ms);
--- a/review/rig/platform.h
+++ b/review/rig/platform.h
@@ -2,6 +2,7 @@
 #ifndef ZINNIAMUX_REVIEW_RIG_PLATFORM_H_
 #define ZINNIAMUX_REVIEW_RIG_PLATFORM_H_
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -61,6 +62,8 @@
     std::int64_t task_milli = 3100;
     std::int64_t memory_mb = 65'536;
     std::int64_t max_hold_ms = 1000;
+    // Of its first lifetime.
+    std::vector<std::string> labels{"a", "r1-1"};
     milliseconds stop_time{20};
     milliseconds heartbeat{1500};
   };
@@ -78,8 +81,12 @@
   void End();
   // The call by which it leaves.
   Call LeaveCall() const;
-  // Begins a lifetime under the same id and registers.
+  // Begins a lifetime under the same id, registers and then takes calls.
   void Begin();
+  // Of the present lifetime. Not called while it is up.
+  void set_labels(std::vector<std::string> labels) { labels_ = std::move(labels); }
+  // While it is cut, announcements do not arrive.
+  void set_control_cut(bool cut) { control_cut_ = cut; }
   std::size_t running();
 
  private:
@@ -105,6 +112,8 @@
   Record& record_;
   std::mutex mutex_;
   std::condition_variable changed_;
+  std::vector<std::string> labels_;
+  std::atomic<bool> control_cut_{false};
   bool up_ = false;
   bool draining_ = false;
   std::uint64_t lifetime_ = 0;
