--- a/review/rig/deployment.cc
+++ b/review/rig/deployment.cc
@@ -102,9 +102,11 @@
   std::string pattern = std::filesystem::temp_directory_path() / "zinniamux-review-XXXXXX";
   directory_ = mkdtemp(pattern.data());
   const std::vector<std::uint16_t> ports =
-      FreePorts(1 + 4 * dispatchers_.size() + 3 * supervisors_.size());
+      FreePorts(2 + 7 * dispatchers_.size() + 3 * supervisors_.size());
   auto port = ports.begin();
   const std::uint16_t store_port = *port++;
+  const std::uint16_t supervisors_store_port = *port++;
+  std::map<std::string, std::string> proxies;
   store_ = std::make_unique<Store>(store_port);
   store_->Put("op", "config", Configuration().dump());
   for (std::size_t i = 0; i < dispatchers_.size(); ++i) {
@@ -114,6 +116,14 @@
     dispatcher.readiness = *port++;
     dispatcher.rpc = *port++;
     dispatcher.metrics = *port++;
+    dispatcher.caller_proxy_port = *port++;
+    const std::uint16_t rpc_proxy_port = *port++;
+    const std::uint16_t dispatcher_store_port = *port++;
+    dispatcher.caller_proxy =
+        std::make_unique<CutProxy>(dispatcher.caller_proxy_port, dispatcher.caller);
+    dispatcher.rpc_proxy = std::make_unique<CutProxy>(rpc_proxy_port, dispatcher.rpc);
+    dispatcher.store_proxy = std::make_unique<CutProxy>(dispatcher_store_port, store_port);
+    proxies[Loopback(dispatcher.rpc)] = Loopback(rpc_proxy_port);
     std::map<std::string, std::string> fields = Bounds();
     fields.insert({{"node", id},
                    {"zone", "zone-a"},
@@ -122,9 +132,10 @@
                    {"ip", "127.0.0.1"},
                    {"port_range.0", std::to_string(dispatcher.rpc)},
                    {"metrics_port", std::to_string(dispatcher.metrics)},
-                   {"platform.address", Loopback(store_port)}});
+                   {"platform.address", Loopback(dispatcher_store_port)}});
     dispatcher.process = StartProgram(id, "deploy/dispatcher.yaml", fields);
   }
+  store_->ServeAt(supervisors_store_port, proxies);
   for (std::size_t i = 0; i < supervisors_.size(); ++i) {
     Supervisor& supervisor = supervisors_[i];
     const std::string id = "side-a-" + std::to_string(i + 1);
@@ -139,7 +150,7 @@
                    {"metrics_port", std::to_string(supervisor.metrics)},
                    {"app", Loopback(supervisor.app)},
                    {"service", kService},
-                   {"platform.address", Loopback(store_port)}});
+                   {"platform.address", Loopback(supervisors_store_port)}});
     supervisor.process = StartProgram(id, "deploy/supervisor.yaml", fields);
     supervisor.executor =
         std::make_unique<Executor>(Executor::Options{.id = "i-" + std::to_string(i + 1),
@@ -154,7 +165,12 @@
 
 Deployment::~Deployment() {
   for (Supervisor& each : supervisors_) each.process.reset();
-  for (Dispatcher& each : dispatchers_) each.process.reset();
+  for (Dispatcher& each : dispatchers_) {
+    each.process.reset();
+    each.caller_proxy.reset();
+    each.rpc_proxy.reset();
+    each.store_proxy.reset();
+  }
   for (Supervisor& each : supervisors_) each.executor.reset();
   store_.reset();
   if (std::getenv("KEEP") == nullptr) std::filesystem::remove_all(directory_);
@@ -194,6 +210,13 @@
   return false;
 }
 
+void Deployment::SetCut(std::size_t dispatcher, bool cut) {
+  Dispatcher& each = dispatchers_[dispatcher];
+  each.caller_proxy->set_cut(cut);
+  each.rpc_proxy->set_cut(cut);
+  each.store_proxy->set_cut(cut);
+}
+
 bool Deployment::AllRunning() {
   bool running = true;
   for (Dispatcher& each : dispatchers_) running = each.process->IsRunning() && running;
--- a/review/rig/deployment.h
+++ b/review/rig/deployment.h
@@ -12,6 +12,7 @@
 #include <thread>
 #include <vector>
 
+#include "cut_proxy.h"
 #include "http.h"
 #include "platform.h"
 #include "record.h"
@@ -56,9 +57,13 @@
 
   // Whether every dispatcher sees every executor, within 20 s.
   bool WaitUntilReady();
+  // Of the proxy between callers and the dispatcher.
   std::uint16_t caller_port(std::size_t dispatcher) const {
-    return dispatchers_[dispatcher].caller;
+    return dispatchers_[dispatcher].caller_proxy_port;
   }
+  // Cuts the dispatcher off from callers, supervisors and the store, or ends that.
+  void SetCut(std::size_t dispatcher, bool cut);
+  CutProxy& caller_path(std::size_t dispatcher) { return *dispatchers_[dispatcher].caller_proxy; }
   Child& dispatcher(std::size_t index) { return *dispatchers_[index].process; }
   Child& supervisor(std::size_t index) { return *supervisors_[index].process; }
   Executor& executor(std::size_t index) { return *supervisors_[index].executor; }
@@ -71,6 +76,10 @@
     std::uint16_t readiness = 0;
     std::uint16_t rpc = 0;
     std::uint16_t metrics = 0;
+    std::uint16_t caller_proxy_port = 0;
+    std::unique_ptr<CutProxy> caller_proxy;
+    std::unique_ptr<CutProxy> rpc_proxy;
+    std::unique_ptr<CutProxy> store_proxy;
     std::unique_ptr<Child> process;
   };
   struct Supervisor {
--- a/review/rig/platform.cc
+++ b/review/rig/platform.cc
@@ -64,7 +64,14 @@
 // --- Store
 
 Store::Store(std::uint16_t port)
-    : server_(port, [this](const HttpRequest& request) { return Handle(request); }) {}
+    : server_(port, [this](const HttpRequest& request) { return Handle(request, {}); }) {}
+
+void Store::ServeAt(std::uint16_t port, Addresses addresses) {
+  more_servers_.push_back(std::make_unique<HttpServer>(
+      port, [this, addresses = std::move(addresses)](const HttpRequest& request) {
+        return Handle(request, addresses);
+      }));
+}
 
 void Store::Put(const std::string& table, const std::string& key, const std::string& value) {
   const std::lock_guard lock(mutex_);
@@ -80,14 +87,14 @@
           {"ver", row.version}};
 }
 
-HttpResponse Store::Handle(const HttpRequest& request) {
-  if (request.target.starts_with("/zinniamux/rows-get")) return Read(request);
+HttpResponse Store::Handle(const HttpRequest& request, const Addresses& addresses) {
+  if (request.target.starts_with("/zinniamux/rows-get")) return Read(request, addresses);
   if (request.target.starts_with("/zinniamux/rows-tx")) return Commit(request);
   if (request.target.starts_with("/zinniamux/rows-feed")) return Feed(request);
   return {.status = kNotFound};
 }
 
-HttpResponse Store::Read(const HttpRequest& request) {
+HttpResponse Store::Read(const HttpRequest& request, const Addresses& addresses) {
   const std::lock_guard lock(mutex_);
   const std::string table = QueryValue(request.target, "table");
   const std::string from = QueryValue(request.target, "from");
@@ -97,7 +104,12 @@
     if (key.first != table || key.second < from || (!target.empty() && key.second >= target)) {
       continue;
     }
-    rows.push_back(RowJson(key, row));
+    Row read = row;
+    for (const auto& [address, other] : addresses) {
+      const std::size_t place = read.value.find('"' + address + '"');
+      if (place != std::string::npos) read.value.replace(place + 1, address.size(), other);
+    }
+    rows.push_back(RowJson(key, read));
   }
   const json body{{"rows", rows}, {"has_more", false}, {"ver", version_}, {"now_ms", SteadyMs()}};
   return {.body = body.dump()};
--- a/review/rig/platform.h
+++ b/review/rig/platform.h
@@ -25,6 +25,8 @@
   explicit Store(std::uint16_t port);
 
   void Put(const std::string& table, const std::string& key, const std::string& value);
+  // Serves at another port too. Its readers get `addresses` replaced in the values of rows.
+  void ServeAt(std::uint16_t port, std::map<std::string, std::string> addresses);
 
  private:
   struct Row {
@@ -33,8 +35,10 @@
   };
   using Key = std::pair<std::string, std::string>;
 
-  HttpResponse Handle(const HttpRequest& request);
-  HttpResponse Read(const HttpRequest& request);
+  using Addresses = std::map<std::string, std::string>;
+
+  HttpResponse Handle(const HttpRequest& request, const Addresses& addresses);
+  HttpResponse Read(const HttpRequest& request, const Addresses& addresses);
   HttpResponse Commit(const HttpRequest& request);
   HttpResponse Feed(const HttpRequest& request);
   nlohmann::json RowJson(const Key& key, const Row& row) const;
@@ -43,8 +47,9 @@
   std::condition_variable changed_;
   std::map<Key, Row> rows_;
   std::uint64_t version_ = 0;
-  // Last, so that it ends before what its handler uses.
+  // Last, so that they end before what their handlers use.
   HttpServer server_;
+  std::vector<std::unique_ptr<HttpServer>> more_servers_;
 };
 
 // One executor that starts, leases, stops and lists runs. A task's spec is its work in
