--- a/review/rig/http.cc
+++ b/review/rig/http.cc
@@ -9,8 +9,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cctype>
-#include <random>
 #include <stdexcept>
 
 namespace zinniamux::review {
@@ -223,26 +223,23 @@
 }
 
 std::vector<std::uint16_t> FreePorts(std::size_t count) {
-  // Below the range from which connections get their own ports.
+  // Below the range from which connections get their own ports. Processes that run at the same time
+  // begin at different ones.
   constexpr int kFirst = 12'000;
   constexpr int kLast = 31'000;
-  std::mt19937 random(std::random_device{}());
-  std::uniform_int_distribution<int> any(kFirst, kLast);
-  // All are held until the last one is known, so that none comes twice.
-  std::vector<int> sockets;
+  constexpr int kBlock = 64;
+  static std::atomic<int> next{kFirst + (getpid() * kBlock) % (kLast - kFirst)};
   std::vector<std::uint16_t> ports;
-  for (int tries = 0; ports.size() < count && tries < kLast; ++tries) {
-    const auto port = static_cast<std::uint16_t>(any(random));
+  for (int tries = 0; ports.size() < count && tries < kLast - kFirst; ++tries) {
+    const int port = next++;
+    if (port >= kLast) next = kFirst;
     const int candidate = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = Loopback(port);
-    if (bind(candidate, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
-      close(candidate);
-      continue;
-    }
-    sockets.push_back(candidate);
-    ports.push_back(port);
+    const sockaddr_in address = Loopback(static_cast<std::uint16_t>(port));
+    const bool is_free =
+        bind(candidate, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+    close(candidate);
+    if (is_free) ports.push_back(static_cast<std::uint16_t>(port));
   }
-  for (const int each : sockets) close(each);
   if (ports.size() < count) throw std::runtime_error("no free ports");
   return ports;
 }
