review: make room for a graver case, leave out ROUTE

ROUTE, shown in, would be the sixth of five and is left out with the parts of the stand-ins that only it used.

--- a/review/rig/deployment.cc
+++ b/review/rig/deployment.cc
@@ -157,8 +157,7 @@
                                                      .service = kService,
                                                      .zone = "zone-a",
                                                      .port = supervisor.app,
-                                                     .control_port = supervisor.control,
-                                                     .labels = options.labels},
+                                                     .control_port = supervisor.control},
                                    record);
   }
 }
@@ -231,7 +230,6 @@
                      {"cpu", job.cpu_milli},
                      {"mem_mb", job.memory_mb},
                      {"estimate_ms", job.work_ms}});
-    if (!job.required_label.empty()) steps.back()["required_label"] = job.required_label;
     if (number > 0) steps.back()["after"] = json::array({number - 1});
   }
   return {
--- a/review/rig/deployment.h
+++ b/review/rig/deployment.h
@@ -43,8 +43,6 @@
   struct Options {
     std::size_t dispatchers = 2;
     std::size_t supervisors = 3;
-    // Of the executors' first lifetimes.
-    std::vector<std::string> labels{"a", "r1-1"};
   };
   static constexpr const char* kHost = "jobs.example";
   static constexpr const char* kPrefix = "/jobs/";
@@ -110,7 +108,6 @@
   milliseconds deadline{1500};
   // Equal steps, each after the one before.
   std::uint32_t steps = 1;
-  std::string required_label;
 };
 
 // The call that hands it in.
--- a/review/rig/http.cc
+++ b/review/rig/http.cc
@@ -160,6 +160,10 @@
     request.method = first.substr(0, space);
     request.target = first.substr(space + 1, first.rfind(' ') - space - 1);
     const HttpResponse response = handler_(request);
+    if (response.reset) {
+      const linger at_once{.l_onoff = 1, .l_linger = 0};
+      setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    }
     if (stopping_ || response.status == 0) break;
     const bool sent =
         WriteAll(socket, "HTTP/1.1 " + std::to_string(response.status) +
--- a/review/rig/http.h
+++ b/review/rig/http.h
@@ -28,9 +28,10 @@
 };
 
 struct HttpResponse {
-  // 0 closes the connection without an answer.
+  // 0 closes the connection without an answer, with a reset if `reset` is set.
   int status = 200;
   std::string body = "{}";
+  bool reset = false;
 };
 
 // The value of a query parameter, percent-decoded.
--- a/review/rig/platform.cc
+++ b/review/rig/platform.cc
@@ -163,8 +163,7 @@
 
 // --- Executor
 
-Executor::Executor(const Options& options, Record& record)
-    : options_(options), record_(record), labels_(options.labels) {
+Executor::Executor(const Options& options, Record& record) : options_(options), record_(record) {
   Begin();
   ticker_ = std::thread([this] { Tick(); });
   announcer_ = std::thread([this] {
@@ -220,7 +219,7 @@
                  std::to_string(born_ms_));
   }
   // Its supervisor may not be up yet at the first start; the next announcement comes soon then.
-  if (!Announce() && !control_cut_) {
+  if (!Announce()) {
     const std::lock_guard lock(mutex_);
     next_announcement_ = Clock::now() + milliseconds(100);
   }
@@ -261,7 +260,6 @@
 }
 
 bool Executor::Announce() {
-  if (control_cut_) return false;
   Call call{.port = options_.control_port,
             .method = "PUT",
             .target = "/zinniamux/instances/" + options_.id,
@@ -277,7 +275,7 @@
               {"cold_left_ms", 0},
               {"capacity",
                {{"cpu", options_.capacity_milli}, {"mem_mb", options_.memory_mb}, {"gpu", 0}}},
-              {"labels", labels_},
+              {"labels", {"a", "r1-1"}},
               {"clock_ms", ClockMs()},
               {"born", born_ms_},
               {"seq", ++sequence_}};
@@ -354,8 +352,12 @@
     const std::int64_t used = static_cast<std::int64_t>(runs_.size()) * options_.task_milli;
     if (used + options_.task_milli > options_.capacity_milli) return Refuse("room");
     const milliseconds work(std::strtoll(body.at("spec").get<std::string>().c_str(), nullptr, 10));
-    runs_[key] = {.record = record_.RunBegan(options_.id, lifetime_, key.first, key.second),
+    runs_[key] = {.record = record_.RunBegan(options_.id, key.first, key.second),
                   .done_at = Clock::now() + work};
+    if (unhealthy_) {
+      EndRun(key, "failed");
+      return {.status = 0, .reset = true};
+    }
   }
   Lease(until_ms);
   return {.body = json{{"clock_ms", ClockMs()}}.dump()};
--- a/review/rig/platform.h
+++ b/review/rig/platform.h
@@ -67,8 +67,6 @@
     std::int64_t task_milli = 3100;
     std::int64_t memory_mb = 65'536;
     std::int64_t max_hold_ms = 1000;
-    // Of its first lifetime.
-    std::vector<std::string> labels{"a", "r1-1"};
     milliseconds stop_time{20};
     milliseconds heartbeat{1500};
   };
@@ -88,11 +86,9 @@
   Call LeaveCall() const;
   // Begins a lifetime under the same id, registers and then takes calls.
   void Begin();
-  // Of the present lifetime. Not called while it is up.
-  void set_labels(std::vector<std::string> labels) { labels_ = std::move(labels); }
-  // While it is cut, announcements do not arrive.
-  void set_control_cut(bool cut) { control_cut_ = cut; }
   std::size_t running();
+  // While it is unhealthy, it fails at once what it starts, and resets the channel of the start.
+  void set_unhealthy(bool unhealthy) { unhealthy_ = unhealthy; }
 
  private:
   struct Run {
@@ -117,8 +113,7 @@
   Record& record_;
   std::mutex mutex_;
   std::condition_variable changed_;
-  std::vector<std::string> labels_;
-  std::atomic<bool> control_cut_{false};
+  std::atomic<bool> unhealthy_{false};
   bool up_ = false;
   bool draining_ = false;
   std::uint64_t lifetime_ = 0;
--- a/review/rig/record.cc
+++ b/review/rig/record.cc
@@ -19,15 +19,11 @@
   Write(line);
 }
 
-std::size_t Record::RunBegan(const std::string& executor, std::uint64_t lifetime,
-                             const std::string& task, std::uint32_t run) {
+std::size_t Record::RunBegan(const std::string& executor, const std::string& task,
+                             std::uint32_t run) {
   const std::lock_guard lock(mutex_);
   Write("run begins: task " + task + " run " + std::to_string(run) + " on " + executor);
-  runs_.push_back({.task = task,
-                   .run = run,
-                   .executor = executor,
-                   .lifetime = lifetime,
-                   .began = Clock::now()});
+  runs_.push_back({.task = task, .run = run, .executor = executor, .began = Clock::now()});
   return runs_.size() - 1;
 }
 
--- a/review/rig/record.h
+++ b/review/rig/record.h
@@ -20,8 +20,6 @@
   std::string task;
   std::uint32_t run = 0;
   std::string executor;
-  // Of the executor.
-  std::uint64_t lifetime = 0;
   Clock::time_point began;
   // Unset while it runs.
   std::optional<Clock::time_point> ended;
@@ -40,8 +38,7 @@
   explicit Record(const std::string& file);
 
   void Note(const std::string& line);
-  std::size_t RunBegan(const std::string& executor, std::uint64_t lifetime, const std::string& task,
-                       std::uint32_t run);
+  std::size_t RunBegan(const std::string& executor, const std::string& task, std::uint32_t run);
   void RunEnded(std::size_t number, const std::string& how);
   // Runs that have not ended count as running until now.
   std::vector<Overlap> Overlaps();
