review: jobs whose task was started up to 30 times are refused as not run

Promise: REFUSED, no task starts of a job of which all attempts were rejected.

Breaks it: an unhealthy executor fails what it starts and resets the channel of the start. The HTTP client sends the start again on its own, and the 409 to the second copy counts as not started.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/case3 ] && [ -x target/src/zinniamuxd ] || exit 2
+target/review/case3 review/3/record.txt
