run supervisor: a leave call alone does not end runs

Callers' tasks ran twice at the same time: an executor left, its DELETE was held up by a cut, and arrived after the executor had started again under its id.

Cause: OnExecutorLeft compared the id only, which incarnations share, and the call carries nothing else. The runs were reported as ended without a look at the executor, against the invariant of the class.

Now the call makes the supervisor poll at once and accept nothing until an answer. Runs end when the executor refuses connections, or with their lease if it is silent. An executor without runs is forgotten as before. The log line executor_left says which incarnation was known, whether it drained and how many runs it had.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -35,6 +35,7 @@
     const bool same_incarnation =
         status.born_ms == executor_->born_ms && status.id == executor_->id;
     if (same_incarnation && status.sequence <= executor_->sequence) return false;
+    departing_ = false;
     if (status.id != executor_->id) {
       ForgetExecutor(RunOutcome::kBroken);
     } else if (!same_incarnation) {
@@ -60,8 +61,17 @@
 
 void RunSupervisor::OnExecutorLeft(const std::string& executor_id) {
   if (!executor_ || executor_->id != executor_id) return;
+  if (runs_.empty()) return ForgetDepartedExecutor();
+  // The call may have been delayed since an earlier incarnation. The executor's answers tell.
+  departing_ = true;
+  needs_first_poll_ = true;
+  StartWaitingOrders();
+  SendDueHolds();
+  actions_.emplace_back(ReportChanged{});
+}
+
+void RunSupervisor::ForgetDepartedExecutor() {
   ForgetExecutor(RunOutcome::kStopped);
-  executor_.reset();
   StartWaitingOrders();
   actions_.emplace_back(ReportChanged{});
 }
@@ -71,6 +81,7 @@
   // shows which runs it has; the others ended with the earlier incarnation.
   executor_->born_ms = born_ms;
   executor_->sequence = 0;
+  departing_ = false;
   // Calls that were on their way, also late ones, are refused from the first call with this token.
   ++fencing_token_;
   last_seen_ = acknowledged_ = 0;
@@ -108,6 +119,8 @@
   pace_ = PaceMeter();
   // It may come back under the same id.
   ++fencing_token_;
+  departing_ = false;
+  needs_first_poll_ = false;
   executor_.reset();
 }
 
@@ -542,6 +555,7 @@
       consecutive_unanswered_ = std::min(consecutive_unanswered_, kMaxConsecutiveUnanswered);
     }
   }
+  if (departing_ && executor_is_down_) ForgetDepartedExecutor();
   if (was_accepting != accepting()) actions_.emplace_back(ReportChanged{});
 }
 
@@ -554,6 +568,7 @@
     const bool crashed = executor_is_down_ && IsLostInCrash(run->second);
     run = FinishRun(run, crashed ? RunOutcome::kExecutorCrashed : RunOutcome::kLapsed);
   }
+  if (departing_) return ForgetDepartedExecutor();
   // The executor may recover and execute an unanswered start.
   needs_first_poll_ = true;
 }
@@ -619,6 +634,8 @@
   ReportPaceChange();
   std::erase_if(revoked_starts_, [now](const auto& start) { return start.second < now; });
   EndLapsedRuns();
+  // A draining executor takes no work, so nothing is lost if it is still there.
+  if (departing_ && executor_->draining && runs_.empty()) ForgetDepartedExecutor();
   StartWaitingOrders();
   for (auto& [id, run] : runs_) {
     if (run.state == State::kStopping && run.next_stop_at <= now) SendStop(id, run);
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -193,7 +193,8 @@
 
   // Returns false if the status is of an earlier incarnation or older than the last one.
   bool OnExecutorStatus(const LeasedExecutor& status);
-  // The executor has announced its shutdown.
+  // An incarnation of the executor has announced its end, and may have done so long ago. Its runs
+  // end when the executor refuses calls or their lease expires, not by this call alone.
   void OnExecutorLeft(const std::string& executor_id);
 
   // The owner has handled all input that had reached it by `input_handled`, and has sent the stops
@@ -292,6 +293,8 @@
   // Called when the executor has restarted under the same id.
   void BeginIncarnation(std::int64_t born_ms);
   void ForgetExecutor(RunOutcome outcome);
+  // The incarnation that announced its end is gone.
+  void ForgetDepartedExecutor();
   std::optional<RunOutcome> ReasonToRefuse(const std::string& owner, const RunOrder& order) const;
   void StartWaitingOrders();
   void UpdateUrgentUse();
@@ -382,8 +385,12 @@
   double mean_answer_seconds_ = 0.0075;
   // The pace in the last report.
   double reported_pace_ = 0;
-  // Set until a poll has shown which runs an earlier process of the supervisor left behind.
+  // Set until a poll has shown which runs an earlier process of the supervisor left behind, or that
+  // the executor is still there after it announced its end.
   bool needs_first_poll_ = false;
+  // An incarnation has announced its end, and this one has announced nothing since. Unset without
+  // an executor.
+  bool departing_ = false;
   // Unknown runs that are being stopped.
   struct UnknownRun {
     TimePoint next_stop_at;
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -126,7 +126,13 @@
   const std::string id = request.path.substr(platform::kInstancePathPrefix.size());
   if (request.method == "PUT") return OnAnnouncement(id, request.body);
   if (request.method != "DELETE") return {.status = kBadRequest, .body = "{}"};
-  log_.Write(LogLevel::kInfo, "executor_left", {{"executor", id}});
+  const auto& known = run_supervisor_.executor();
+  log_.Write(LogLevel::kInfo, "executor_left",
+             {{"executor", id},
+              {"is_known", known && known->id == id},
+              {"born_ms", known ? known->born_ms : 0},
+              {"draining", known && known->draining},
+              {"runs", run_supervisor_.run_count()}});
   run_supervisor_.OnExecutorLeft(id);
   return {.body = "{}"};
 }
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -685,6 +685,54 @@
   cr_assert_eq(holds[0].fencing_token, 8);
 }
 
+// Guards against runs that are ordered again elsewhere while they go on: the leave call of an
+// earlier incarnation was delayed and arrives after the executor has started again under its id.
+Test(run_supervisor, keeps_runs_when_the_leave_call_of_an_earlier_incarnation_arrives) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.clock.Advance(milliseconds(1));
+  fixture.supervisor.OnExecutorLeft("executor");
+  fixture.TakeActions();
+  cr_assert(fixture.ActionsOf<RunUpdate>().empty());
+  cr_assert_not(fixture.supervisor.accepting());
+  fixture.AnswerHold({.running = {{.id = MakeRunId(0)}}});
+  cr_assert(fixture.supervisor.accepting());
+  fixture.clock.Advance(milliseconds(1));
+  fixture.AnswerHold({.ended = {{.number = 1, .id = MakeRunId(0), .outcome = RunOutcome::kDone}}});
+  cr_assert(fixture.ActionsOf<RunUpdate>().at(0).outcome == RunOutcome::kDone);
+}
+
+// Guards against tasks that wait for a lease to end although their executor has left and its
+// process is gone.
+Test(run_supervisor, ends_runs_at_once_when_an_executor_that_left_refuses_calls) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.supervisor.OnExecutorLeft("executor");
+  fixture.supervisor.OnConnectionRefused();
+  fixture.supervisor.OnHoldAnswer(fixture.last_hold.number, std::nullopt);
+  fixture.TakeActions();
+  cr_assert(fixture.ActionsOf<RunUpdate>().at(0).outcome == RunOutcome::kStopped);
+  cr_assert_not(fixture.supervisor.executor().has_value());
+}
+
+// Guards against calls without end to an executor that has left and does not refuse them.
+Test(run_supervisor, forgets_a_silent_executor_that_left_when_its_lease_has_ended) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.supervisor.OnExecutorLeft("executor");
+  for (int i = 0; i < 20 && fixture.supervisor.executor(); ++i) {
+    fixture.clock.Advance(milliseconds(100));
+    fixture.supervisor.OnOwnerHeard(kOwner, fixture.clock.now());
+    fixture.supervisor.OnHoldAnswer(fixture.last_hold.number, std::nullopt);
+    fixture.supervisor.OnTimer();
+    fixture.TakeActions();
+    fixture.SaveLastHold();
+  }
+  cr_assert_not(fixture.supervisor.executor().has_value());
+  cr_assert(fixture.ActionsOf<RunUpdate>().at(0).outcome == RunOutcome::kLapsed);
+  cr_assert_eq(fixture.supervisor.next_timer(), zinniamux::core::TimePoint::max());
+}
+
 // Guards against a token that runs ahead of those of later processes, which the executor then
 // refuses: a start that was on its way in a restart is fenced by the rise for the new incarnation.
 Test(run_supervisor, sends_a_start_of_the_earlier_incarnation_again_with_the_present_token) {
