http client, run supervisor: a refused second copy of a start says nothing of the first

Cause: libcurl sends a request again on its own when a reused connection breaks before a byte of the answer has come. The answer to that copy was taken for the answer to the first, so that the run counted as not started and was ordered elsewhere at once, or its job was refused.

HttpResult now tells that a request was sent again (CURLOPT_PREREQFUNCTION counts the copies, without another system call). A start that was sent again and confirmed runs, as before; one that was sent again and refused counts as unanswered: it is stopped, and a poll tells how it ended. Starts keep their reused connections. Stops and hold calls may be sent twice: a second copy is answered by the same state. Conditional transactions and tasks of the agent have connections of their own already. The log line start_not_confirmed says whether the call was resent.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -22,6 +22,7 @@
   HttpClient::Callback callback;
   HttpResult result;
   curl_slist* headers = nullptr;
+  int copies_sent = 0;
 };
 
 std::size_t AppendBody(char* data, std::size_t size, std::size_t count, void* user) {
@@ -33,6 +34,13 @@
   return bytes;
 }
 
+// Called before each copy of a request is sent.
+int CountCopy(void* user, char* /*remote_ip*/, char* /*local_ip*/, int /*remote_port*/,
+              int /*local_port*/) {
+  ++static_cast<Transfer*>(user)->copies_sent;
+  return CURL_PREREQFUNC_OK;
+}
+
 void InitialiseCurlOnce() {
   static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
   static_cast<void>(result);
@@ -109,6 +117,8 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &CountCopy);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
@@ -143,6 +153,7 @@
       transfer->result.not_sent =
           code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
     }
+    transfer->result.resent = transfer->copies_sent > 1;
     curl_multi_remove_handle(multi_, easy);
     curl_easy_cleanup(easy);
     curl_slist_free_all(transfer->headers);
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -18,8 +18,8 @@
   HttpHeaders headers;
   std::string body;
   std::chrono::milliseconds timeout{2000};
-  // Opens a connection for this call alone. libcurl silently sends a request again when a reused
-  // connection turns out to be closed; a call that must be sent at most once sets this.
+  // Opens a connection for this call alone. libcurl sends a request again when a reused connection
+  // breaks before the answer; a call that must be sent at most once sets this.
   bool fresh_connection = false;
 };
 
@@ -30,6 +30,9 @@
   std::string failure;
   // The connection could not be established, so the server certainly did not get the request.
   bool not_sent = false;
+  // The request was sent more than once, and this is the outcome of the last copy. The server may
+  // have acted on an earlier one.
+  bool resent = false;
 };
 
 // Runs calls on one thread of its own.
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -286,8 +286,9 @@
 void RunSupervisor::OnConnectionRefused() { call_was_refused_ = true; }
 
 void RunSupervisor::OnStartAnswer(const RunId& id, StartAnswer answer,
-                                  std::optional<ExecutorTime> clock) {
+                                  std::optional<ExecutorTime> clock, bool resent) {
   RecordAnswer(answer != StartAnswer::kNone);
+  if (resent && answer != StartAnswer::kStarted) answer = StartAnswer::kNone;
   const auto found = runs_.find(id);
   if (found == runs_.end()) return;
   Run& run = found->second;
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -208,7 +208,10 @@
 
   // No process listens at the executor's address. Called before the unanswered call is reported.
   void OnConnectionRefused();
-  void OnStartAnswer(const RunId& id, StartAnswer answer, std::optional<ExecutorTime> clock);
+  // `resent`: the call was sent more than once, and this is the answer to the last copy. Refusals
+  // of it do not tell whether an earlier copy has started the run.
+  void OnStartAnswer(const RunId& id, StartAnswer answer, std::optional<ExecutorTime> clock,
+                     bool resent = false);
   void OnStopAnswer(const RunId& id, bool answered);
   // `answer` is empty if the call failed or timed out.
   void OnHoldAnswer(std::uint64_t number, const std::optional<HoldAnswer>& answer);
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -408,9 +408,10 @@
                                  {"run", id.run},
                                  {"status", result.status},
                                  {"failure", result.failure},
-                                 {"answer", result.body}});
+                                 {"answer", result.body},
+                                 {"resent", result.resent}});
                    }
-                   run_supervisor_.OnStartAnswer(id, start.answer, start.clock);
+                   run_supervisor_.OnStartAnswer(id, start.answer, start.clock, result.resent);
                  });
 }
 
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -791,6 +791,40 @@
   cr_assert_leq(limit.count(), 160);
 }
 
+// Guards against tasks that run twice, and jobs that are refused as not run: the start call was
+// sent again after its connection broke, the first copy has started the run, and the second is
+// refused.
+Test(run_supervisor, does_not_take_a_refusal_of_a_second_copy_for_not_started) {
+  for (const StartAnswer answer :
+       {StartAnswer::kOutdated, StartAnswer::kUnhealthy, StartAnswer::kNoRoom, StartAnswer::kFenced,
+        StartAnswer::kLeaseExpired, StartAnswer::kRejected}) {
+    Fixture fixture;
+    fixture.OrderRun(0);
+    fixture.supervisor.OnStartAnswer(MakeRunId(0), answer, fixture.ExecutorClock(), true);
+    fixture.TakeActions();
+    cr_assert(fixture.ActionsOf<RunUpdate>().empty());
+    cr_assert(fixture.ActionsOf<CallStart>().empty());
+    cr_assert_eq(fixture.ActionsOf<CallStop>().size(), 1);
+    fixture.clock.Advance(milliseconds(1));
+    fixture.supervisor.OnStopAnswer(MakeRunId(0), true);
+    fixture.clock.Advance(milliseconds(1));
+    fixture.AnswerHold(
+        {.ended = {{.number = 1, .id = MakeRunId(0), .outcome = RunOutcome::kFailed}}});
+    cr_assert(fixture.ActionsOf<RunUpdate>().at(0).outcome == RunOutcome::kFailed);
+  }
+}
+
+// Guards against runs that are stopped because their start was sent again and confirmed.
+Test(run_supervisor, keeps_a_run_that_a_second_copy_confirms) {
+  Fixture fixture;
+  fixture.OrderRun(0);
+  fixture.supervisor.OnStartAnswer(MakeRunId(0), StartAnswer::kStarted, fixture.ExecutorClock(),
+                                   true);
+  fixture.TakeActions();
+  cr_assert(fixture.ActionsOf<CallStop>().empty());
+  cr_assert(fixture.ActionsOf<RunUpdate>().empty());
+}
+
 // Guards against a run that is stopped because the answer to its start was lost, although a poll
 // has shown that it runs.
 Test(run_supervisor, keeps_a_run_whose_start_answer_was_lost) {
