job scheduler: place a task elsewhere after an unanswered start

Cause: a start without an answer is stopped, and its run then ended as "stopped", which says nothing about the executor. The dispatcher did not count it for the executor's health and placed the task there again.

Such a run now ends with an outcome of its own, start_unanswered. It counts as a failure of the executor, and the next run of the task is placed elsewhere. Dispatchers of earlier versions see "stopped", as before.

Fails before: run_supervisor/tells_that_a_run_was_stopped_because_its_start_was_not_answered, job_scheduler/retries_elsewhere_if_a_start_was_not_answered.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -449,7 +449,8 @@
   Job& job = jobs_.at(id.task.job_id);
   const std::string queue = job.request.queue;
   const bool counts_for_health = outcome == RunOutcome::kDone || outcome == RunOutcome::kFailed ||
-                                 outcome == RunOutcome::kUnhealthy;
+                                 outcome == RunOutcome::kUnhealthy ||
+                                 outcome == RunOutcome::kStartUnanswered;
   if (counts_for_health) {
     const auto change = health_.Record(supervisor.view.agent_id(), queue,
                                        outcome != RunOutcome::kDone, clock_.now());
@@ -497,7 +498,8 @@
       ++task.executor_crashes >= options_.max_executor_crashes) {
     return FinishJob(job, JobResult::kFailed, JobReason::kExecutorsCrashed);
   }
-  if (outcome == RunOutcome::kFailed || outcome == RunOutcome::kUnhealthy) {
+  if (outcome == RunOutcome::kFailed || outcome == RunOutcome::kUnhealthy ||
+      outcome == RunOutcome::kStartUnanswered) {
     task.last_failed_on = task.supervisor_id;
   }
   if (!HasStarted(outcome)) {
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -203,7 +203,8 @@
     TimePoint ordered_at;
     // Its order may wait for room at the executor.
     bool may_wait = false;
-    // The supervisor of its last failed run; the next run is placed elsewhere.
+    // The supervisor of its last run that failed or whose start was not answered; the next run is
+    // placed elsewhere.
     std::string last_failed_on;
     // Its run was stopped on a slow executor, to be repeated elsewhere.
     bool moved = false;
--- a/src/core/run.cc
+++ b/src/core/run.cc
@@ -31,6 +31,8 @@
       return "withdrawn";
     case RunOutcome::kOwnerSilent:
       return "owner_silent";
+    case RunOutcome::kStartUnanswered:
+      return "start_unanswered";
     case RunOutcome::kExecutorCrashed:
       return "executor_crashed";
   }
--- a/src/core/run.h
+++ b/src/core/run.h
@@ -127,12 +127,14 @@
   kExecutorCrashed,
   // It was stopped because its dispatcher was not heard.
   kOwnerSilent,
+  // It was stopped because its start call was not answered.
+  kStartUnanswered,
 };
 
 // True if the run was started. Only kFailed counts as an attempt.
 constexpr bool HasStarted(RunOutcome outcome) {
   return outcome <= RunOutcome::kAlone || outcome == RunOutcome::kExecutorCrashed ||
-         outcome == RunOutcome::kOwnerSilent;
+         outcome == RunOutcome::kOwnerSilent || outcome == RunOutcome::kStartUnanswered;
 }
 
 // The name in logs and metrics, for example "no_room".
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -361,8 +361,11 @@
 }
 
 RunSupervisor::Runs::iterator RunSupervisor::FinishRun(Runs::iterator run, RunOutcome outcome) {
-  const bool is_silent = run->second.stop_reason == StopReason::kOwnerSilent;
-  if (outcome == RunOutcome::kStopped && is_silent) outcome = RunOutcome::kOwnerSilent;
+  if (outcome == RunOutcome::kStopped) {
+    const StopReason reason = run->second.stop_reason;
+    if (reason == StopReason::kOwnerSilent) outcome = RunOutcome::kOwnerSilent;
+    if (reason == StopReason::kStartUnanswered) outcome = RunOutcome::kStartUnanswered;
+  }
   const RunOrder& order = run->second.order;
   used_ -= order.need;
   if (order.urgent) urgent_used_milli_ -= order.need.cpu_milli;
--- a/src/zinniamuxd/run_codec.cc
+++ b/src/zinniamuxd/run_codec.cc
@@ -40,20 +40,23 @@
 void ToMessage(const core::RunUpdate& update, runs::RunUpdate& message) {
   const bool executor_crashed = update.outcome == core::RunOutcome::kExecutorCrashed;
   const bool owner_silent = update.outcome == core::RunOutcome::kOwnerSilent;
+  const bool start_unanswered = update.outcome == core::RunOutcome::kStartUnanswered;
   core::RunOutcome outcome = update.outcome;
   if (executor_crashed) outcome = core::RunOutcome::kLapsed;
-  if (owner_silent) outcome = core::RunOutcome::kStopped;
+  if (owner_silent || start_unanswered) outcome = core::RunOutcome::kStopped;
   ToMessage(update.id, *message.mutable_run());
   message.set_outcome(static_cast<std::uint32_t>(outcome));
   message.set_elapsed_ms(static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(update.elapsed).count()));
   message.set_executor_crashed(executor_crashed);
   message.set_owner_silent(owner_silent);
+  message.set_start_unanswered(start_unanswered);
 }
 
 core::RunOutcome OutcomeFromMessage(const runs::RunUpdate& message) {
   if (message.executor_crashed()) return core::RunOutcome::kExecutorCrashed;
   if (message.owner_silent()) return core::RunOutcome::kOwnerSilent;
+  if (message.start_unanswered()) return core::RunOutcome::kStartUnanswered;
   return static_cast<core::RunOutcome>(message.outcome());
 }
 
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -173,6 +173,16 @@
   cr_assert(fixture.answers.at(0).answer.reason == JobReason::kAttemptsUsedUp);
 }
 
+// Guards against a task that is ordered on the same executor until its caller gives up, beside idle
+// ones: the executor carries out the starts, but their answers are lost.
+Test(job_scheduler, retries_elsewhere_if_a_start_was_not_answered) {
+  Fixture fixture;
+  fixture.Submit(fixture.MakeJob("job", 1));
+  const std::string first = fixture.starts.at(0).agent_id;
+  fixture.EndAllRuns(RunOutcome::kStartUnanswered);
+  cr_assert_neq(fixture.starts.at(0).agent_id, first);
+}
+
 // Guards against a task that crashes one executor after the other for as long as its caller waits,
 // and against jobs that fail because a task ran beside the cause of one or two crashes.
 Test(job_scheduler, fails_a_job_whose_task_crashes_three_executors) {
--- a/tests/unit/run_codec_test.cc
+++ b/tests/unit/run_codec_test.cc
@@ -24,6 +24,18 @@
   cr_assert(zinniamux::daemon::OutcomeFromMessage(message) == RunOutcome::kOwnerSilent);
 }
 
+// Guards against dispatchers of an earlier version that take an outcome they do not know for a run
+// that was never started, and tell the caller so.
+Test(run_codec, tells_earlier_versions_of_an_unanswered_start_as_a_stop) {
+  const RunUpdate update{.owner = "dispatcher",
+                         .id = {.task = {.job_id = "job"}, .run = 2},
+                         .outcome = RunOutcome::kStartUnanswered};
+  zinniamux::runs::RunUpdate message;
+  zinniamux::daemon::ToMessage(update, message);
+  cr_assert_eq(message.outcome(), static_cast<std::uint32_t>(RunOutcome::kStopped));
+  cr_assert(zinniamux::daemon::OutcomeFromMessage(message) == RunOutcome::kStartUnanswered);
+}
+
 // Guards against dispatchers of an earlier version that take an outcome they do not know for a run
 // that was never started, and tell the caller so.
 Test(run_codec, tells_earlier_versions_of_a_crash_as_an_expired_lease) {
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -814,6 +814,21 @@
   }
 }
 
+// Guards against a task that is ordered here again and again: a run that was stopped because its
+// start was not answered must not look like one that its dispatcher stopped.
+Test(run_supervisor, tells_that_a_run_was_stopped_because_its_start_was_not_answered) {
+  Fixture fixture;
+  fixture.OrderRun(0);
+  fixture.supervisor.OnStartAnswer(MakeRunId(0), StartAnswer::kNone, std::nullopt);
+  fixture.TakeActions();
+  fixture.clock.Advance(milliseconds(1));
+  fixture.supervisor.OnStopAnswer(MakeRunId(0), true);
+  fixture.clock.Advance(milliseconds(1));
+  fixture.AnswerHold(
+      {.ended = {{.number = 1, .id = MakeRunId(0), .outcome = RunOutcome::kStopped}}});
+  cr_assert(fixture.ActionsOf<RunUpdate>().at(0).outcome == RunOutcome::kStartUnanswered);
+}
+
 // Guards against runs that are stopped because their start was sent again and confirmed.
 Test(run_supervisor, keeps_a_run_that_a_second_copy_confirms) {
   Fixture fixture;
