job scheduler, run supervisor: end the runs of an earlier copy before a job starts

Cause: all limits that keep two copies apart assume that a dispatcher hears of a caller that has left. A reset that is lost in a cut is not sent again, and a cut below the isolation limit is not noticed, so that the dispatcher went on for as long as the job took.

Weighed and left: probes to callers, a shorter isolation limit, asking for each job (docs/platform.md).

Not covered: a first copy that is still queued at its dispatcher, or started within a report's way of the second copy's arrival.

--- a/src/core/executor_view.h
+++ b/src/core/executor_view.h
@@ -39,6 +39,8 @@
   // released by urgent runs is reserved for other urgent ones.
   double release_rate = 0;
   double lesser_release_rate = 0;
+  // Jobs of other dispatchers that the executor runs; see RunSupervisor::JobsOfOthers.
+  std::vector<std::string> jobs_of_others;
 };
 
 class ExecutorView {
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -117,9 +117,35 @@
     job.steps.push_back(std::move(state));
   }
   job.request = std::move(request);
+  SupersedeElsewhere(job);
   UnblockSteps(job);
 }
 
+void JobScheduler::SupersedeElsewhere(Job& job) {
+  const std::string& id = job.request.id;
+  job.awaits_earlier_copy = run_elsewhere_.contains(id);
+  if (!job.awaits_earlier_copy) return;
+  for (const auto& [supervisor_id, supervisor] : supervisors_) {
+    const auto& jobs = supervisor.jobs_of_others;
+    if (std::find(jobs.begin(), jobs.end(), id) == jobs.end()) continue;
+    actions_.emplace_back(SupersedeJob{.agent_id = supervisor_id, .job_id = id});
+  }
+}
+
+void JobScheduler::SetJobsOfOthers(Supervisor& supervisor, std::vector<std::string> jobs) {
+  for (const std::string& id : jobs) ++run_elsewhere_[id];
+  for (const std::string& id : supervisor.jobs_of_others) {
+    const auto found = run_elsewhere_.find(id);
+    if (--found->second > 0) continue;
+    run_elsewhere_.erase(found);
+    const auto job = jobs_.find(id);
+    if (job == jobs_.end() || !job->second.awaits_earlier_copy) continue;
+    job->second.awaits_earlier_copy = false;
+    should_retry_waiting_ = true;
+  }
+  supervisor.jobs_of_others = std::move(jobs);
+}
+
 milliseconds JobScheduler::RetryAfter(const std::string& job_id, Duration expected_wait) const {
   // The hash spreads the retries of callers that are refused at the same time.
   constexpr std::size_t kSpreadSteps = 1024;
@@ -210,6 +236,7 @@
     // The job may be answered, which removes it from the queue.
     Job& job = *queued.job;
     queued.is_waiting = true;
+    if (job.awaits_earlier_copy) continue;
     const UnmetNeed* unmet = FindUnmetNeed(job);
     const bool found_none = unmet != nullptr || !PlaceJob(job);
     if (job.ready == 0) {
@@ -408,7 +435,8 @@
                        .expires = expires,
                        .at_once = choice.at_once,
                        .rank = rank,
-                       .urgent = job.request.urgent};
+                       .urgent = job.request.urgent,
+                       .job_received = job.received};
   }
   RunId id{.task = {.job_id = job.request.id, .step = step_index, .index = index},
            .run = ++task.run};
@@ -681,6 +709,7 @@
   found->second.heard_at = clock_.now();
   // On average, one of the dispatchers that see the same room may take the last of it.
   const std::uint32_t competitors = std::max<std::uint32_t>(report.close_entries, 1);
+  SetJobsOfOthers(found->second, std::exchange(report.jobs_of_others, {}));
   ExecutorView& view = found->second.view;
   view.OnReport(std::move(report));
   view.set_may_take_last_room(
@@ -728,6 +757,7 @@
     supervisor.runs_over_at = {};
     EndLostRuns(supervisor, std::exchange(supervisor.orphaned_runs, {}), RunOutcome::kLapsed);
     if (supervisor.view.attached()) continue;
+    SetJobsOfOthers(supervisor, {});
     EndLostRuns(supervisor, std::exchange(supervisor.runs, {}), RunOutcome::kLapsed);
   }
   ForgetExpiredAnswers();
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -48,6 +48,7 @@
   bool at_once = false;
   StartRank rank = StartRank::kNormal;
   bool urgent = false;
+  TimePoint job_received;
   struct Start {
     std::uint32_t index = 0;
     std::uint32_t run = 0;
@@ -61,6 +62,13 @@
   RunId id;
 };
 
+// Tells a supervisor that this dispatcher has received a job that the supervisor runs for another
+// one.
+struct SupersedeJob {
+  std::string agent_id;
+  std::string job_id;
+};
+
 // Answers the caller; the job is over.
 struct AnswerJob {
   JobReply answer;
@@ -85,7 +93,7 @@
 };
 
 using SchedulerAction =
-    std::variant<StartTasks, StopTask, AnswerJob, ExecutorJudged, IsolationEnded>;
+    std::variant<StartTasks, StopTask, SupersedeJob, AnswerJob, ExecutorJudged, IsolationEnded>;
 
 // Schedules the jobs that one dispatcher has accepted, until each is answered. Jobs are not stored:
 // if the dispatcher fails, supervisors stop its runs and callers submit the jobs again. Invariants:
@@ -94,7 +102,11 @@
 //   has certainly ended.
 // - A job is refused only if none of its tasks was ever ordered, or if no order has started a run.
 // - Nothing is ordered after the job's deadline, and orders expire at the supervisor.
-// - A job is given up when a supervisor has ended its run because it did not hear the dispatcher.
+// - A job is given up when a supervisor has ended its run because it did not hear the dispatcher,
+// or
+//   because another dispatcher has received the job.
+// - A job that a supervisor ran for another dispatcher when it arrived is ordered only after all
+//   supervisors have reported that they do not run it any more, or are certain not to.
 // - After an isolation, nothing is ordered until the input that came in it is handled. Jobs that
 //   may have arrived before its end are given up then: their callers may have sent them elsewhere,
 //   and the closed connections may still be on their way.
@@ -238,6 +250,8 @@
     std::uint32_t refused_starts = 0;
     // At least one run has started.
     bool any_run_started = false;
+    // Its caller has left another dispatcher, whose runs of the job have not ended.
+    bool awaits_earlier_copy = false;
   };
 
   // Sorts by rank, then by when the job must start; started jobs by their arrival.
@@ -286,6 +300,8 @@
     std::set<RunId> runs;
     // Runs of an earlier incarnation that may not have ended.
     std::set<RunId> orphaned_runs;
+    // ExecutorReport::jobs_of_others of the last report.
+    std::vector<std::string> jobs_of_others;
     // When the orphaned runs have certainly ended, and the other runs too if the supervisor is
     // disconnected. Unset while it is connected and there are no orphaned runs.
     TimePoint runs_over_at;
@@ -293,6 +309,10 @@
 
   // Called with everything that callers and supervisors send.
   void NoteInput();
+  // Sets the jobs that the supervisor runs for other dispatchers.
+  void SetJobsOfOthers(Supervisor& supervisor, std::vector<std::string> jobs);
+  // Ends the runs of the job that other dispatchers have ordered.
+  void SupersedeElsewhere(Job& job);
   // The job may have arrived before the end of an isolation.
   bool MayHaveLeft(const Job& job) const {
     return isolation_ && job.arrived_after < isolation_->ended;
@@ -387,6 +407,9 @@
   std::map<QueueKey, QueuedJob> queue_;
   std::unordered_map<std::string, QueueKey> queue_keys_;
   std::map<std::string, Supervisor> supervisors_;
+  // How many supervisors run a job for other dispatchers. Invariant: the counts of
+  // Supervisor::jobs_of_others.
+  std::unordered_map<std::string, std::size_t> run_elsewhere_;
   // The views in supervisors_, in the same order.
   std::vector<ExecutorView*> views_;
   // RoomPlacement::MedianPace of views_ at the last placement.
--- a/src/core/run.h
+++ b/src/core/run.h
@@ -77,6 +77,8 @@
   std::chrono::milliseconds estimate{0};
   // The run does not start after this time.
   TimePoint expires;
+  // When the dispatcher received the job; unset if it did not tell.
+  TimePoint job_received;
   // If there is no room, the run is refused at once instead of waiting until it expires.
   bool at_once = false;
   StartRank rank = StartRank::kNormal;
@@ -125,7 +127,8 @@
   kWithdrawn,
   // The executor's process ended while the run was on it.
   kExecutorCrashed,
-  // It was stopped because its dispatcher was not heard.
+  // It was stopped because its dispatcher was not heard, or because another one has received the
+  // job from its caller.
   kOwnerSilent,
   // It was stopped because its start call was not answered.
   kStartUnanswered,
--- a/src/core/run_end_budget.h
+++ b/src/core/run_end_budget.h
@@ -63,6 +63,12 @@
     return silence_ - kHeartbeat - kDelivery * 2;
   }
 
+  // From this age on, a job is made known to the dispatchers that its caller may turn to: a
+  // heartbeat and two turns of the timer later, its caller may have sent it again.
+  std::chrono::milliseconds notice_age() const {
+    return deployment_.retransmit - kHeartbeat - kDelivery * 4;
+  }
+
   // Time between two messages of a connection without other traffic.
   static constexpr std::chrono::milliseconds kHeartbeat{300};
 
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -25,6 +25,8 @@
       return "owner_silent";
     case StopReason::kStartUnanswered:
       return "start_unanswered";
+    case StopReason::kSuperseded:
+      return "superseded";
   }
   return "unknown";
 }
@@ -142,6 +144,28 @@
   SendDueHolds();
 }
 
+void RunSupervisor::OnJobSuperseded(const std::string& owner, const std::string& job_id) {
+  RefuseOrders(queue_.TakeJobOfOthers(owner, job_id), RunOutcome::kWithdrawn);
+  for (auto& [id, run] : runs_) {
+    if (run.owner == owner || id.task.job_id != job_id) continue;
+    BeginStop(id, run, StopReason::kSuperseded, RunOutcome::kStopped);
+  }
+  SendDueHolds();
+}
+
+std::vector<std::string> RunSupervisor::JobsOfOthers(const std::string& owner) const {
+  const TimePoint received_by = clock_.now() - options_.budget.notice_age();
+  std::set<std::string> jobs;
+  for (std::string& job : queue_.JobsOfOthers(owner, received_by)) jobs.insert(std::move(job));
+  for (const auto& [id, run] : runs_) {
+    if (run.owner != owner && run.order.job_received <= received_by) jobs.insert(id.task.job_id);
+  }
+  for (const auto& [id, run] : unknown_runs_) {
+    if (run.is_listed) jobs.insert(id.task.job_id);
+  }
+  return {jobs.begin(), jobs.end()};
+}
+
 bool RunSupervisor::accepting() const {
   return executor_ && !executor_->draining && !stopped_accepting_ && !needs_first_poll_ &&
          consecutive_unanswered_ <= kMaxConsecutiveUnanswered;
@@ -178,15 +202,17 @@
     actions_.emplace_back(RunUpdate{.owner = owner, .id = order.id, .outcome = *reason});
     return;
   }
-  if (!queue_.Add({.owner = owner, .order = order})) {
+  StartQueue::WaitingOrder waiting{.owner = owner, .order = order};
+  if (order.job_received == TimePoint()) waiting.order.job_received = clock_.now();
+  if (!queue_.Add(std::move(waiting))) {
     actions_.emplace_back(
         RunUpdate{.owner = owner, .id = order.id, .outcome = RunOutcome::kNoRoom});
     return;
   }
   StartWaitingOrders();
   if (!order.at_once) return;
-  if (auto waiting = queue_.TakeOrder(owner, order.id)) {
-    RefuseOrders({*std::move(waiting)},
+  if (auto left = queue_.TakeOrder(owner, order.id)) {
+    RefuseOrders({*std::move(left)},
                  CanLeaseStarts() ? RunOutcome::kNoRoom : RunOutcome::kNotAccepting);
   }
 }
@@ -220,6 +246,10 @@
   Run run{.owner = std::move(waiting.owner),
           .order = std::move(waiting.order),
           .started_at = clock_.now()};
+  // Not with the next heartbeat only: its caller may have sent the job again already.
+  if (run.order.job_received + options_.budget.notice_age() <= clock_.now()) {
+    actions_.emplace_back(ReportChanged{});
+  }
   SendStart(runs_.emplace(id, std::move(run)).first->second);
 }
 
@@ -363,7 +393,9 @@
 RunSupervisor::Runs::iterator RunSupervisor::FinishRun(Runs::iterator run, RunOutcome outcome) {
   if (outcome == RunOutcome::kStopped) {
     const StopReason reason = run->second.stop_reason;
-    if (reason == StopReason::kOwnerSilent) outcome = RunOutcome::kOwnerSilent;
+    const bool is_given_up =
+        reason == StopReason::kOwnerSilent || reason == StopReason::kSuperseded;
+    if (is_given_up) outcome = RunOutcome::kOwnerSilent;
     if (reason == StopReason::kStartUnanswered) outcome = RunOutcome::kStartUnanswered;
   }
   const RunOrder& order = run->second.order;
@@ -376,6 +408,8 @@
   }
   actions_.emplace_back(RunUpdate{
       .owner = run->second.owner, .id = run->first, .outcome = outcome, .elapsed = elapsed});
+  // The other dispatcher waits for it.
+  if (run->second.stop_reason == StopReason::kSuperseded) actions_.emplace_back(ReportChanged{});
   return runs_.erase(run);
 }
 
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -96,6 +96,8 @@
   kOwnerSilent,
   // Its start call was not answered.
   kStartUnanswered,
+  // Another dispatcher has received the job from its caller.
+  kSuperseded,
 };
 
 // The name in logs and metrics, for example "owner_silent".
@@ -150,7 +152,8 @@
 // - No lease outlasts the time by which a run on the executor must have ended (see RunEndBudget),
 //   whatever stands still in between.
 // - Unknown runs on the executor are stopped.
-// Not thread-safe.
+// - A job with a run that has not ended is in JobsOfOthers of every other owner from its notice age
+// on. Not thread-safe.
 class RunSupervisor {
  public:
   struct Options {
@@ -202,6 +205,9 @@
   void OnOwnerHeard(const std::string& owner, TimePoint input_handled);
   // The owner's process is known to be gone.
   void OnOwnerLost(const std::string& owner);
+  // The owner has received the job from its caller, who expects nothing of other dispatchers any
+  // more. Ends their runs and orders of the job.
+  void OnJobSuperseded(const std::string& owner, const std::string& job_id);
   // Starts the run, queues it until there is room, or refuses it with an update.
   void OnOrder(const std::string& owner, const RunOrder& order);
   void OnStopOrder(const std::string& owner, const RunId& id);
@@ -239,6 +245,9 @@
   // it in the last second. A burst of urgent runs releases more than that: they run for a short
   // time, and what they release is free for the others afterwards.
   double lesser_release_rate() const;
+  // Jobs with runs or orders of other owners, and unknown runs, whose callers may soon send them to
+  // this owner (see RunEndBudget::notice_age).
+  std::vector<std::string> JobsOfOthers(const std::string& owner) const;
   // Runs and waiting orders of the owner.
   std::vector<RunId> RunsOf(const std::string& owner) const;
   // Recent run time divided by the estimate, 0 if unknown.
--- a/src/core/start_queue.cc
+++ b/src/core/start_queue.cc
@@ -55,6 +55,13 @@
   return TakeIf([owner](const WaitingOrder& waiting) { return waiting.owner == owner; });
 }
 
+std::vector<StartQueue::WaitingOrder> StartQueue::TakeJobOfOthers(std::string_view owner,
+                                                                  std::string_view job_id) {
+  return TakeIf([owner, job_id](const WaitingOrder& waiting) {
+    return waiting.owner != owner && waiting.order.id.task.job_id == job_id;
+  });
+}
+
 std::vector<StartQueue::WaitingOrder> StartQueue::TakeAll() {
   return TakeIf([](const WaitingOrder&) { return true; });
 }
@@ -81,6 +88,16 @@
   return ids;
 }
 
+std::vector<std::string> StartQueue::JobsOfOthers(std::string_view owner,
+                                                  TimePoint received_by) const {
+  std::vector<std::string> jobs;
+  for (const auto& [key, waiting] : orders_) {
+    if (waiting.owner == owner || waiting.order.job_received > received_by) continue;
+    jobs.push_back(waiting.order.id.task.job_id);
+  }
+  return jobs;
+}
+
 WaitingNeeds StartQueue::waiting_needs() const {
   WaitingNeeds needs;
   for (const auto& [key, waiting] : orders_) {
--- a/src/core/start_queue.h
+++ b/src/core/start_queue.h
@@ -40,11 +40,15 @@
   std::vector<WaitingOrder> TakeExpired(TimePoint now);
   std::vector<WaitingOrder> TakeOwnedBy(std::string_view owner);
   std::vector<WaitingOrder> TakeAll();
+  // Orders for the job that belong to other owners.
+  std::vector<WaitingOrder> TakeJobOfOthers(std::string_view owner, std::string_view job_id);
   // Removes the order if it is waiting and belongs to this owner.
   std::optional<WaitingOrder> TakeOrder(std::string_view owner, const RunId& id);
 
   bool ContainsTask(const TaskId& task) const;
   std::vector<RunId> RunIdsOf(std::string_view owner) const;
+  // Jobs of other owners that were received by `received_by`.
+  std::vector<std::string> JobsOfOthers(std::string_view owner, TimePoint received_by) const;
   std::size_t size() const { return orders_.size(); }
   bool empty() const { return orders_.empty(); }
   // Total needs of the waiting orders.
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -343,6 +343,11 @@
       registry_.QueueStart(*start);
     } else if (const auto* stop = std::get_if<core::StopTask>(&action)) {
       registry_.QueueStop(*stop);
+    } else if (const auto* superseded = std::get_if<core::SupersedeJob>(&action)) {
+      metrics_.Add("jobs_superseded_total");
+      log_.Write(LogLevel::kInfo, "job_superseded",
+                 {{"job", superseded->job_id}, {"agent", superseded->agent_id}});
+      registry_.QueueSupersede(*superseded);
     } else if (const auto* answer = std::get_if<core::AnswerJob>(&action)) {
       gateway_.OnJobAnswered(*answer);
     } else if (const auto* isolation = std::get_if<core::IsolationEnded>(&action)) {
--- a/src/zinniamuxd/run_codec.cc
+++ b/src/zinniamuxd/run_codec.cc
@@ -76,6 +76,7 @@
   message.set_kept_cpu_milli(report.kept_cpu_milli);
   message.set_release_cpu_milli(static_cast<std::int64_t>(report.release_rate));
   message.set_lesser_release_cpu_milli(static_cast<std::int64_t>(report.lesser_release_rate));
+  for (const std::string& job : report.jobs_of_others) message.add_jobs_of_others(job);
 }
 
 core::ExecutorReport FromMessage(const runs::ExecutorReport& message) {
@@ -93,7 +94,8 @@
                       .all_cpu_milli = message.waiting_cpu_milli()},
           .kept_cpu_milli = message.kept_cpu_milli(),
           .release_rate = static_cast<double>(message.release_cpu_milli()),
-          .lesser_release_rate = static_cast<double>(message.lesser_release_cpu_milli())};
+          .lesser_release_rate = static_cast<double>(message.lesser_release_cpu_milli()),
+          .jobs_of_others = {message.jobs_of_others().begin(), message.jobs_of_others().end()}};
 }
 
 void ToMessage(const core::StartTasks& start, core::Duration clock_offset,
@@ -105,6 +107,7 @@
   ToMessage(start.need, *message.mutable_need());
   message.set_estimate_ms(static_cast<std::uint32_t>(start.estimate.count()));
   message.set_expires_clock_ms(ToClockMilliseconds(start.expires + clock_offset));
+  message.set_job_received_clock_ms(ToClockMilliseconds(start.job_received + clock_offset));
   message.set_at_once(start.at_once);
   message.set_rank(static_cast<std::uint32_t>(start.rank));
   message.set_urgent(start.urgent);
@@ -120,6 +123,7 @@
                         ? static_cast<core::StartRank>(message.rank())
                         : core::StartRank::kNormal;
   const core::TimePoint expires{std::chrono::milliseconds(message.expires_clock_ms())};
+  const core::TimePoint job_received{std::chrono::milliseconds(message.job_received_clock_ms())};
   const int count = std::min(message.indexes_size(), message.runs_size());
   orders.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
@@ -132,6 +136,7 @@
                       .need = FromMessage(message.need()),
                       .estimate = std::chrono::milliseconds(message.estimate_ms()),
                       .expires = expires,
+                      .job_received = job_received,
                       .at_once = message.at_once(),
                       .rank = rank,
                       .urgent = message.urgent()});
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -283,6 +283,9 @@
   for (const runs::RunRef& stop : frame.stops()) {
     run_supervisor_.OnStopOrder(owner, FromMessage(stop));
   }
+  for (const std::string& job : frame.superseded_jobs()) {
+    run_supervisor_.OnJobSuperseded(owner, job);
+  }
   run_supervisor_.OnOwnerHeard(owner, InputHandledBy(frame, clock_.now()));
   report_schedule_.SetPause(link.address().entry_id, milliseconds(frame.report_pause_ms()));
   if (audience_.SetWanted(link.address().entry_id, frame.wants_changes())) ScheduleReports(true);
@@ -301,6 +304,10 @@
   for (const runs::RunRef& stop : frame.stops()) {
     run_supervisor_.OnStopOrder(owner, FromMessage(stop));
   }
+  // The runs of a superseded job may have ended since the report that named it.
+  if (frame.superseded_jobs_size() > 0) {
+    FillReport(link, *link.mutable_outgoing().mutable_report());
+  }
   if (frame.starts_size() > 0) {
     ScheduleReports(false);
     FillReport(link, *link.mutable_outgoing().mutable_report());
@@ -456,6 +463,7 @@
   report.kept_cpu_milli = run_supervisor_.kept_cpu_milli();
   report.release_rate = run_supervisor_.release_rate();
   report.lesser_release_rate = run_supervisor_.lesser_release_rate();
+  report.jobs_of_others = run_supervisor_.JobsOfOthers(link.owner());
   const auto seen = orders_seen_.find(link.owner());
   if (seen != orders_seen_.end()) report.orders_seen = seen->second;
   ToMessage(report, message);
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -147,6 +147,13 @@
   registered->second->has_outgoing = true;
 }
 
+void SupervisorRegistry::QueueSupersede(const core::SupersedeJob& job) {
+  const auto registered = peers_by_supervisor_.find(job.agent_id);
+  if (registered == peers_by_supervisor_.end()) return;
+  registered->second->outgoing.add_superseded_jobs(job.job_id);
+  registered->second->has_outgoing = true;
+}
+
 void SupervisorRegistry::Flush() {
   // Sending may close a connection, which changes peers_.
   const std::vector<std::shared_ptr<Peer>> peers = peers_;
--- a/src/zinniamuxd/supervisor_registry.h
+++ b/src/zinniamuxd/supervisor_registry.h
@@ -69,6 +69,7 @@
   // Orders are collected until Flush sends them. Orders to disconnected supervisors are dropped.
   void QueueStart(const core::StartTasks& start);
   void QueueStop(const core::StopTask& stop);
+  void QueueSupersede(const core::SupersedeJob& job);
   void Flush();
   // Offers the configuration to supervisors, which pass it on to dispatchers that cannot read it
   // from the store.
--- a/tests/property/silence_property_test.cc
+++ b/tests/property/silence_property_test.cc
@@ -354,3 +354,36 @@
     cr_expect(problems.empty(), "cut of %ld ms: %s", cut.count(), problems.c_str());
   }
 }
+
+// Guards against two copies of a job that run beside each other after a short cut: connections of
+// callers are reset in it, and their dispatcher never hears of that. It goes on with the jobs,
+// which take longer than their callers wait until they send them to another dispatcher.
+Test(silence, runs_tasks_once_if_resets_are_lost_in_a_short_cut) {
+  constexpr milliseconds kPeriod{50};
+  constexpr std::size_t kJobs = 80;
+  constexpr seconds kNever{30};
+  for (const milliseconds cut : {milliseconds(20), milliseconds(150), milliseconds(300)}) {
+    LeaseWorld world({.seed = 1});
+    for (std::size_t i = 0; i < kJobs; ++i) {
+      const milliseconds run_time(500 + 250 * static_cast<int>(i % 9));
+      world.Add({.request = {.id = "job" + std::to_string(i),
+                             .queue = "normal",
+                             .service = "service",
+                             .steps = {{.count = 2,
+                                        .need = {.cpu_milli = 1000, .memory_mb = 64},
+                                        .estimate = run_time}},
+                             .attempts = 3,
+                             .stretch = 1.6,
+                             .slack = milliseconds(60),
+                             .deadline = zinniamux::core::TimePoint(seconds(8))},
+                 .run_times = {run_time, run_time},
+                 .arrives = kWarmUp + static_cast<std::int64_t>(i) * kPeriod,
+                 .dispatcher = i % kDispatchers});
+    }
+    IsolateDispatcher(world, seconds(6), cut, kNever);
+    world.ResetCallers(0, milliseconds(6010), 1);
+    world.Run(seconds(50));
+    const std::string problems = ProblemsOf(world);
+    cr_expect(problems.empty(), "cut of %ld ms: %s", cut.count(), problems.c_str());
+  }
+}
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -359,6 +359,8 @@
   report.kept_cpu_milli = core.kept_cpu_milli();
   report.release_rate = core.release_rate();
   report.lesser_release_rate = core.lesser_release_rate();
+  report.jobs_of_others =
+      core.JobsOfOthers(links_[dispatcher * supervisors_.size() + supervisor].owner);
   report.close_entries =
       static_cast<std::uint32_t>(supervisors_[supervisor]->audience->close().size());
   report.is_close = supervisors_[supervisor]->audience->IsClose(NameOf(dispatcher));
@@ -778,6 +780,7 @@
     std::string agent_id;
     if (const auto* start = std::get_if<core::StartTasks>(&action)) agent_id = start->agent_id;
     if (const auto* stop = std::get_if<core::StopTask>(&action)) agent_id = stop->agent_id;
+    if (const auto* job = std::get_if<core::SupersedeJob>(&action)) agent_id = job->agent_id;
     if (agent_id.empty()) continue;
     const std::size_t s = IndexOf(agent_id);
     Link& link = LinkOf(index, s);
@@ -794,6 +797,11 @@
           if (const auto* stop = std::get_if<core::StopTask>(&action)) {
             to.core->OnStopOrder(owner, stop->id);
           }
+          if (const auto* job = std::get_if<core::SupersedeJob>(&action)) {
+            Trace(job->job_id, "agent-" + std::to_string(s) + " stops it for " + owner);
+            to.core->OnJobSuperseded(owner, job->job_id);
+            SendReport(s, index);
+          }
           if (const auto* start = std::get_if<core::StartTasks>(&action)) {
             for (const auto& each : start->starts) {
               Trace(start->job_id, "agent-" + std::to_string(s) + " takes the order of task " +
@@ -806,6 +814,7 @@
                                        .need = start->need,
                                        .estimate = start->estimate,
                                        .expires = start->expires,
+                                       .job_received = start->job_received,
                                        .at_once = start->at_once,
                                        .rank = start->rank,
                                        .urgent = start->urgent});
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -24,6 +24,7 @@
 using zinniamux::core::StartRank;
 using zinniamux::core::StartTasks;
 using zinniamux::core::StopTask;
+using zinniamux::core::SupersedeJob;
 using zinniamux::core::WaitingNeeds;
 
 struct Fixture {
@@ -99,6 +100,7 @@
       if (const auto* start = std::get_if<StartTasks>(&action)) starts.push_back(*start);
       if (const auto* stop = std::get_if<StopTask>(&action)) stops.push_back(*stop);
       if (const auto* answer = std::get_if<AnswerJob>(&action)) answers.push_back(*answer);
+      if (const auto* job = std::get_if<SupersedeJob>(&action)) superseded.push_back(*job);
     }
   }
 
@@ -129,6 +131,7 @@
   std::vector<StartTasks> starts;
   std::vector<StopTask> stops;
   std::vector<AnswerJob> answers;
+  std::vector<SupersedeJob> superseded;
 };
 
 }  // namespace
@@ -183,6 +186,43 @@
   cr_assert_neq(fixture.starts.at(0).agent_id, first);
 }
 
+// Guards against two copies of a job that run beside each other: the caller's connection to another
+// dispatcher broke, and that one has not heard of it.
+Test(job_scheduler, starts_a_job_after_the_runs_of_an_earlier_copy_have_ended) {
+  Fixture fixture;
+  ExecutorReport report{.executor_id = "executor-b",
+                        .service = "service",
+                        .accepting = true,
+                        .capacity = {.cpu_milli = 4000, .memory_mb = 1000},
+                        .free = {.cpu_milli = 4000, .memory_mb = 1000},
+                        .jobs_of_others = {"job"}};
+  fixture.scheduler.OnReport("b", report);
+  fixture.Submit(fixture.MakeJob("job", 1));
+  fixture.Submit(fixture.MakeJob("another job", 1));
+  cr_assert_eq(fixture.starts.size(), 1);
+  cr_assert_eq(fixture.starts[0].job_id, "another job");
+  cr_assert_eq(fixture.superseded.size(), 1);
+  cr_assert_eq(fixture.superseded[0].agent_id, "b");
+  cr_assert_eq(fixture.superseded[0].job_id, "job");
+  report.jobs_of_others.clear();
+  fixture.scheduler.OnReport("b", report);
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.starts.size(), 2);
+  cr_assert_eq(fixture.starts[1].job_id, "job");
+}
+
+// Guards against a job that waits for a supervisor that never comes back.
+Test(job_scheduler, starts_a_job_when_a_lost_supervisor_cannot_run_an_earlier_copy_any_more) {
+  Fixture fixture;
+  fixture.scheduler.OnReport("b", {.executor_id = "executor-b", .jobs_of_others = {"job"}});
+  fixture.scheduler.OnAgentDetached("b");
+  fixture.clock.Advance(zinniamux::core::RunEndBudget().lost_after());
+  fixture.Report("a", 4000);
+  fixture.scheduler.OnTimer();
+  fixture.Submit(fixture.MakeJob("job", 1));
+  cr_assert_eq(fixture.starts.size(), 1);
+}
+
 // Guards against a task that crashes one executor after the other for as long as its caller waits,
 // and against jobs that fail because a task ran beside the cause of one or two crashes.
 Test(job_scheduler, fails_a_job_whose_task_crashes_three_executors) {
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -733,6 +733,53 @@
   cr_assert_eq(fixture.supervisor.next_timer(), zinniamux::core::TimePoint::max());
 }
 
+// Guards against a second copy of a job that runs beside the first one: the other dispatchers must
+// know the job before its caller turns to one of them.
+Test(run_supervisor, names_jobs_of_other_dispatchers_before_their_callers_send_them_again) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  const milliseconds notice_age = zinniamux::core::RunEndBudget().notice_age();
+  fixture.clock.Advance(notice_age - milliseconds(1));
+  cr_assert(fixture.supervisor.JobsOfOthers("other@1").empty());
+  fixture.clock.Advance(milliseconds(1));
+  cr_assert_eq(fixture.supervisor.JobsOfOthers("other@1"), std::vector<std::string>{"job"});
+  cr_assert(fixture.supervisor.JobsOfOthers(kOwner).empty());
+}
+
+// Guards against runs that are not named because they began late in the life of their job.
+Test(run_supervisor, counts_the_age_of_a_job_from_its_arrival_at_its_dispatcher) {
+  Fixture fixture;
+  fixture.clock.Advance(seconds(10));
+  fixture.supervisor.OnOwnerHeard(kOwner, fixture.clock.now());
+  fixture.supervisor.OnOrder(kOwner, {.id = MakeRunId(0),
+                                      .need = {.cpu_milli = 1000, .memory_mb = 10},
+                                      .estimate = milliseconds(100),
+                                      .expires = fixture.clock.now() + milliseconds(400),
+                                      .job_received = fixture.clock.now() - seconds(1)});
+  cr_assert_eq(fixture.supervisor.JobsOfOthers("other@1"), std::vector<std::string>{"job"});
+}
+
+// Guards against runs that go on for a caller who has sent the job to another dispatcher, and
+// against one that waits for their end longer than it takes.
+Test(run_supervisor, ends_the_runs_of_a_job_that_another_dispatcher_has_received) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.supervisor.OnJobSuperseded(kOwner, "job");
+  fixture.supervisor.OnJobSuperseded("other@1", "another job");
+  fixture.TakeActions();
+  cr_assert(fixture.ActionsOf<CallStop>().empty());
+  fixture.supervisor.OnJobSuperseded("other@1", "job");
+  fixture.TakeActions();
+  cr_assert_eq(fixture.ActionsOf<CallStop>().size(), 1);
+  fixture.clock.Advance(milliseconds(1));
+  fixture.supervisor.OnStopAnswer(MakeRunId(0), true);
+  fixture.clock.Advance(milliseconds(1));
+  fixture.AnswerHold(
+      {.ended = {{.number = 1, .id = MakeRunId(0), .outcome = RunOutcome::kStopped}}});
+  cr_assert(fixture.ActionsOf<RunUpdate>().at(0).outcome == RunOutcome::kOwnerSilent);
+  cr_assert_eq(fixture.ActionsOf<zinniamux::core::ReportChanged>().size(), 1);
+}
+
 // Guards against a token that runs ahead of those of later processes, which the executor then
 // refuses: a start that was on its way in a restart is fenced by the rise for the new incarnation.
 Test(run_supervisor, sends_a_start_of_the_earlier_incarnation_again_with_the_present_token) {
