--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -187,6 +187,11 @@
   cr_assert(answer(503, "{}") == StartAnswer::kUnhealthy);
   cr_assert(answer(421, "") == StartAnswer::kUnhealthy);
   cr_assert(answer(400, "") == StartAnswer::kRejected);
+  // These do not say that nothing was started.
+  cr_assert(answer(500, "") == StartAnswer::kNone);
+  cr_assert(answer(502, "") == StartAnswer::kNone);
+  cr_assert(answer(504, "") == StartAnswer::kNone);
+  cr_assert(answer(404, "") == StartAnswer::kNone);
   cr_assert_eq(zinniamux::platform::ParseStartResult(409, R"({"clock_ms":77,"reason":"late"})")
                    .clock->count(),
                77);
