tests: rounds with real processes break the answers of executors

A proxy stands between each supervisor and its executor; it can reset the open connections in place of the next answer. Drawn rounds without the sequence of inc-33 have 50 such resets within a second; their other faults stay what they were for each seed.

--- a/tests/integration/leased_round_test.cc
+++ b/tests/integration/leased_round_test.cc
@@ -7,7 +7,9 @@
 
 namespace {
 
+using std::chrono::milliseconds;
 using zinniamux::testing::DrawLeasedPlan;
+using zinniamux::testing::LeasedFault;
 using zinniamux::testing::LeasedPlan;
 using zinniamux::testing::LeasedRoundReport;
 using zinniamux::testing::RunLeasedRound;
@@ -31,3 +33,28 @@
   cr_assert_gt(report.resent, 0, "%s", report.ToJson().c_str());
   cr_assert_gt(report.runs, 0, "%s", report.ToJson().c_str());
 }
+
+// Guards against tasks that run twice, and jobs that are refused after their tasks have run: the
+// connection of a start breaks before its answer, the HTTP client sends the start again, and the
+// executor refuses the second copy.
+Test(leased_round, refused_second_copies_of_starts_run_no_task_twice) {
+  LeasedPlan plan{.seed = 1, .dispatchers = 2, .supervisors = 3, .refuses_second_copies = true};
+  for (std::size_t i = 0; i < 60; ++i) {
+    plan.jobs.push_back({.id = std::to_string(1'000'000'000'000'000 + i),
+                         .at = milliseconds(1000 + 50 * i),
+                         .task_length = milliseconds(300),
+                         .tasks = 2,
+                         .dispatcher = i % plan.dispatchers});
+  }
+  for (int at = 1000; at < 4000; at += 20) {
+    plan.faults.push_back(
+        {.kind = LeasedFault::Kind::kResetExecutorAnswers, .target = 0, .at = milliseconds(at)});
+  }
+  LeasedRoundReport report = RunLeasedRound(plan);
+  // They would fill the message.
+  report.faults.clear();
+  cr_assert(report.clean(), "%s", report.ToJson().c_str());
+  cr_assert_gt(report.complete, 0, "%s", report.ToJson().c_str());
+  // Otherwise no start was sent again.
+  cr_assert_gt(report.outcomes.count("stopped"), 0, "%s", report.ToJson().c_str());
+}
--- a/tests/support/fault_proxy.cc
+++ b/tests/support/fault_proxy.cc
@@ -73,6 +73,7 @@
 
   // Invariant: a silent connection never forwards again and is closed only with its proxy.
   void Silence() { silent_ = true; }
+  void ResetAtAnswer() { resets_at_answer_ = true; }
   bool closed() const { return !client_.is_open(); }
   void SetDelay(std::chrono::microseconds delay) { delay_ = delay; }
 
@@ -98,6 +99,7 @@
         asio::buffer(direction.buffer), [this, self = shared_from_this(), &from, &to, &direction,
                                          &timer](const asio::error_code& error, std::size_t count) {
           if (silent_) return;
+          if (resets_at_answer_ && &from == &server_) return Reset();
           if (error) {
             direction.ended = true;
             if (!direction.writing) ShutDown(to);
@@ -158,6 +160,7 @@
   Direction upstream_;
   Direction downstream_;
   bool silent_ = false;
+  bool resets_at_answer_ = false;
 };
 
 }  // namespace
@@ -197,6 +200,10 @@
     for (const auto& connection : connections_) connection->Silence();
   }
 
+  void ResetAtAnswer() {
+    for (const auto& connection : connections_) connection->ResetAtAnswer();
+  }
+
   void SetBlackhole(bool blackhole) {
     blackhole_ = blackhole;
     if (blackhole) Silence();
@@ -259,6 +266,10 @@
   implementation_->Apply([blackhole](Implementation& proxy) { proxy.SetBlackhole(blackhole); });
 }
 
+void FaultProxy::ResetOpenConnectionsAtAnswer() {
+  implementation_->Apply([](Implementation& proxy) { proxy.ResetAtAnswer(); });
+}
+
 void FaultProxy::ResetOpenConnections() {
   implementation_->Apply([](Implementation& proxy) { proxy.Reset(); });
 }
--- a/tests/support/fault_proxy.h
+++ b/tests/support/fault_proxy.h
@@ -30,6 +30,8 @@
   void SilenceOpenConnections();
   // While set, new connections are accepted and stay silent for good; open ones become silent.
   void SetBlackhole(bool blackhole);
+  // Each open connection is reset in place of what the target sends on it next. New ones work.
+  void ResetOpenConnectionsAtAnswer();
   // Ends open connections with a reset.
   void ResetOpenConnections();
   // While set, new connections are reset at once.
--- a/tests/support/leased_deployment.cc
+++ b/tests/support/leased_deployment.cc
@@ -73,6 +73,8 @@
          {&supervisor.local_port, &supervisor.metrics_port, &supervisor.executor_port}) {
       *port = ports_.Next();
     }
+    supervisor.executor_proxy = std::make_unique<FaultProxy>(
+        FaultProxy::Options{.listen_port = ports_.Next(), .target_port = supervisor.executor_port});
     StartExecutor(index);
   }
   loop_thread_ = std::jthread([this](const std::stop_token& stop) {
@@ -138,8 +140,9 @@
       << "version: 1\nsupervisor:\n  id: " << supervisor.id << "\n  availability_zone: " << kZone
       << "\n  local: " << Loopback(supervisor.local_port)
       << "\n  metrics: " << Loopback(supervisor.metrics_port)
-      << "\n  executor: " << Loopback(supervisor.executor_port) << "\n  service: " << kService
-      << "\n  store: http://" << Loopback(supervisors_store_port_) << '\n'
+      << "\n  executor: " << Loopback(supervisor.executor_proxy->port())
+      << "\n  service: " << kService << "\n  store: http://" << Loopback(supervisors_store_port_)
+      << '\n'
       << kBounds << "log:\n  file: " << (directory_ / (supervisor.id + ".log")).string() << '\n';
   supervisor.process = StartDaemon(supervisor.id);
 }
@@ -152,6 +155,8 @@
                               .service = kService,
                               .zone = kZone,
                               .address = {.port = supervisor.executor_port},
+                              .announced_address = Loopback(supervisor.executor_proxy->port()),
+                              .refuses_second_copies = options_.refuses_second_copies,
                               .supervisor = Loopback(supervisor.local_port),
                               .capacity = kCapacity,
                               .task_need = kTaskNeed},
--- a/tests/support/leased_deployment.h
+++ b/tests/support/leased_deployment.h
@@ -24,12 +24,14 @@
 namespace zinniamux::testing {
 
 // The executors and the store run in this process. Everything that a supervisor or a caller says to
-// a dispatcher passes a proxy.
+// a dispatcher passes a proxy, and so do the calls of a supervisor to its executor.
 class LeasedDeployment {
  public:
   struct Options {
     std::size_t dispatchers = 2;
     std::size_t supervisors = 3;
+    // See LeasedExecutor::Options; for all executors.
+    bool refuses_second_copies = false;
     // The zinniamuxd to run; that of the build if it is empty.
     std::string daemon;
   };
@@ -52,6 +54,10 @@
   // Between supervisors and the dispatcher, and between callers and it.
   FaultProxy& rpc_link(std::size_t dispatcher) { return *dispatchers_[dispatcher].rpc_proxy; }
   FaultProxy& caller_link(std::size_t dispatcher) { return *dispatchers_[dispatcher].caller_proxy; }
+  // Between the supervisor and its executor.
+  FaultProxy& executor_link(std::size_t supervisor) {
+    return *supervisors_[supervisor].executor_proxy;
+  }
   // Starts the process again after its end.
   void StartSupervisor(std::size_t index);
   std::vector<std::uint16_t> caller_ports() const;
@@ -77,6 +83,7 @@
     std::uint16_t local_port = 0;
     std::uint16_t metrics_port = 0;
     std::uint16_t executor_port = 0;
+    std::unique_ptr<FaultProxy> executor_proxy;
     std::unique_ptr<ChildProcess> process;
   };
 
--- a/tests/support/leased_executor.cc
+++ b/tests/support/leased_executor.cc
@@ -23,6 +23,7 @@
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 constexpr int kWrongInstance = 421;
+constexpr int kServiceUnavailable = 503;
 
 // Leases and ends are kept to this precision.
 constexpr milliseconds kStep{1};
@@ -136,6 +137,9 @@
 
 HttpResponse LeasedExecutor::Start(const json& body) {
   const core::RunId id = ParseRun(body);
+  if (options_.refuses_second_copies && !started_.insert(id).second) {
+    return {.status = kServiceUnavailable, .body = "{}"};
+  }
   run_times_[id.task] = milliseconds(std::stoll(body.at("spec").get<std::string>()));
   const StartAnswer answer =
       executor_.Start({.id = id,
@@ -213,7 +217,7 @@
 void LeasedExecutor::Announce() {
   const core::LeasedExecutor status = executor_.Status();
   const json body{{"service", options_.service},
-                  {"address", AddressText(options_.address)},
+                  {"address", options_.announced_address},
                   {"zone", options_.zone},
                   {"version", "v1"},
                   {"slots", options_.capacity.cpu_milli / options_.task_need.cpu_milli},
--- a/tests/support/leased_executor.h
+++ b/tests/support/leased_executor.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,10 @@
     std::string service;
     std::string zone;
     adapters::ListenAddress address;
+    // host:port that it announces: that of a proxy in front of `address`.
+    std::string announced_address;
+    // Answers a start of a run that is there already with 503, as an unhealthy executor may.
+    bool refuses_second_copies = false;
     // host:port at which the supervisor takes announcements.
     std::string supervisor;
     core::Resources capacity;
@@ -68,6 +73,8 @@
   core::TimePoint now_;
   core::TimePoint next_announcement_;
   std::map<core::TaskId, core::Duration> run_times_;
+  // Runs for which a start has come, if second copies are refused.
+  std::set<core::RunId> started_;
   std::uint64_t fence_ = 0;
   SimulatedExecutor executor_;
   std::vector<WaitingHold> waiting_;
--- a/tests/support/leased_plan.cc
+++ b/tests/support/leased_plan.cc
@@ -14,8 +14,11 @@
 using std::chrono::milliseconds;
 using Kind = LeasedFault::Kind;
 
-constexpr std::array<const char*, 5> kKindNames{
-    "freeze_supervisor", "freeze_dispatcher", "cut_dispatcher", "reset_callers", "kill_supervisor"};
+constexpr std::array<const char*, 6> kKindNames{"freeze_supervisor", "freeze_dispatcher",
+                                                "cut_dispatcher",    "reset_callers",
+                                                "kill_supervisor",   "reset_executor_answers"};
+// Kinds of single faults. The last kind comes in series, see DrawBrokenAnswers.
+constexpr std::size_t kSingleFaults = kKindNames.size() - 1;
 constexpr milliseconds kLoadTime{10'000};
 constexpr std::size_t kJobs = 80;
 constexpr std::size_t kMaxTasks = 4;
@@ -42,6 +45,8 @@
         DrawFault(at + Time(0, 800));
       }
     }
+    // Last, so that the other faults of a seed stay what they were.
+    if (!plan_.incident) DrawBrokenAnswers();
     return plan_;
   }
 
@@ -92,7 +97,7 @@
   void DrawFault(milliseconds at) {
     const std::size_t supervisor = Number(0, plan_.supervisors - 1);
     const std::size_t dispatcher = Number(0, plan_.dispatchers - 1);
-    switch (static_cast<Kind>(Number(0, kKindNames.size() - 1))) {
+    switch (static_cast<Kind>(Number(0, kSingleFaults - 1))) {
       case Kind::kFreezeSupervisor:
         return Add(Kind::kFreezeSupervisor, supervisor, at, Time(300, 2000));
       case Kind::kFreezeDispatcher:
@@ -103,6 +108,20 @@
         return Add(Kind::kResetCallers, dispatcher, at, milliseconds(0));
       case Kind::kKillSupervisor:
         return Add(Kind::kKillSupervisor, supervisor, at, Time(0, 1000));
+      case Kind::kResetExecutorAnswers:
+        return;
+    }
+  }
+
+  // The connections to one executor break again and again for a second, also beside other faults.
+  void DrawBrokenAnswers() {
+    constexpr int kTimes = 50;
+    constexpr milliseconds kPeriod{20};
+    plan_.refuses_second_copies = Number(0, 1) == 1;
+    const std::size_t executor = Number(0, plan_.supervisors - 1);
+    const milliseconds at = Time(2000, 8000);
+    for (int i = 0; i < kTimes; ++i) {
+      Add(Kind::kResetExecutorAnswers, executor, at + i * kPeriod, milliseconds(0));
     }
   }
 
--- a/tests/support/leased_plan.h
+++ b/tests/support/leased_plan.h
@@ -29,6 +29,8 @@
     kCutDispatcher,
     kResetCallers,
     kKillSupervisor,
+    // The connections from the supervisor to its executor break at the executor's next answers.
+    kResetExecutorAnswers,
   };
 
   Kind kind = Kind::kFreezeSupervisor;
@@ -50,6 +52,8 @@
   // The faults are the sequence of docs/incidents/inc-33-twice.md: a dispatcher is cut off, the
   // connections of its callers break, and supervisors stand still around that time.
   bool incident = false;
+  // Executors refuse second copies of starts; see LeasedExecutor::Options.
+  bool refuses_second_copies = false;
   std::vector<LeasedJob> jobs;
   std::vector<LeasedFault> faults;
 };
--- a/tests/support/leased_round.cc
+++ b/tests/support/leased_round.cc
@@ -54,6 +54,11 @@
     case Kind::kKillSupervisor:
       return add([&deployment, target] { deployment.supervisor(target).Kill(); },
                  [&deployment, target] { deployment.StartSupervisor(target); });
+    case Kind::kResetExecutorAnswers:
+      timeline.emplace(fault.at, [&deployment, target] {
+        deployment.executor_link(target).ResetOpenConnectionsAtAnswer();
+      });
+      return;
   }
 }
 
@@ -197,8 +202,10 @@
                            .dispatchers = plan.dispatchers,
                            .supervisors = plan.supervisors,
                            .jobs = plan.jobs.size()};
-  LeasedDeployment deployment(
-      {.dispatchers = plan.dispatchers, .supervisors = plan.supervisors, .daemon = daemon});
+  LeasedDeployment deployment({.dispatchers = plan.dispatchers,
+                               .supervisors = plan.supervisors,
+                               .refuses_second_copies = plan.refuses_second_copies,
+                               .daemon = daemon});
   const adapters::SteadyClock clock;
   ResendingCaller caller(deployment.caller_ports(), clock);
   Timeline timeline;
