--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -103,8 +103,7 @@
 // - A job is refused only if none of its tasks was ever ordered, or if no order has started a run.
 // - Nothing is ordered after the job's deadline, and orders expire at the supervisor.
 // - A job is given up when a supervisor has ended its run because it did not hear the dispatcher,
-// or
-//   because another dispatcher has received the job.
+//   or because another dispatcher has received the job.
 // - A job that a supervisor ran for another dispatcher when it arrived is ordered only after all
 //   supervisors have reported that they do not run it any more, or are certain not to.
 // - After an isolation, nothing is ordered until the input that came in it is handled. Jobs that
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -152,8 +152,8 @@
 // - No lease outlasts the time by which a run on the executor must have ended (see RunEndBudget),
 //   whatever stands still in between.
 // - Unknown runs on the executor are stopped.
-// - A job with a run that has not ended is in JobsOfOthers of every other owner from its notice age
-// on. Not thread-safe.
+// - From its notice age on, a job with a run that has not ended is in JobsOfOthers of other owners.
+// Not thread-safe.
 class RunSupervisor {
  public:
   struct Options {
