run supervisor: tell of restarts and of runs that were found unconfirmed

New log lines executor_restarted and unconfirmed_run_found with counters of the same kind; the latter says whether the run had been reported as over and how long ago its start turned out to be unanswered.

Evidence: run_supervisor/tells_of_restarts_and_of_starts_that_were_carried_out_late. No decision changes.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -88,6 +88,13 @@
   ++fencing_token_;
   last_seen_ = acknowledged_ = 0;
   unknown_runs_.clear();
+  found_unconfirmed_.clear();
+  actions_.emplace_back(ExecutorRestarted{
+      .born_ms = born_ms,
+      .runs = runs_.size(),
+      .unanswered_starts = static_cast<std::size_t>(std::count_if(
+          runs_.begin(), runs_.end(),
+          [this](const auto& entry) { return revoked_starts_.contains(entry.first); }))});
   // It is unknown which of them the earlier incarnation has run.
   for (auto& [id, run] : runs_) {
     run.may_have_run = true;
@@ -113,6 +120,7 @@
     run = FinishRun(run, crashed ? RunOutcome::kExecutorCrashed : outcome);
   }
   unknown_runs_.clear();
+  found_unconfirmed_.clear();
   holds_.clear();
   consecutive_unanswered_ = 0;
   executor_is_down_ = false;
@@ -434,6 +442,16 @@
   pace_.AddSample(elapsed / estimate * 100 / std::max(run.percent, 1), now);
 }
 
+void RunSupervisor::ReportUnconfirmedRun(const RunId& id, bool was_reported) {
+  if (!found_unconfirmed_.insert(id).second) return;
+  const auto revoked = revoked_starts_.find(id);
+  UnconfirmedRunFound found{.id = id, .was_reported = was_reported};
+  if (revoked != revoked_starts_.end()) {
+    found.since_unanswered = clock_.now() + options_.late_execution_limit - revoked->second;
+  }
+  actions_.emplace_back(std::move(found));
+}
+
 void RunSupervisor::ReconcileRunning(std::span<const RunningRun> running, TimePoint sent_at) {
   const TimePoint now = clock_.now();
   for (const RunningRun& listed : running) {
@@ -443,12 +461,16 @@
       const auto [unknown, is_new] = unknown_runs_.try_emplace(
           listed.id, UnknownRun{.next_stop_at = now + options_.stop_retry});
       unknown->second.is_listed = true;
+      ReportUnconfirmedRun(listed.id, true);
       if (!is_new) continue;
       actions_.emplace_back(
           CallStop{.id = listed.id, .executor_id = executor_->id, .fencing_token = fencing_token_});
       continue;
     }
     Run& run = found->second;
+    if (!run.seen_running && revoked_starts_.contains(listed.id)) {
+      ReportUnconfirmedRun(listed.id, false);
+    }
     run.seen_running = true;
     run.lost_in_crash = false;
     run.percent = listed.percent;
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -112,6 +112,25 @@
   Duration unheard{0};
 };
 
+// Tells that an answer or announcement has shown a later incarnation of the executor.
+struct ExecutorRestarted {
+  std::int64_t born_ms = 0;
+  // Runs that the supervisor had given to earlier incarnations, and those of them whose start was
+  // not answered.
+  std::size_t runs = 0;
+  std::size_t unanswered_starts = 0;
+};
+
+// Tells that the executor lists a run whose start call was not answered, or one that this object
+// did not order. Once for each run.
+struct UnconfirmedRunFound {
+  RunId id;
+  // Time since its start call turned out to be unanswered; unset if this object sent none.
+  std::optional<Duration> since_unanswered;
+  // The run was reported as ended or not started.
+  bool was_reported = false;
+};
+
 // Calls to the executor.
 struct CallStart {
   RunId id;
@@ -139,8 +158,8 @@
 // The report to dispatchers has changed.
 struct ReportChanged {};
 
-using SupervisorAction =
-    std::variant<CallStart, CallStop, CallHold, RunUpdate, RunStopping, ReportChanged>;
+using SupervisorAction = std::variant<CallStart, CallStop, CallHold, RunUpdate, RunStopping,
+                                      ExecutorRestarted, UnconfirmedRunFound, ReportChanged>;
 
 // Starts and stops the runs that dispatchers order, and renews the executor's lease while they run.
 // Orders without room wait until they expire. An owner is one incarnation of a dispatcher.
@@ -320,6 +339,8 @@
   Runs::iterator FinishRun(Runs::iterator run, RunOutcome outcome);
   void ProcessEndedRun(const EndedRun& ended);
   void SamplePace(Run& run);
+  // Tells that the run is listed, if its start was not answered or it is unknown.
+  void ReportUnconfirmedRun(const RunId& id, bool was_reported);
   void ReconcileRunning(std::span<const RunningRun> running, TimePoint sent_at);
   // Ends the runs that are missing from the answer to a poll sent at `sent_at`.
   void EndMissingRuns(const std::set<RunId>& listed_ids, TimePoint sent_at);
@@ -410,6 +431,8 @@
     bool is_listed = false;
   };
   std::map<RunId, UnknownRun> unknown_runs_;
+  // Runs on the present incarnation that UnconfirmedRunFound has named.
+  std::set<RunId> found_unconfirmed_;
   // Revoked starts, with the time after which the executor cannot execute them late any more.
   std::map<RunId, TimePoint> revoked_starts_;
   bool stopped_accepting_ = false;
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -343,6 +343,10 @@
       ToMessage(*update, *link->mutable_outgoing().add_updates());
     } else if (const auto* stopping = std::get_if<core::RunStopping>(&action)) {
       LogStop(*stopping);
+    } else if (const auto* restarted = std::get_if<core::ExecutorRestarted>(&action)) {
+      LogRestart(*restarted);
+    } else if (const auto* found = std::get_if<core::UnconfirmedRunFound>(&action)) {
+      LogUnconfirmedRun(*found);
     } else {
       report_to_all = true;
     }
@@ -371,6 +375,29 @@
               {"unheard_ms", std::chrono::duration_cast<milliseconds>(stopping.unheard).count()}});
 }
 
+void SupervisorDaemon::LogRestart(const core::ExecutorRestarted& restarted) {
+  metrics_.Add("executor_restarts_total");
+  log_.Write(LogLevel::kInfo, "executor_restarted",
+             {{"born_ms", restarted.born_ms},
+              {"runs", restarted.runs},
+              {"unanswered_starts", restarted.unanswered_starts}});
+}
+
+void SupervisorDaemon::LogUnconfirmedRun(const core::UnconfirmedRunFound& found) {
+  metrics_.Add("unconfirmed_runs_found_total", 1,
+               {{"reported", found.was_reported ? "true" : "false"}});
+  nlohmann::json fields{{"job", found.id.task.job_id},
+                        {"step", found.id.task.step},
+                        {"task", found.id.task.index},
+                        {"run", found.id.run},
+                        {"was_reported", found.was_reported}};
+  if (found.since_unanswered) {
+    fields["since_unanswered_ms"] =
+        std::chrono::duration_cast<milliseconds>(*found.since_unanswered).count();
+  }
+  log_.Write(LogLevel::kWarning, "unconfirmed_run_found", fields);
+}
+
 void SupervisorDaemon::LogUnusualEnd(const core::RunUpdate& update) {
   const bool is_unusual =
       update.outcome == core::RunOutcome::kLapsed || update.outcome == core::RunOutcome::kOutdated;
--- a/src/zinniamuxd/supervisor_daemon.h
+++ b/src/zinniamuxd/supervisor_daemon.h
@@ -55,6 +55,8 @@
   // Performs the actions that the run supervisor has queued.
   void RunActions();
   void LogStop(const core::RunStopping& stopping);
+  void LogRestart(const core::ExecutorRestarted& restarted);
+  void LogUnconfirmedRun(const core::UnconfirmedRunFound& found);
   // Logs runs whose lease has expired, and orders for a task that has a run here.
   void LogUnusualEnd(const core::RunUpdate& update);
   void SendStart(const core::CallStart& call);
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -428,6 +428,10 @@
                               std::string(core::NameOf(stopping->reason)) + ", its dispatcher " +
                               "unheard for " + std::to_string(unheard) + " ms");
     }
+    if (const auto* found = std::get_if<core::UnconfirmedRunFound>(&action)) {
+      Trace(found->id, "is found by agent-" + std::to_string(index) +
+                           (found->was_reported ? ", reported before" : ""));
+    }
     if (const auto* start = std::get_if<core::CallStart>(&action)) {
       CallExecutor(index, *start);
     } else if (const auto* stop = std::get_if<core::CallStop>(&action)) {
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -15,6 +15,7 @@
 using zinniamux::core::CallHold;
 using zinniamux::core::CallStart;
 using zinniamux::core::CallStop;
+using zinniamux::core::ExecutorRestarted;
 using zinniamux::core::ExecutorTime;
 using zinniamux::core::HoldAnswer;
 using zinniamux::core::LeasedExecutor;
@@ -26,6 +27,7 @@
 using zinniamux::core::RunUpdate;
 using zinniamux::core::StartAnswer;
 using zinniamux::core::StopReason;
+using zinniamux::core::UnconfirmedRunFound;
 
 const std::string kOwner = "entry@1";
 
@@ -522,6 +524,38 @@
   cr_assert(stops[0].id == MakeRunId(0));
 }
 
+// Guards against a start that is carried out in the next incarnation without a trace in the log.
+Test(run_supervisor, tells_of_restarts_and_of_starts_that_were_carried_out_late) {
+  Fixture fixture;
+  fixture.OrderRun(0);
+  fixture.supervisor.OnStartAnswer(MakeRunId(0), StartAnswer::kNone, std::nullopt);
+  fixture.supervisor.OnStopAnswer(MakeRunId(0), true);
+  fixture.clock.Advance(milliseconds(1));
+  fixture.AnswerHold({});
+  fixture.AnswerHold({});
+  fixture.OrderRun(1);
+  fixture.supervisor.OnStartAnswer(MakeRunId(1), StartAnswer::kNone, std::nullopt);
+  fixture.clock.Advance(milliseconds(20));
+  LeasedExecutor restarted = fixture.Status(1);
+  restarted.born_ms = 11;
+  fixture.supervisor.OnExecutorStatus(restarted);
+  fixture.TakeActions();
+  fixture.SaveLastHold();
+  const auto restarts = fixture.ActionsOf<ExecutorRestarted>();
+  fixture.AnswerHold({.born_ms = 11, .running = {{.id = MakeRunId(0)}, {.id = MakeRunId(1)}}});
+  cr_assert_eq(restarts.size(), 1);
+  cr_assert_eq(restarts[0].born_ms, 11);
+  cr_assert_eq(restarts[0].runs, 1);
+  cr_assert_eq(restarts[0].unanswered_starts, 1);
+  const auto found = fixture.ActionsOf<UnconfirmedRunFound>();
+  cr_assert_eq(found.size(), 2);
+  cr_assert(found[0].id == MakeRunId(0));
+  cr_assert(found[0].was_reported);
+  cr_assert(found[0].since_unanswered == milliseconds(21));
+  cr_assert(found[1].id == MakeRunId(1));
+  cr_assert_not(found[1].was_reported);
+}
+
 // Guards against leases in the clock of the executor's earlier incarnation: the new clock begins
 // anew, and the executor cuts such a lease to the longest one instead of the one that was meant.
 Test(run_supervisor, grants_leases_on_the_clock_of_the_new_incarnation) {
