run supervisor: an unanswered start whose stop was answered is not reported as not started

A caller got 503 ("never runs") although a task of its job started afterwards: the start had no answer, its stop was answered, the run was reported as unhealthy, that is as not started, and its job was refused. The executor restarted and carried the start out, as its next incarnation does not know the stop.

The run is reported as start_unanswered now, which counts as started: the job is placed elsewhere as before, but if it fails, it is answered 504 instead of 503.

--- a/src/core/run.h
+++ b/src/core/run.h
@@ -117,7 +117,7 @@
   // Not started: a run of this task with this number or a higher one exists, or has ended or been
   // stopped on the executor.
   kOutdated,
-  // Not started: the executor failed or did not answer, and the start was revoked.
+  // Not started: the executor refused it as unhealthy or invalid.
   kUnhealthy,
   // Not started: the order expired on its way or while it waited for room.
   kExpired,
@@ -130,7 +130,7 @@
   // It was stopped because its dispatcher was not heard, or because another one has received the
   // job from its caller.
   kOwnerSilent,
-  // It was stopped because its start call was not answered.
+  // It was stopped because its start call was not answered. Whether it ran is unknown.
   kStartUnanswered,
 };
 
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -386,7 +386,7 @@
         run.state_since = clock_.now();
         break;
       }
-      BeginStop(id, run, StopReason::kStartUnanswered, RunOutcome::kUnhealthy);
+      BeginStop(id, run, StopReason::kStartUnanswered, RunOutcome::kStartUnanswered);
       break;
   }
   StartWaitingOrders();
