supervisor registry: a hello sent before that of a newer connection does not replace it

Cause: a supervisor that hears nothing for 900 ms closes its connection and opens another. The hello of the first one may still be on its way, or be sent again by the kernel, and arrive last. OnHello let the hello that arrived last replace the connection. Its list of held runs was made before the orders of the newer connection, so the scheduler took their runs for lost and ordered the tasks again. A hello of an earlier process made the runs of the present one count as runs of a process that has ended.

Fix: hellos are ordered by when they were sent: within a process by `sent_clock_ms`, which is monotonic, also after the newer connection has broken. A lower incarnation is refused only while the higher one is connected, as incarnations follow the time of day, which may be set back. The connection of the outdated hello is closed and logged (`supervisor_hello_outdated`); a supervisor that still uses it connects again with a new hello.

--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -90,6 +90,14 @@
                             {{"agent", supervisor}, {"reason", reason}});
                  scheduler_.OnAgentDetached(supervisor);
                },
+           .on_hello_outdated =
+               [this](const SupervisorRegistry::OutdatedHello& hello) {
+                 log_.Write(LogLevel::kWarning, "supervisor_hello_outdated",
+                            {{"agent", hello.supervisor_id},
+                             {"incarnation", hello.incarnation},
+                             {"newer_incarnation", hello.newer_incarnation},
+                             {"age_ms", hello.age.count()}});
+               },
            .on_report =
                [this](const std::string& supervisor, core::ExecutorReport report) {
                  scheduler_.OnReport(supervisor, std::move(report));
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -78,7 +78,10 @@
   const Duration delay = peer->clock_offset.Record(std::chrono::milliseconds(frame.sent_clock_ms()),
                                                    peer->last_received_at);
   report_pace_.OnMessage(delay, peer->last_received_at);
-  if (frame.has_hello()) OnHello(peer, frame.hello());
+  if (frame.has_hello() &&
+      !OnHello(peer, frame.hello(), std::chrono::milliseconds(frame.sent_clock_ms()))) {
+    return;
+  }
   if (peer->supervisor_id.empty()) return ClosePeer(peer, "no hello in the first frame");
   handlers_.on_message_delay(peer->supervisor_id, delay);
   for (const runs::RunUpdate& update : frame.updates()) {
@@ -104,7 +107,33 @@
   if (is_registered && peer->has_outgoing) SendOutgoing(*peer);
 }
 
-void SupervisorRegistry::OnHello(const std::shared_ptr<Peer>& peer, const runs::AgentHello& hello) {
+bool SupervisorRegistry::IsOutdated(const std::string& supervisor_id,
+                                    const HelloTime& hello) const {
+  const auto last = last_hellos_.find(supervisor_id);
+  if (last == last_hellos_.end()) return false;
+  if (hello.incarnation == last->second.incarnation) return hello.sent_at < last->second.sent_at;
+  // Incarnations follow the time of day, which may be set back between two processes. The later
+  // process can attach when the connection of the earlier one has ended.
+  return hello.incarnation < last->second.incarnation &&
+         peers_by_supervisor_.contains(supervisor_id);
+}
+
+bool SupervisorRegistry::OnHello(const std::shared_ptr<Peer>& peer, const runs::AgentHello& hello,
+                                 std::chrono::milliseconds sent_at) {
+  const HelloTime time{.incarnation = hello.incarnation(), .sent_at = sent_at};
+  if (IsOutdated(hello.agent_id(), time)) {
+    // Its list of held runs lacks what was ordered on the newer connection.
+    const HelloTime& last = last_hellos_.at(hello.agent_id());
+    if (handlers_.on_hello_outdated) {
+      handlers_.on_hello_outdated({.supervisor_id = hello.agent_id(),
+                                   .incarnation = hello.incarnation(),
+                                   .newer_incarnation = last.incarnation,
+                                   .age = last.sent_at - sent_at});
+    }
+    ClosePeer(peer, "outdated hello");
+    return false;
+  }
+  last_hellos_[hello.agent_id()] = time;
   const auto earlier = peers_by_supervisor_.find(hello.agent_id());
   if (earlier != peers_by_supervisor_.end() && earlier->second != peer) {
     ClosePeer(earlier->second, "replaced by a new connection");
@@ -118,6 +147,7 @@
   welcome->set_entry_id(options_.entry_id);
   welcome->set_incarnation(options_.incarnation);
   peer->has_outgoing = true;
+  return true;
 }
 
 void SupervisorRegistry::ClosePeer(const std::shared_ptr<Peer>& peer, const std::string& reason) {
--- a/src/zinniamuxd/supervisor_registry.h
+++ b/src/zinniamuxd/supervisor_registry.h
@@ -40,11 +40,21 @@
     // A connection is closed when no frame arrives for this long: three heartbeats.
     std::chrono::milliseconds silence_limit{900};
   };
+  // A hello that arrived after one that the supervisor sent later.
+  struct OutdatedHello {
+    std::string supervisor_id;
+    std::uint64_t incarnation = 0;
+    std::uint64_t newer_incarnation = 0;
+    // How much earlier it was sent. Only meaningful if both incarnations are the same.
+    std::chrono::milliseconds age{0};
+  };
   struct Handlers {
     std::function<void(const std::string& supervisor_id, const std::string& availability_zone,
                        std::uint64_t incarnation, const std::vector<core::RunId>& held_runs)>
         on_attached;
     std::function<void(const std::string& supervisor_id, const std::string& reason)> on_detached;
+    // The connection on which it came is closed, and the supervisor's newer one stays.
+    std::function<void(const OutdatedHello& hello)> on_hello_outdated;
     std::function<void(const std::string& supervisor_id, core::ExecutorReport report)> on_report;
     std::function<void(const std::string& supervisor_id, const core::RunId& id,
                        core::RunOutcome outcome, core::Duration elapsed)>
@@ -91,11 +101,20 @@
     runs::EntryFrame outgoing;
     bool has_outgoing = false;
   };
+  // When a hello was sent, by the clock of its supervisor.
+  struct HelloTime {
+    std::uint64_t incarnation = 0;
+    std::chrono::milliseconds sent_at{0};
+  };
 
   void Accept();
   void AddPeer(asio::ip::tcp::socket socket);
   void OnFrame(const std::shared_ptr<Peer>& peer, std::string_view bytes);
-  void OnHello(const std::shared_ptr<Peer>& peer, const runs::AgentHello& hello);
+  // Returns false if the hello is outdated; `peer` is closed then.
+  bool OnHello(const std::shared_ptr<Peer>& peer, const runs::AgentHello& hello,
+               std::chrono::milliseconds sent_at);
+  // Whether the supervisor is known to have sent another hello after this one.
+  bool IsOutdated(const std::string& supervisor_id, const HelloTime& hello) const;
   void ClosePeer(const std::shared_ptr<Peer>& peer, const std::string& reason);
   void SendOutgoing(Peer& peer);
   // Requests the configuration from a supervisor that holds a newer one, if there is any.
@@ -109,6 +128,9 @@
   std::vector<std::shared_ptr<Peer>> peers_;
   // Peers that have sent a hello, by supervisor id. Invariant: each is in peers_.
   std::map<std::string, std::shared_ptr<Peer>> peers_by_supervisor_;
+  // The last hello of each supervisor that was not outdated. Kept when its connection ends: an
+  // older one may still be on its way.
+  std::map<std::string, HelloTime> last_hellos_;
   core::ConfigurationExchange exchange_;
   core::ReportPace report_pace_;
 };
