job scheduler: runs that a supervisor names belong to its present process

Cause: when a supervisor attaches with another incarnation, its runs count as runs of a process that has ended, and are over 2,020 ms later at the latest. If a held-up hello of an earlier process comes between two connections of the present one, the runs of the present one stayed in that set although its next hello named them: their ends were ignored, and their tasks were ordered again while they ran.

Fix: runs that a hello names are runs of the process that sent it, so they leave the orphaned runs. `runs_over_at` is now unset in every case in which its comment says so.

Evidence: job_scheduler/keeps_runs_that_the_present_process_names_after_a_hello_of_an_earlier_one fails before ("(fixture.ordered_tasks()) == (0) is false") and passes after; job_scheduler/* 48 of 48 and silence/* 7 of 7 pass.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -667,15 +667,17 @@
     // the supervisor did not hear this dispatcher.
     const bool was_silent = clock_.now() - supervisor.heard_at > options_.budget.isolation_limit();
     EndLostRuns(supervisor, lost, was_silent ? RunOutcome::kOwnerSilent : RunOutcome::kLapsed);
-    if (supervisor.orphaned_runs.empty()) supervisor.runs_over_at = {};
   }
   supervisor.incarnation = incarnation;
   supervisor.heard_at = clock_.now();
   for (const RunId& id : held_runs) {
+    // A hello of an earlier process may have come between two of this one.
+    if (supervisor.orphaned_runs.erase(id) > 0) supervisor.runs.insert(id);
     if (IsCurrentRun(supervisor_id, id)) continue;
     // For example, its job was cancelled while there was no connection.
     actions_.emplace_back(StopTask{.agent_id = supervisor_id, .id = id});
   }
+  if (supervisor.orphaned_runs.empty()) supervisor.runs_over_at = {};
 }
 
 bool JobScheduler::IsCurrentRun(const std::string& supervisor_id, const RunId& id) const {
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -297,7 +297,7 @@
     std::uint64_t incarnation = 0;
     // Runs that this incarnation may have.
     std::set<RunId> runs;
-    // Runs of an earlier incarnation that may not have ended.
+    // Runs of another incarnation that may not have ended. None of them is in `runs`.
     std::set<RunId> orphaned_runs;
     // ExecutorReport::jobs_of_others of the last report.
     std::vector<std::string> jobs_of_others;
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -507,6 +507,35 @@
   cr_assert_eq(fixture.ordered_tasks(), 1);
 }
 
+// Guards against a task that runs twice at the same time: a held-up hello of an earlier process had
+// arrived between two of the present one, and a run that the present process still names was taken
+// for one that ended with the earlier process.
+Test(job_scheduler, keeps_runs_that_the_present_process_names_after_a_hello_of_an_earlier_one) {
+  Fixture fixture({"a"});
+  fixture.Attach("a", 2);
+  JobRequest job = fixture.MakeJob("job", 1);
+  job.deadline = fixture.clock.now() + seconds(20);
+  fixture.Submit(job);
+  const RunId run{.task = {.job_id = "job"}, .run = fixture.starts.at(0).starts.at(0).run};
+  fixture.starts.clear();
+  fixture.scheduler.OnAgentDetached("a");
+  fixture.Attach("a", 1);
+  fixture.scheduler.OnAgentDetached("a");
+  fixture.Attach("a", 2, {run});
+  // Heartbeats, until the runs of the earlier process have certainly ended.
+  for (int i = 0; i < 8; ++i) {
+    fixture.clock.Advance(milliseconds(300));
+    fixture.Report("a", 4000);
+    fixture.scheduler.OnTimer();
+  }
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+  fixture.scheduler.OnRunUpdate("a", run, RunOutcome::kDone, milliseconds(100));
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.answers.size(), 1);
+  cr_assert(fixture.answers[0].answer.result == JobResult::kComplete);
+}
+
 // Guards against runs that are ordered again although the reconnected supervisor still has them,
 // and against waiting for those that it does not have.
 Test(job_scheduler, keeps_held_runs_after_a_lost_connection) {
