HTTP client: a request with a sent copy is not reported as not sent

Callers saw: when a reused connection broke and libcurl's second copy was refused, the result said that the server certainly did not get the request, although the first copy had reached it. Every other failure to connect, such as a lack of descriptors, counted as "no process listens" in the supervisor, which ends the runs of a departing executor on that.

Cause: `not_sent` was derived from the last error alone, and had two meanings.

`not_sent` is now set only if no copy was sent. `connection_refused` tells that the system reported ECONNREFUSED, and is what the supervisor uses.

Evidence: http_client/does_not_take_a_refused_second_copy_for_a_request_that_was_not_sent failed before ("The expression !(refused.not_sent) is false") and passes. The test of the lack of descriptors passes; it needs the new field, so it has no run on the code before.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -4,6 +4,7 @@
 #include <curl/curl.h>
 
 #include <atomic>
+#include <cerrno>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -150,8 +151,12 @@
     } else {
       transfer->result.failure = curl_easy_strerror(code);
       transfer->result.body.clear();
-      transfer->result.not_sent =
-          code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
+      const bool unconnected = code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
+      transfer->result.not_sent = unconnected && transfer->copies_sent == 0;
+      long system_error = 0;
+      curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &system_error);
+      transfer->result.connection_refused =
+          code == CURLE_COULDNT_CONNECT && system_error == ECONNREFUSED;
     }
     transfer->result.resent = transfer->copies_sent > 1;
     curl_multi_remove_handle(multi_, easy);
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -28,8 +28,12 @@
   int status = 0;
   std::string body;
   std::string failure;
-  // The connection could not be established, so the server certainly did not get the request.
+  // No connection could be established for any copy, so the server certainly did not get the
+  // request.
   bool not_sent = false;
+  // No process listened at the server's address when the call ended. An earlier copy may have been
+  // sent before, unless `not_sent` is set.
+  bool connection_refused = false;
   // The request was sent more than once, and this is the outcome of the last copy. The server may
   // have acted on an earlier one.
   bool resent = false;
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -423,7 +423,7 @@
   executor_client_.Send(std::move(call),
                         [this, on_result = std::move(on_result)](HttpResult result) {
                           asio::post(loop_, [this, on_result, result = std::move(result)] {
-                            if (result.not_sent) run_supervisor_.OnConnectionRefused();
+                            if (result.connection_refused) run_supervisor_.OnConnectionRefused();
                             on_result(result);
                             RunActions();
                           });
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -1,13 +1,17 @@
-// HttpClient: requests on connections that break.
+// HttpClient: requests on connections that break, are reset or go silent.
 #include "adapters/http_client.h"
 
 #include <criterion/criterion.h>
+#include <sys/resource.h>
 
 #include <asio.hpp>
 #include <atomic>
 #include <cstdint>
+#include <functional>
+#include <latch>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "support/port_block.h"
 
@@ -19,6 +23,42 @@
 using zinniamux::adapters::HttpResult;
 using zinniamux::testing::PortBlock;
 
+// Runs a script on a thread of its own, with a listener on a free port.
+class ScriptedServer {
+ public:
+  using Script = std::function<void(tcp::acceptor& listener)>;
+
+  explicit ScriptedServer(Script script)
+      : thread_([this, script = std::move(script)] { script(listener_); }) {}
+  ~ScriptedServer() { thread_.join(); }
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+  std::string url() const { return "http://127.0.0.1:" + std::to_string(port_) + "/start"; }
+
+ private:
+  PortBlock ports_;
+  const std::uint16_t port_ = ports_.Next();
+  asio::io_context loop_;
+  tcp::acceptor listener_{loop_, {asio::ip::make_address("127.0.0.1"), port_}};
+  std::thread thread_;
+};
+
+void ReadRequest(tcp::socket& connection) {
+  std::string text;
+  asio::read_until(connection, asio::dynamic_buffer(text), "\r\n\r\n{}");
+}
+
+void Answer(tcp::socket& connection) {
+  asio::write(connection,
+              asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")));
+}
+
+void Reset(tcp::socket& connection) {
+  connection.set_option(asio::socket_base::linger(true, 0));
+  connection.close();
+}
+
 // Answers the first request, and resets its connection when the second one has arrived. Answers
 // the requests of the next connection.
 class ResettingServer {
@@ -77,3 +117,44 @@
   cr_assert(second.resent);
   cr_assert_eq(server.requests(), 3);
 }
+
+// Guards against a request that counts as certainly not sent because its second copy was refused,
+// although the first one had reached the server.
+Test(http_client, does_not_take_a_refused_second_copy_for_a_request_that_was_not_sent) {
+  ScriptedServer server([](tcp::acceptor& listener) {
+    tcp::socket connection = listener.accept();
+    ReadRequest(connection);
+    Answer(connection);
+    ReadRequest(connection);
+    listener.close();
+    Reset(connection);
+  });
+  HttpClient client;
+  const HttpCall call{.method = "POST", .url = server.url(), .body = "{}"};
+  cr_assert_eq(client.SendAndWait(call).status, 200);
+  const HttpResult refused = client.SendAndWait(call);
+  cr_assert_eq(refused.status, 0);
+  cr_assert_not(refused.not_sent);
+  cr_assert(refused.connection_refused);
+}
+
+// Guards against a local failure to connect that is taken for the end of the server's process.
+Test(http_client, does_not_take_a_lack_of_descriptors_for_a_refused_connection) {
+  PortBlock ports;
+  HttpClient client;
+  const HttpCall call{.url = "http://127.0.0.1:" + std::to_string(ports.Next()) + "/"};
+  const HttpResult refused = client.SendAndWait(call);
+  cr_assert(refused.not_sent);
+  cr_assert(refused.connection_refused);
+  rlimit limit{};
+  cr_assert_eq(getrlimit(RLIMIT_NOFILE, &limit), 0);
+  // Every descriptor is too high now; those that are open stay so.
+  limit.rlim_cur = 0;
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+  const HttpResult failed = client.SendAndWait(call);
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+  cr_assert_eq(failed.status, 0);
+  cr_assert(failed.not_sent);
+  cr_assert_not(failed.connection_refused, "%s", failed.failure.c_str());
+}
