HTTP client: optional reset on close, used for calls to the executor

Callers may see two runs of one task: a start or renewal that the supervisor has given up can still be carried out later, also by the next incarnation of the executor.

Cause: libcurl closes the connection of a call that has timed out with FIN, so the system goes on to deliver what it holds of the request, again and again while the path is cut.

With `reset_on_close`, each socket gets SO_LINGER with a time of 0, so that closing it, also by the end of the process, drops what was not delivered and tells the server. If the option cannot be set, the transfer fails. Answers are read completely before their connection is closed. The number of connections moves into the same options. Only the supervisor's client for the executor sets it: calls there are repeated or revoked. What the server has received before the reset may still be carried out.

Evidence on loopback: http_client/does_not_deliver_the_rest_of_a_request_after_its_timeout (256 KiB to a server that accepts after the timeout) and http_client/resets_idle_connections_when_it_ends failed before, the first with "The expression (received.bytes) < (kBodyBytes) is false", both with "End of file" in place of a reset, and pass. Two further tests pass before and after: whole answers and reuse with the option, and that a call that waited for a connection beyond its timeout is not sent.

--- a/bench/load/open_loop_caller.h
+++ b/bench/load/open_loop_caller.h
@@ -40,7 +40,7 @@
   std::condition_variable done_;
   // Guarded by mutex_.
   std::size_t open_ = 0;
-  adapters::HttpClient client_{4096};
+  adapters::HttpClient client_{{.max_connections_per_host = 4096}};
 };
 
 }  // namespace zinniamux::bench
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -2,6 +2,7 @@
 #include "adapters/http_client.h"
 
 #include <curl/curl.h>
+#include <sys/socket.h>
 
 #include <atomic>
 #include <cerrno>
@@ -42,6 +43,14 @@
   return CURL_PREREQFUNC_OK;
 }
 
+// Called for each new socket.
+int SetResetOnClose(void* /*user*/, curl_socket_t socket, curlsocktype /*purpose*/) {
+  const linger reset{.l_onoff = 1, .l_linger = 0};
+  const int failed = setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  // An error makes libcurl fail the transfer.
+  return failed == 0 ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
 void InitialiseCurlOnce() {
   static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
   static_cast<void>(result);
@@ -51,10 +60,10 @@
 
 class HttpClient::Implementation {
  public:
-  explicit Implementation(long max_connections_per_host) {
+  explicit Implementation(const Options& options) : options_(options) {
     InitialiseCurlOnce();
     multi_ = curl_multi_init();
-    curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS, max_connections_per_host);
+    curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS, options.max_connections_per_host);
     thread_ = std::thread([this] { Run(); });
   }
 
@@ -124,6 +133,9 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+    if (options_.reset_on_close) {
+      curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &SetResetOnClose);
+    }
     if (call.fresh_connection) {
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
@@ -170,6 +182,7 @@
     while (!transfers_.empty()) Finish(transfers_.begin()->first, CURLE_ABORTED_BY_CALLBACK);
   }
 
+  const Options options_;
   CURLM* multi_ = nullptr;
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
@@ -180,8 +193,10 @@
   std::thread thread_;
 };
 
-HttpClient::HttpClient(long max_connections_per_host)
-    : implementation_(std::make_unique<Implementation>(max_connections_per_host)) {}
+HttpClient::HttpClient() : HttpClient(Options()) {}
+
+HttpClient::HttpClient(const Options& options)
+    : implementation_(std::make_unique<Implementation>(options)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -44,7 +44,18 @@
  public:
   using Callback = std::function<void(HttpResult)>;
 
-  explicit HttpClient(long max_connections_per_host = 64);
+  struct Options {
+    // Calls for which no connection is free wait.
+    long max_connections_per_host = 64;
+    // Closes connections with a reset, also when the process ends. What the system holds of a
+    // request without an answer is then dropped, and not delivered after the call has failed.
+    // Answers have been read completely before their connections are closed.
+    bool reset_on_close = false;
+  };
+
+  // With the default options.
+  HttpClient();
+  explicit HttpClient(const Options& options);
   // Abandons calls that are still running; their callbacks get a failure.
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
--- a/src/zinniamuxd/agent_daemon.cc
+++ b/src/zinniamuxd/agent_daemon.cc
@@ -122,7 +122,8 @@
       store_(store),
       core_(CoreOptions(settings_), clock),
       random_(std::random_device()()),
-      executor_client_(std::make_unique<adapters::HttpClient>(kUnlimitedConnections)) {}
+      executor_client_(std::make_unique<adapters::HttpClient>(
+          adapters::HttpClient::Options{.max_connections_per_host = kUnlimitedConnections})) {}
 
 core::Result<void> AgentDaemon::Start() {
   auto server =
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -65,10 +65,11 @@
       // The incarnation is the fencing token: later processes of this VM get higher ones.
       run_supervisor_(SupervisorOptions(settings.bounds, incarnation_), clock),
       unreadable_rows_(log),
-      store_client_(kMaxStoreConnections),
+      store_client_({.max_connections_per_host = kMaxStoreConnections}),
       store_({.url = settings.store_url, .deadline = milliseconds(1000)}, store_client_, clock,
              [this](const core::UnreadableRow& row) { unreadable_rows_.Write(row); }),
-      executor_client_(kMaxExecutorConnections),
+      executor_client_(
+          {.max_connections_per_host = kMaxExecutorConnections, .reset_on_close = true}),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       timer_(loop_),
       run_supervisor_timer_(loop_),
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -80,7 +80,7 @@
   // Guarded by mutex_.
   std::vector<JobReport> reports_;
   // Last, as its callbacks use the members above until it is destroyed.
-  adapters::HttpClient client_{256};
+  adapters::HttpClient client_{{.max_connections_per_host = 256}};
 };
 
 // The HTTP body that submits the plan.
--- a/tests/support/resending_caller.h
+++ b/tests/support/resending_caller.h
@@ -58,7 +58,7 @@
   std::mutex mutex_;
   // Guarded by mutex_.
   std::vector<Outcome> outcomes_;
-  adapters::HttpClient client_{256};
+  adapters::HttpClient client_{{.max_connections_per_host = 256}};
 };
 
 }  // namespace zinniamux::testing
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -59,6 +59,19 @@
   connection.close();
 }
 
+// What a server reads from a connection until it ends.
+struct Received {
+  std::size_t bytes = 0;
+  asio::error_code end;
+};
+
+Received ReadToEnd(tcp::socket& connection) {
+  Received received;
+  std::string text;
+  received.bytes = asio::read(connection, asio::dynamic_buffer(text), received.end);
+  return received;
+}
+
 // Answers the first request, and resets its connection when the second one has arrived. Answers
 // the requests of the next connection.
 class ResettingServer {
@@ -158,3 +171,102 @@
   cr_assert(failed.not_sent);
   cr_assert_not(failed.connection_refused, "%s", failed.failure.c_str());
 }
+
+// Guards against an abandoned request that the kernel goes on to deliver: the server would carry it
+// out seconds after its caller has given up.
+Test(http_client, does_not_deliver_the_rest_of_a_request_after_its_timeout) {
+  constexpr std::size_t kBodyBytes = 256U << 10U;
+  std::latch abandoned(1);
+  Received received;
+  {
+    ScriptedServer server([&](tcp::acceptor& listener) {
+      // The listener's buffer size applies to its connections. It holds a part of the request.
+      listener.set_option(asio::socket_base::receive_buffer_size(4096));
+      abandoned.wait();
+      tcp::socket connection = listener.accept();
+      received = ReadToEnd(connection);
+    });
+    HttpClient client({.reset_on_close = true});
+    const HttpResult result = client.SendAndWait({.method = "POST",
+                                                  .url = server.url(),
+                                                  .body = std::string(kBodyBytes, 'x'),
+                                                  .timeout = std::chrono::milliseconds(200)});
+    abandoned.count_down();
+    cr_expect_eq(result.status, 0);
+  }
+  cr_expect_lt(received.bytes, kBodyBytes);
+  cr_expect_eq(received.end, asio::error::connection_reset, "%s", received.end.message().c_str());
+}
+
+// Guards against connections whose last bytes are sent again after the client is gone.
+Test(http_client, resets_idle_connections_when_it_ends) {
+  Received received;
+  {
+    ScriptedServer server([&](tcp::acceptor& listener) {
+      tcp::socket connection = listener.accept();
+      ReadRequest(connection);
+      Answer(connection);
+      received = ReadToEnd(connection);
+    });
+    HttpClient client({.reset_on_close = true});
+    const HttpResult result =
+        client.SendAndWait({.method = "POST", .url = server.url(), .body = "{}"});
+    cr_expect_eq(result.status, 200);
+  }
+  cr_expect_eq(received.end, asio::error::connection_reset, "%s", received.end.message().c_str());
+}
+
+// Guards against answers that are cut and idle connections that are lost by the reset on close.
+Test(http_client, reads_whole_answers_and_reuses_connections_that_are_reset_on_close) {
+  constexpr std::size_t kAnswerBytes = 4U << 20U;
+  ScriptedServer server([&](tcp::acceptor& listener) {
+    tcp::socket connection = listener.accept();
+    ReadRequest(connection);
+    Answer(connection);
+    ReadRequest(connection);
+    asio::write(connection,
+                asio::buffer("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
+                             std::to_string(kAnswerBytes) + "\r\n\r\n"));
+    asio::write(connection, asio::buffer(std::string(kAnswerBytes, 'x')));
+  });
+  HttpClient client({.reset_on_close = true});
+  const HttpCall call{.method = "POST", .url = server.url(), .body = "{}"};
+  cr_assert_eq(client.SendAndWait(call).status, 200);
+  const HttpResult large = client.SendAndWait(call);
+  cr_assert_eq(large.status, 200);
+  cr_assert_eq(large.body.size(), kAnswerBytes);
+}
+
+// Guards against a call that is sent after its caller has given up, because it waited for one of
+// the connections.
+Test(http_client, does_not_send_a_call_that_waited_for_a_connection_beyond_its_timeout) {
+  std::latch given_up(1);
+  Received received;
+  {
+    ScriptedServer server([&](tcp::acceptor& listener) {
+      tcp::socket connection = listener.accept();
+      ReadRequest(connection);
+      given_up.wait();
+      Answer(connection);
+      received = ReadToEnd(connection);
+    });
+    HttpClient client({.max_connections_per_host = 1});
+    HttpCall call{.method = "POST", .url = server.url(), .body = "{}"};
+    std::latch first(1);
+    std::latch second(1);
+    client.Send(call, [&](const HttpResult& result) {
+      cr_expect_eq(result.status, 200);
+      first.count_down();
+    });
+    call.timeout = std::chrono::milliseconds(100);
+    client.Send(call, [&](const HttpResult& result) {
+      cr_expect_eq(result.status, 0);
+      second.count_down();
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    given_up.count_down();
+    first.wait();
+    second.wait();
+  }
+  cr_expect_eq(received.bytes, 0U);
+}
