run supervisor: a call without an answer renews no lease after a later one

Callers saw two runs of one task: the first one went on after its supervisor was killed, stood still or took its executor for silent, and the task was ordered elsewhere.

Executors may carry out a hold or start call seconds after it was sent, and count its lease from then. The supervisor (after a silent executor) and the dispatcher (after a lost supervisor) derive the end of the runs from the last renewal that was sent, which is then too early.

The supervisor now raises its fencing token by one when a start or hold call with the present token is not answered. The executor refuses all that was sent before as soon as it carries out a call with the new token. Calls with an earlier token raise nothing, and neither do refused connections, so the token rises far more slowly than the time with which later processes begin. Starts that are overtaken are sent again by the present rule for fenced starts. Whether the answer to a start is of the present incarnation is told by the birth of the executor, as the token no longer shows it.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -279,6 +279,7 @@
   run.state = State::kStarting;
   run.state_since = clock_.now();
   run.fencing_token = fencing_token_;
+  run.born_ms = executor_->born_ms;
   run.start_pending = true;
   const std::optional<ExecutorTime> lease_until = RenewLease();
   actions_.emplace_back(CallStart{
@@ -336,11 +337,15 @@
   RecordAnswer(answer != StartAnswer::kNone);
   if (resent && answer != StartAnswer::kStarted) answer = StartAnswer::kNone;
   const auto found = runs_.find(id);
+  if (answer == StartAnswer::kNone) {
+    // With which token a run that is over was started is not known any more.
+    RevokeUnansweredCall(found == runs_.end() ? fencing_token_ : found->second.fencing_token);
+  }
   if (found == runs_.end()) return;
   Run& run = found->second;
   run.start_pending = false;
   // A late answer may be of an earlier incarnation, which had another clock.
-  if (clock && run.fencing_token == fencing_token_) UpdateClockOffset(*clock);
+  if (clock && run.born_ms == executor_->born_ms) UpdateClockOffset(*clock);
   if (answer == StartAnswer::kStarted) run.seen_running = true;
   if (answer != StartAnswer::kNone && run.state == State::kStarting) {
     constexpr double kWeight = 0.2;
@@ -358,9 +363,8 @@
       run.state_since = clock_.now();
       break;
     case StartAnswer::kFenced:
-      // A call of this process may have carried the token of an earlier incarnation. Otherwise an
-      // earlier process of this supervisor had a clock that ran ahead: no other process calls this
-      // executor.
+      // The token may have risen while the call was on its way. Otherwise an earlier process of
+      // this supervisor had a clock that ran ahead: no other process calls this executor.
       if (run.fencing_token == fencing_token_) {
         fencing_token_ += std::max<std::uint64_t>(1, fencing_token_ / 1024);
       }
@@ -515,6 +519,7 @@
   holds_.erase(found);
   RecordAnswer(answer.has_value());
   if (!answer) {
+    RevokeUnansweredCall(hold.fencing_token);
     // Limit the rate of calls to a silent executor.
     if (IsSilent()) next_hold_at_ = clock_.now() + options_.stop_retry;
     StartWaitingOrders();
@@ -633,6 +638,13 @@
   if (was_accepting != accepting()) actions_.emplace_back(ReportChanged{});
 }
 
+void RunSupervisor::RevokeUnansweredCall(std::uint64_t token) {
+  // Calls with an earlier token are revoked already. Nothing is on its way to a closed port, and
+  // connections to one are refused quickly enough for the token to overtake those of later
+  // processes, which begin with the time.
+  if (token == fencing_token_ && !executor_is_down_) ++fencing_token_;
+}
+
 bool RunSupervisor::MayStartLate(const RunId& id, const Run& run) const {
   return run.start_pending || (run.start_unanswered && revoked_starts_.contains(id));
 }
@@ -711,6 +723,7 @@
   holds_[call.number] = {.sent_at = now,
                          .overdue_at = now + call.wait + limit,
                          .last_seen = last_seen_,
+                         .fencing_token = fencing_token_,
                          .quick = confirms_stops};
   actions_.emplace_back(std::move(call));
 }
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -170,6 +170,8 @@
 //   unanswered the lease is not renewed, so that all runs on the executor end with it.
 // - No lease outlasts the time by which a run on the executor must have ended (see RunEndBudget),
 //   whatever stands still in between.
+// - A start or hold call that was not answered has no effect any more once a call that was sent
+//   after that is answered.
 // - Unknown runs on the executor are stopped.
 // - A start without an answer may be carried out after the lease, by a later incarnation of the
 //   executor. Its run ends only when the incarnation that answers now has answered a stop, or after
@@ -294,8 +296,9 @@
     RunOrder order;
     State state = State::kStarting;
     TimePoint started_at;
-    // Of its last start call.
+    // Of its last start call, which was meant for this incarnation of the executor.
     std::uint64_t fencing_token = 0;
+    std::int64_t born_ms = 0;
     // When `state` was last set or its call last sent; answers to polls sent before do not reflect
     // it.
     TimePoint state_since;
@@ -327,6 +330,7 @@
     // Its answer is late after this time.
     TimePoint overdue_at;
     std::uint64_t last_seen = 0;
+    std::uint64_t fencing_token = 0;
     // Sent to confirm the end of stopped runs, with a short wait.
     bool quick = false;
   };
@@ -380,6 +384,9 @@
   std::chrono::milliseconds AnswerTimeLimit(std::chrono::milliseconds min,
                                             std::chrono::milliseconds max) const;
   void RecordAnswer(bool answered);
+  // The executor may carry out the unanswered call with this token later, and count its lease from
+  // then. It refuses the call once it has seen a higher token.
+  void RevokeUnansweredCall(std::uint64_t token);
   // The executor may carry out the start of the run after the lease has expired.
   bool MayStartLate(const RunId& id, const Run& run) const;
   // Ends all runs but those that may start late.
@@ -400,7 +407,8 @@
   // Executor time minus clock_ time. Exceeds the true difference by at most the clock drift since
   // the last answer.
   std::chrono::milliseconds clock_offset_{0};
-  // Rises with each incarnation of the executor.
+  // Rises with each incarnation of the executor, and when a start or hold call that carried it was
+  // not answered.
   std::uint64_t fencing_token_;
   Runs runs_;
   // Invariant: the sum of the needs of runs_.
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -513,16 +513,60 @@
   return milliseconds(at_once ? 1 : std::uniform_int_distribution<>(2000, 12000)(random_));
 }
 
+bool LeaseWorld::IsLate(double share) {
+  return share > 0 && std::uniform_real_distribution<>(0, 1)(fault_random_) < share;
+}
+
+Duration LeaseWorld::DelayOfLateCall() {
+  return milliseconds(std::uniform_int_distribution<>(2000, 12000)(fault_random_));
+}
+
+void LeaseWorld::CarryOutLate(std::size_t executor, core::CallStart call) {
+  const core::ExecutorTime lease = call.lease_until - executors_[executor]->clock();
+  After(DelayOfLateCall(), [this, executor, call = std::move(call), lease]() mutable {
+    if (IsDown(executor)) return;
+    call.lease_until = executors_[executor]->clock() + lease;
+    executors_[executor]->Start(call);
+  });
+}
+
+void LeaseWorld::CarryOutLate(std::size_t executor, core::CallHold call) {
+  const core::ExecutorTime clock = executors_[executor]->clock();
+  const core::ExecutorTime lease = call.lease_until.value_or(clock) - clock;
+  After(DelayOfLateCall(), [this, executor, call = std::move(call), lease, sent = clock]() mutable {
+    SimulatedExecutor& on = *executors_[executor];
+    if (IsDown(executor)) return;
+    const core::ExecutorTime before = on.lease_until();
+    if (call.lease_until) call.lease_until = on.clock() + lease;
+    on.Hold(call);
+    if (on.lease_until() == before) return;
+    const std::string what = "the lease on executor " + std::to_string(executor) + " grows by " +
+                             std::to_string((on.lease_until() - before).count()) +
+                             " ms, by a call sent " + std::to_string((on.clock() - sent).count()) +
+                             " ms ago";
+    for (const auto& [task, at] : running_) {
+      if (at == executor) Trace(task.job_id, what);
+    }
+  });
+}
+
 void LeaseWorld::CallExecutor(std::size_t index, const core::CallStart& call) {
+  ++start_calls_;
   Supervisor& supervisor = *supervisors_[index];
   const std::uint64_t incarnation = supervisor.incarnation;
   const auto answer = [this, index, incarnation, id = call.id](
                           core::StartAnswer answered, std::optional<core::ExecutorTime> clock) {
     Supervisor& to = *supervisors_[index];
     if (!to.core || to.incarnation != incarnation) return;
+    if (answered == core::StartAnswer::kFenced) ++fenced_starts_;
     to.core->OnStartAnswer(id, answered, clock);
     CarryOutSupervisor(index);
   };
+  if (!IsCut(index) && IsLate(late_calls_.starts)) {
+    CarryOutLate(index, call);
+    return Deliver(supervisor.frozen_until, call.answer_limit,
+                   [answer] { answer(core::StartAnswer::kNone, std::nullopt); });
+  }
   if (LosesAnswer(index)) {
     Deliver(executors_cut_until_[index], DelayOfLostCall(index),
             [this, index, call] { executors_[index]->Start(call); });
@@ -563,6 +607,17 @@
 
 void LeaseWorld::CallExecutor(std::size_t index, const core::CallHold& call) {
   const std::uint64_t incarnation = supervisors_[index]->incarnation;
+  if (!IsCut(index) && IsLate(late_calls_.holds)) {
+    CarryOutLate(index, call);
+    return Deliver(supervisors_[index]->frozen_until,
+                   call.wait + core::RunSupervisor::Options().answer_limit,
+                   [this, index, incarnation, number = call.number] {
+                     Supervisor& to = *supervisors_[index];
+                     if (!to.core || to.incarnation != incarnation) return;
+                     to.core->OnHoldAnswer(number, std::nullopt);
+                     CarryOutSupervisor(index);
+                   });
+  }
   After(options_.executor_delay, [this, index, call, incarnation] {
     WaitForEnd(index, call, clock_.now() + call.wait, incarnation);
   });
@@ -948,6 +1003,11 @@
   At(at + length, [this] { lost_answers_ = options_.lost_answers; });
 }
 
+void LeaseWorld::DelayCalls(const LateCalls& shares, Duration at, Duration length) {
+  At(at, [this, shares] { late_calls_ = shares; });
+  At(at + length, [this] { late_calls_ = {}; });
+}
+
 void LeaseWorld::DelaySupervisor(std::size_t supervisor, Duration delay, Duration at,
                                  Duration length) {
   At(at, [this, supervisor, delay] { supervisors_[supervisor]->delay = delay; });
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -122,6 +122,14 @@
   void CutExecutor(std::size_t executor, core::Duration at, core::Duration length, bool restarts);
   // Another part of the calls to executors stays without an answer.
   void LoseAnswers(double share, core::Duration at, core::Duration length);
+  // Parts of the calls to executors.
+  struct LateCalls {
+    double starts = 0;
+    double holds = 0;
+  };
+  // These calls stay without an answer. Executors carry them out seconds later, also while they are
+  // cut off, and count the lease from then.
+  void DelayCalls(const LateCalls& shares, core::Duration at, core::Duration length);
   // The supervisor handles what dispatchers send this much later.
   void DelaySupervisor(std::size_t supervisor, core::Duration delay, core::Duration at,
                        core::Duration length);
@@ -136,6 +144,9 @@
   // What happened to the traced job, with times.
   const std::vector<std::string>& trace() const { return trace_; }
   std::uint64_t refused_starts() const { return refused_starts_; }
+  // Start calls that executors refused because they had seen a higher fencing token.
+  std::uint64_t fenced_starts() const { return fenced_starts_; }
+  std::uint64_t start_calls() const { return start_calls_; }
   // The largest number of executors that crashed under one task.
   std::size_t most_crashes_of_a_task() const;
 
@@ -228,6 +239,11 @@
   void NoteRefusedConnection(std::size_t executor);
   bool IsCut(std::size_t executor) const { return executors_cut_until_[executor] > clock_.now(); }
   bool LosesAnswer(std::size_t executor);
+  // Whether a call is one of this part, which is carried out late.
+  bool IsLate(double share);
+  core::Duration DelayOfLateCall();
+  void CarryOutLate(std::size_t executor, core::CallStart call);
+  void CarryOutLate(std::size_t executor, core::CallHold call);
   // When a call without an answer is carried out.
   core::Duration DelayOfLostCall(std::size_t executor);
   void NoteStart(std::size_t executor, const core::RunId& id);
@@ -251,6 +267,7 @@
   std::vector<core::TimePoint> executors_down_until_;
   std::map<core::TaskId, std::size_t> crashes_;
   double lost_answers_;
+  LateCalls late_calls_;
   std::vector<std::unique_ptr<Supervisor>> supervisors_;
   std::vector<std::unique_ptr<Dispatcher>> dispatchers_;
   std::vector<Link> links_;
@@ -262,6 +279,8 @@
   std::set<core::TaskId> done_;
   std::vector<std::string> violations_;
   std::uint64_t refused_starts_ = 0;
+  std::uint64_t fenced_starts_ = 0;
+  std::uint64_t start_calls_ = 0;
   std::vector<std::string> trace_;
 };
 
--- a/tests/support/simulated_executor.h
+++ b/tests/support/simulated_executor.h
@@ -46,6 +46,7 @@
   core::HoldAnswer Hold(const core::CallHold& call);
   core::LeasedExecutor Status();
   core::ExecutorTime clock() const;
+  core::ExecutorTime lease_until() const { return lease_until_; }
   bool has_unseen_ends() const { return !ends_.empty(); }
 
   // Loses everything and begins a new lifetime.
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -787,6 +787,91 @@
   cr_assert_eq(holds[0].fencing_token, 8);
 }
 
+// Guards against a hold call that is carried out seconds later, and renews the lease after the
+// supervisor has ended.
+Test(run_supervisor, raises_its_fencing_token_after_a_hold_without_an_answer) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.supervisor.OnHoldAnswer(fixture.last_hold.number, std::nullopt);
+  fixture.TakeActions();
+  const auto holds = fixture.ActionsOf<CallHold>();
+  cr_assert_eq(holds.size(), 2);
+  for (const CallHold& hold : holds) cr_assert_eq(hold.fencing_token, 8);
+}
+
+// Guards against a start that is carried out seconds later, and renews the lease although its run
+// is refused as stopped.
+Test(run_supervisor, raises_its_fencing_token_after_a_start_without_an_answer) {
+  Fixture fixture;
+  fixture.OrderRun(0);
+  fixture.supervisor.OnStartAnswer(MakeRunId(0), StartAnswer::kNone, std::nullopt);
+  fixture.TakeActions();
+  cr_assert_eq(fixture.ActionsOf<CallStop>().at(0).fencing_token, 8);
+}
+
+// Guards against the late start of a run that has ended before its call failed.
+Test(run_supervisor, raises_its_fencing_token_after_an_unanswered_start_of_a_run_that_is_over) {
+  Fixture fixture;
+  fixture.OrderRun(0);
+  fixture.AnswerHold({.ended = {{.number = 1, .id = MakeRunId(0), .outcome = RunOutcome::kDone}}});
+  fixture.supervisor.OnStartAnswer(MakeRunId(0), StartAnswer::kNone, std::nullopt);
+  fixture.OrderRun(1);
+  cr_assert_eq(fixture.ActionsOf<CallStart>().at(0).fencing_token, 8);
+}
+
+// Guards against tokens that rise without end: calls that were on their way when the token rose are
+// refused, and count as unanswered.
+Test(run_supervisor, raises_its_fencing_token_once_for_calls_that_were_sent_together) {
+  Fixture fixture;
+  for (std::uint32_t index = 0; index < 3; ++index) fixture.OrderRun(index);
+  for (std::uint32_t index = 0; index < 3; ++index) {
+    fixture.supervisor.OnStartAnswer(MakeRunId(index), StartAnswer::kNone, std::nullopt);
+  }
+  fixture.supervisor.OnHoldAnswer(fixture.last_hold.number, std::nullopt);
+  fixture.OrderRun(3);
+  cr_assert_eq(fixture.ActionsOf<CallStart>().at(0).fencing_token, 8);
+}
+
+// Guards against tokens that overtake those of later processes, which begin with the time: refused
+// connections are tried again at once.
+Test(run_supervisor, keeps_its_fencing_token_when_no_process_listens) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.supervisor.OnConnectionRefused();
+  fixture.supervisor.OnHoldAnswer(fixture.last_hold.number, std::nullopt);
+  fixture.TakeActions();
+  cr_assert_eq(fixture.ActionsOf<CallHold>().at(0).fencing_token, 7);
+}
+
+// Guards against a start that is refused for its token, and counts as a failure or raises the token
+// again, although the token rose while it was on its way.
+Test(run_supervisor, sends_a_start_again_that_was_overtaken_by_a_higher_fencing_token) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.OrderRun(1);
+  fixture.supervisor.OnHoldAnswer(fixture.last_hold.number, std::nullopt);
+  fixture.supervisor.OnStartAnswer(MakeRunId(1), StartAnswer::kFenced, fixture.ExecutorClock());
+  fixture.TakeActions();
+  const auto starts = fixture.ActionsOf<CallStart>();
+  cr_assert_eq(starts.size(), 1);
+  cr_assert(starts[0].id == MakeRunId(1));
+  cr_assert_eq(starts[0].fencing_token, 8);
+  cr_assert(fixture.ActionsOf<RunUpdate>().empty());
+}
+
+// Guards against leases on an outdated clock: the answer to a start is of the present incarnation
+// although the token rose meanwhile.
+Test(run_supervisor, reads_the_clock_in_the_answer_to_a_start_with_an_earlier_fencing_token) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.OrderRun(1);
+  fixture.supervisor.OnHoldAnswer(fixture.last_hold.number, std::nullopt);
+  const ExecutorTime clock = fixture.ExecutorClock() - milliseconds(100);
+  fixture.supervisor.OnStartAnswer(MakeRunId(1), StartAnswer::kStarted, clock);
+  fixture.OrderRun(2);
+  cr_assert_eq(fixture.ActionsOf<CallStart>().at(0).lease_until.count(), clock.count() + 1000);
+}
+
 // Guards against an executor that comes back under its id after it has left, and carries out calls
 // of its earlier incarnation.
 Test(run_supervisor, raises_its_fencing_token_when_its_executor_has_left) {
