run supervisor: leases after a suspension are computed on the clock that stands still with the executor's

After a suspension of a VM, the first lease could last up to 1,000 ms instead of what the silence of a dispatcher left, so that a run that only its lease could end went on while its task ran again.

Cause: the executor's clock was estimated with its offset to CLOCK_BOOTTIME, which goes on during a suspension. The executor's steady clock does not.

Fix: RunSupervisor takes a second clock that goes on as the executor's does, the steady clock of their VM, and counts the time since the executor's last answer on that. The limits of silence still count suspension.

The simulated world can suspend VMs (SuspendVm).

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -9,9 +9,10 @@
 
 using std::chrono::milliseconds;
 
-RunSupervisor::RunSupervisor(const Options& options, const Clock& clock)
+RunSupervisor::RunSupervisor(const Options& options, const Clock& clock, const Clock& executor_pace)
     : options_(options),
       clock_(clock),
+      executor_pace_(executor_pace),
       fencing_token_(options.fencing_token),
       queue_(options.max_waiting) {}
 
@@ -42,7 +43,7 @@
       ForgetExecutor(RunOutcome::kBroken);
     } else if (!same_incarnation) {
       BeginIncarnation(status.born_ms);
-      UpdateClockOffset(status.clock);
+      UpdateExecutorClock(status.clock);
       holds_.clear();
     }
   }
@@ -53,7 +54,7 @@
   executor_ = status;
   if (is_new) {
     needs_first_poll_ = true;
-    UpdateClockOffset(status.clock);
+    UpdateExecutorClock(status.clock);
   }
   if (changed) actions_.emplace_back(ReportChanged{});
   StartWaitingOrders();
@@ -345,7 +346,7 @@
   Run& run = found->second;
   run.start_pending = false;
   // A late answer may be of an earlier incarnation, which had another clock.
-  if (clock && run.born_ms == executor_->born_ms) UpdateClockOffset(*clock);
+  if (clock && run.born_ms == executor_->born_ms) UpdateExecutorClock(*clock);
   if (answer == StartAnswer::kStarted) run.seen_running = true;
   if (answer != StartAnswer::kNone && run.state == State::kStarting) {
     constexpr double kWeight = 0.2;
@@ -530,7 +531,7 @@
   if (answer->born_ms != 0 && answer->born_ms < executor_->born_ms) return SendDueHolds();
   if (answer->born_ms > executor_->born_ms) BeginIncarnation(answer->born_ms);
   executor_answered_ = true;
-  UpdateClockOffset(answer->clock);
+  UpdateExecutorClock(answer->clock);
   acknowledged_ = std::max(acknowledged_, hold.last_seen);
   for (const EndedRun& ended : answer->ended) ProcessEndedRun(ended);
   ReconcileRunning(answer->running, hold.sent_at);
@@ -825,11 +826,13 @@
 }
 
 ExecutorTime RunSupervisor::ExecutorNow() const {
-  return std::chrono::duration_cast<milliseconds>(clock_.now().time_since_epoch()) + clock_offset_;
+  const Duration since = executor_pace_.now() - executor_clock_read_at_;
+  return executor_clock_ + std::chrono::floor<milliseconds>(since);
 }
 
-void RunSupervisor::UpdateClockOffset(ExecutorTime clock) {
-  clock_offset_ = clock - std::chrono::duration_cast<milliseconds>(clock_.now().time_since_epoch());
+void RunSupervisor::UpdateExecutorClock(ExecutorTime clock) {
+  executor_clock_ = clock;
+  executor_clock_read_at_ = executor_pace_.now();
 }
 
 }  // namespace zinniamux::core
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -216,7 +216,12 @@
     std::uint64_t fencing_token = 1;
   };
 
-  RunSupervisor(const Options& options, const Clock& clock);
+  // `executor_pace` goes on as the executor's clock does: it stands still while the VM of both is
+  // suspended, which `clock` counts.
+  RunSupervisor(const Options& options, const Clock& clock, const Clock& executor_pace);
+  // For a VM that is never suspended.
+  RunSupervisor(const Options& options, const Clock& clock)
+      : RunSupervisor(options, clock, clock) {}
 
   // Returns false if the status is of an earlier incarnation or older than the last one.
   bool OnExecutorStatus(const LeasedExecutor& status);
@@ -369,8 +374,9 @@
   bool HasEnoughHolds() const;
   bool IsSilent() const { return consecutive_unanswered_ > kMaxConsecutiveUnanswered; }
   bool MayRenewLease() const;
+  // Ahead of the executor's clock by at most the clock drift since the last answer.
   ExecutorTime ExecutorNow() const;
-  void UpdateClockOffset(ExecutorTime clock);
+  void UpdateExecutorClock(ExecutorTime clock);
   // By when runs of the owner must have ended.
   TimePoint RunEndOf(const std::string& owner) const;
   // The latest end of a lease that holds for every run on the executor, and for those that an owner
@@ -403,10 +409,11 @@
 
   const Options options_;
   const Clock& clock_;
+  const Clock& executor_pace_;
   std::optional<LeasedExecutor> executor_;
-  // Executor time minus clock_ time. Exceeds the true difference by at most the clock drift since
-  // the last answer.
-  std::chrono::milliseconds clock_offset_{0};
+  // What the executor's clock showed in the last answer, and executor_pace_ when that came.
+  ExecutorTime executor_clock_{0};
+  TimePoint executor_clock_read_at_;
   // Rises with each incarnation of the executor, and when a start or hold call that carried it was
   // not answered.
   std::uint64_t fencing_token_;
--- a/src/zinniamuxd/main.cc
+++ b/src/zinniamuxd/main.cc
@@ -67,8 +67,8 @@
         zinniamux::daemon::DispatcherDaemon(*settings.dispatcher, settings_file, boot_clock, log));
   }
   if (settings.supervisor) {
-    return RunUntilStopped(
-        zinniamux::daemon::SupervisorDaemon(*settings.supervisor, settings_file, boot_clock, log));
+    return RunUntilStopped(zinniamux::daemon::SupervisorDaemon(*settings.supervisor, settings_file,
+                                                               boot_clock, clock, log));
   }
   if (settings.entry) {
     zinniamux::daemon::EntryDaemon daemon(*settings.entry, clock, log);
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -55,7 +55,7 @@
 
 SupervisorDaemon::SupervisorDaemon(const adapters::SupervisorSettings& settings,
                                    std::string settings_file, const core::Clock& clock,
-                                   adapters::JsonLog& log)
+                                   const core::Clock& steady_clock, adapters::JsonLog& log)
     : settings_(settings),
       settings_file_(std::move(settings_file)),
       clock_(clock),
@@ -63,7 +63,7 @@
       incarnation_(TimestampIncarnation()),
       metrics_(clock),
       // The incarnation is the fencing token: later processes of this VM get higher ones.
-      run_supervisor_(SupervisorOptions(settings.bounds, incarnation_), clock),
+      run_supervisor_(SupervisorOptions(settings.bounds, incarnation_), clock, steady_clock),
       unreadable_rows_(log),
       store_client_({.max_connections_per_host = kMaxStoreConnections}),
       store_({.url = settings.store_url, .deadline = milliseconds(1000)}, store_client_, clock,
--- a/src/zinniamuxd/supervisor_daemon.h
+++ b/src/zinniamuxd/supervisor_daemon.h
@@ -32,8 +32,11 @@
 // over.
 class SupervisorDaemon {
  public:
+  // `clock` counts the time for which the VM is suspended, `steady_clock` does not; nor does the
+  // executor's.
   SupervisorDaemon(const adapters::SupervisorSettings& settings, std::string settings_file,
-                   const core::Clock& clock, adapters::JsonLog& log);
+                   const core::Clock& clock, const core::Clock& steady_clock,
+                   adapters::JsonLog& log);
 
   // Returns after a shutdown, or with an error if the process cannot start.
   core::Result<void> Run();
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -82,6 +82,20 @@
   Duration length_{0};
 };
 
+// The steady clock of a VM.
+class LeaseWorld::VmClock : public core::Clock {
+ public:
+  explicit VmClock(const core::Clock& clock) : clock_(clock) {}
+
+  TimePoint now() const override { return clock_.now() - suspended_; }
+  // Called at the end of a suspension.
+  void AddSuspension(Duration length) { suspended_ += length; }
+
+ private:
+  const core::Clock& clock_;
+  Duration suspended_{0};
+};
+
 struct LeaseWorld::Dispatcher {
   explicit Dispatcher(const core::Clock& world_clock) : clock(world_clock) {}
 
@@ -114,6 +128,9 @@
 };
 
 struct LeaseWorld::Supervisor {
+  explicit Supervisor(const core::Clock& world_clock) : vm_clock(world_clock) {}
+
+  VmClock vm_clock;
   std::unique_ptr<core::RunSupervisor> core;
   std::unique_ptr<core::ReportAudience> audience;
   std::uint64_t incarnation = 0;
@@ -130,6 +147,7 @@
       start_(clock_.now()),
       executors_cut_until_(options_.executor_cpu_milli.size()),
       executors_down_until_(options_.executor_cpu_milli.size()),
+      executors_suspended_until_(options_.executor_cpu_milli.size()),
       lost_answers_(options_.lost_answers) {
   for (std::size_t i = 0; i < options_.executor_cpu_milli.size(); ++i) {
     executors_.push_back(std::make_unique<SimulatedExecutor>(
@@ -149,7 +167,7 @@
             .on_end = [this](const core::RunId& id,
                              core::RunOutcome outcome) { NoteEnd(id, outcome); }},
         clock_.now()));
-    supervisors_.push_back(std::make_unique<Supervisor>());
+    supervisors_.push_back(std::make_unique<Supervisor>(clock_));
   }
   for (std::size_t i = 0; i < options_.dispatchers; ++i) {
     dispatchers_.push_back(std::make_unique<Dispatcher>(clock_));
@@ -402,7 +420,7 @@
   ++supervisor.incarnation;
   core::RunSupervisor::Options options;
   options.fencing_token = supervisor.incarnation;
-  supervisor.core = std::make_unique<core::RunSupervisor>(options, clock_);
+  supervisor.core = std::make_unique<core::RunSupervisor>(options, clock_, supervisor.vm_clock);
   supervisor.audience =
       std::make_unique<core::ReportAudience>(options_.audience, "agent-" + std::to_string(index));
 }
@@ -568,12 +586,13 @@
                    [answer] { answer(core::StartAnswer::kNone, std::nullopt); });
   }
   if (LosesAnswer(index)) {
-    Deliver(executors_cut_until_[index], DelayOfLostCall(index),
-            [this, index, call] { executors_[index]->Start(call); });
+    Deliver(executors_cut_until_[index], DelayOfLostCall(index), [this, index, call] {
+      AtExecutor(index, Duration(0), [this, index, call] { executors_[index]->Start(call); });
+    });
     return Deliver(supervisor.frozen_until, call.answer_limit,
                    [answer] { answer(core::StartAnswer::kNone, std::nullopt); });
   }
-  After(options_.executor_delay, [this, index, call, answer] {
+  AtExecutor(index, options_.executor_delay, [this, index, call, answer] {
     if (IsDown(index)) {
       NoteRefusedConnection(index);
       return answer(core::StartAnswer::kNone, std::nullopt);
@@ -591,7 +610,8 @@
   const bool lost = LosesAnswer(index) || is_refused;
   Deliver(executors_cut_until_[index], lost ? DelayOfLostCall(index) : options_.executor_delay,
           [this, index, call, is_refused] {
-            if (!is_refused) executors_[index]->Stop(call);
+            if (is_refused) return;
+            AtExecutor(index, Duration(0), [this, index, call] { executors_[index]->Stop(call); });
           });
   const Duration delay = lost && !is_refused ? Duration(core::RunSupervisor::Options().answer_limit)
                                              : options_.executor_delay * 2;
@@ -618,7 +638,7 @@
                      CarryOutSupervisor(index);
                    });
   }
-  After(options_.executor_delay, [this, index, call, incarnation] {
+  AtExecutor(index, options_.executor_delay, [this, index, call, incarnation] {
     WaitForEnd(index, call, clock_.now() + call.wait, incarnation);
   });
 }
@@ -638,13 +658,14 @@
   const bool is_cut = IsCut(index);
   core::HoldAnswer answer;
   if (is_cut) {
-    Deliver(executors_cut_until_[index], DelayOfLostCall(index),
-            [this, index, call] { executors_[index]->Hold(call); });
+    Deliver(executors_cut_until_[index], DelayOfLostCall(index), [this, index, call] {
+      AtExecutor(index, Duration(0), [this, index, call] { executors_[index]->Hold(call); });
+    });
   } else {
     answer = executors_[index]->Hold(call);
   }
   if (!is_cut && answer.ended.empty() && clock_.now() < until) {
-    return After(milliseconds(1), [this, index, call, until, incarnation] {
+    return AtExecutor(index, milliseconds(1), [this, index, call, until, incarnation] {
       WaitForEnd(index, call, until, incarnation);
     });
   }
@@ -919,6 +940,20 @@
   });
 }
 
+void LeaseWorld::SuspendVm(std::size_t supervisor, Duration at, Duration length) {
+  At(at, [this, supervisor, length] {
+    // A suspension that begins in another one is a part of it.
+    if (executors_suspended_until_[supervisor] > clock_.now()) return;
+    Extend(supervisors_[supervisor]->frozen_until, length);
+    executors_suspended_until_[supervisor] = clock_.now() + length;
+    executors_[supervisor]->Suspend();
+    After(length, [this, supervisor, length] {
+      executors_[supervisor]->Resume();
+      supervisors_[supervisor]->vm_clock.AddSuspension(length);
+    });
+  });
+}
+
 void LeaseWorld::FreezeDispatcher(std::size_t dispatcher, Duration at, Duration length) {
   At(at, [this, dispatcher, length] {
     Dispatcher& frozen = *dispatchers_[dispatcher];
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -99,6 +99,9 @@
                core::Duration length);
   void KillSupervisor(std::size_t supervisor, core::Duration at, core::Duration down);
   void FreezeSupervisor(std::size_t supervisor, core::Duration at, core::Duration length);
+  // Suspends the VM of a supervisor and its executor: both stand still, and so do their steady
+  // clocks.
+  void SuspendVm(std::size_t supervisor, core::Duration at, core::Duration length);
   void FreezeDispatcher(std::size_t dispatcher, core::Duration at, core::Duration length);
   // The dispatcher stands still while it handles an event, when it looks at the clock for this time
   // after `at`: in the middle of a placement pass. What it has ordered before is sent afterwards.
@@ -160,6 +163,7 @@
     }
   };
   class DispatcherClock;
+  class VmClock;
   struct Dispatcher;
   struct Supervisor;
   struct Link;
@@ -231,6 +235,10 @@
   void CallExecutor(std::size_t index, const core::CallStart& call);
   void CallExecutor(std::size_t index, const core::CallStop& call);
   void CallExecutor(std::size_t index, const core::CallHold& call);
+  // Calls the executor after this time, or when its VM is not suspended any more.
+  void AtExecutor(std::size_t executor, core::Duration delay, std::function<void()> action) {
+    Deliver(executors_suspended_until_[executor], delay, std::move(action));
+  }
   void WaitForEnd(std::size_t index, const core::CallHold& call, core::TimePoint until,
                   std::uint64_t incarnation);
   // Its process has ended and is not back: its port refuses connections.
@@ -265,6 +273,7 @@
   std::vector<std::unique_ptr<SimulatedExecutor>> executors_;
   std::vector<core::TimePoint> executors_cut_until_;
   std::vector<core::TimePoint> executors_down_until_;
+  std::vector<core::TimePoint> executors_suspended_until_;
   std::map<core::TaskId, std::size_t> crashes_;
   double lost_answers_;
   LateCalls late_calls_;
--- a/tests/support/simulated_executor.cc
+++ b/tests/support/simulated_executor.cc
@@ -38,6 +38,15 @@
 }
 
 void SimulatedExecutor::Advance(TimePoint now) {
+  if (suspended_) {
+    // The age that the clock shows stays the same.
+    born_ += now - now_;
+    for (auto& [id, run] : running_) {
+      if (run.stops_at) *run.stops_at += now - now_;
+    }
+    now_ = now;
+    return;
+  }
   while (now_ < now) {
     const TimePoint step = std::max(std::min(next_event(), now), now_ + core::Duration(1));
     const auto done = std::chrono::duration_cast<core::Duration>((step - now_) / slowness_);
--- a/tests/support/simulated_executor.h
+++ b/tests/support/simulated_executor.h
@@ -51,6 +51,10 @@
 
   // Loses everything and begins a new lifetime.
   void Restart();
+  // Its VM stands still: its clock does not go on, and nothing runs or ends. Nothing is called
+  // meanwhile.
+  void Suspend() { suspended_ = true; }
+  void Resume() { suspended_ = false; }
   void set_slowness(double slowness) { slowness_ = slowness; }
   void set_failing(bool failing) { failing_ = failing; }
   void set_draining(bool draining) { draining_ = draining; }
@@ -77,6 +81,7 @@
   double slowness_;
   bool failing_ = false;
   bool draining_ = false;
+  bool suspended_ = false;
   core::ExecutorTime lease_until_{0};
   std::uint64_t fence_ = 0;
   std::uint64_t sequence_ = 0;
