run supervisor: a lease counts as expired on the clock that stands still with the executor's

After a suspension, a run of an executor that did not answer was reported as over although its lease had up to a second left, and its task could be ordered elsewhere.

Cause: the end of the last lease was kept on the clock that counts suspension. The executor's clock stands still meanwhile, so the lease ends later by the length of the suspension.

Fix: the end is kept on the steady clock of the VM. What compares it with other limits adds the time that is left of it to now.

Evidence: suspension/reports_no_run_as_lapsed_before_its_lease_has_expired (a suspension of 2 s, then an executor that does not answer and an owner that is silent) before: "!is_reported || executor.now() >= lease_end is false"; it passes now.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -200,7 +200,7 @@
   // The owner counts as silent, or the lease in force would keep the run alive for too long.
   const TimePoint end = RunEndOf(owner);
   const TimePoint silent_at = end - options_.budget.run_end() + options_.budget.silence();
-  if (silent_at < clock_.now() || end < lease_expires_at_) return RunOutcome::kNotAccepting;
+  if (silent_at < clock_.now() || end < RequestedLeaseEnd()) return RunOutcome::kNotAccepting;
   if (clock_.now() > order.expires) return RunOutcome::kExpired;
   if (!order.need.Fits(executor_->capacity)) return RunOutcome::kNoRoom;
   if (queue_.ContainsTask(order.id.task)) return RunOutcome::kOutdated;
@@ -614,7 +614,7 @@
   const TimePoint end = LatestLeaseEnd();
   const milliseconds lease = RunEndBudget::LeaseWithin(end - clock_.now());
   if (lease <= milliseconds(0)) return std::nullopt;
-  lease_expires_at_ = std::max(lease_expires_at_, end);
+  lease_expires_at_ = std::max(lease_expires_at_, end + (executor_pace_.now() - clock_.now()));
   return ExecutorNow() + lease;
 }
 
@@ -668,7 +668,7 @@
 
 void RunSupervisor::EndLapsedRuns() {
   if (runs_.empty() || !IsSilent() ||
-      clock_.now() < lease_expires_at_ + options_.budget.stop_time()) {
+      clock_.now() < RequestedLeaseEnd() + options_.budget.stop_time()) {
     return;
   }
   for (auto run = runs_.begin(); run != runs_.end();) {
@@ -785,7 +785,7 @@
   } else if (std::any_of(runs_.begin(), runs_.end(), [this](const auto& entry) {
                return !MayStartLate(entry.first, entry.second);
              })) {
-    next = std::min(next, lease_expires_at_ + options_.budget.stop_time());
+    next = std::min(next, RequestedLeaseEnd() + options_.budget.stop_time());
   }
   if (!executor_ || !NeedsPoll()) return next;
   if (!HasEnoughHolds()) return std::min(next, next_hold_at_);
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -382,6 +382,10 @@
   // The latest end of a lease that holds for every run on the executor, and for those that an owner
   // may order before it is heard again.
   TimePoint LatestLeaseEnd() const;
+  // When all requested leases have expired, if the VM is not suspended before.
+  TimePoint RequestedLeaseEnd() const {
+    return clock_.now() + (lease_expires_at_ - executor_pace_.now());
+  }
   // Whether a run may start with a lease that is long enough.
   bool CanLeaseStarts() const;
   // The end of a lease as long as is allowed now; nothing if none is.
@@ -438,7 +442,8 @@
   std::uint64_t last_seen_ = 0;
   std::uint64_t acknowledged_ = 0;
   TimePoint next_hold_at_;
-  // All requested leases have expired by then, even on a clock that is 2 % slow.
+  // When executor_pace_ shows this, all requested leases have expired, even on a clock that is 2 %
+  // slow.
   TimePoint lease_expires_at_;
   // Consecutive calls without an answer.
   int consecutive_unanswered_ = 0;
--- a/tests/property/suspension_property_test.cc
+++ b/tests/property/suspension_property_test.cc
@@ -171,6 +171,27 @@
   cr_expect(lease_end <= run_end);
 }
 
+// Guards against a run that is reported as over while it goes on: its executor's clock stood still
+// in a suspension, so the lease has not expired yet when the executor does not answer afterwards.
+// Its owner is silent, too, so the lease is not renewed.
+Test(suspension, reports_no_run_as_lapsed_before_its_lease_has_expired) {
+  constexpr milliseconds kStep{40};
+  SupervisedExecutor executor;
+  executor.supervisor().OnOwnerHeard("owner", executor.now());
+  executor.Order("owner", 0);
+  executor.AnswerCalls();
+  executor.AnswerCalls();
+  const TimePoint lease_end = executor.TakeLeaseEnd() + seconds(2);
+  executor.Suspend(seconds(2));
+  bool is_reported = false;
+  for (int i = 0; i < 100 && !is_reported; ++i) {
+    is_reported = executor.RefuseToAnswer();
+    cr_assert(!is_reported || executor.now() >= lease_end);
+    executor.Advance(kStep);
+  }
+  cr_expect(is_reported);
+}
+
 // Guards against two runs of a task when VMs are suspended after their dispatcher was cut off: the
 // leases of the runs there do not go on meanwhile.
 Test(suspension, runs_tasks_once_if_vms_are_suspended_after_a_dispatcher_was_cut_off) {
