run supervisor: leases after an idle time allow for an executor's clock that is 2 % slow

The first lease after an idle minute could last 1,000 ms instead of what the silence of a dispatcher left, on an executor whose clock is 2 % slow.

Cause: the executor's clock was estimated with an offset as old as the last answer to a call. While nothing runs, nothing is called, and announcements did not update it. After 60 s it was 1.2 s ahead.

Fix: the time since the last answer counts less 2 %, so that the estimate is never ahead. Announcements raise it, so that a start after an idle time is not refused as late; they may have been delayed, so they do not lower it.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -52,10 +52,9 @@
                        executor_->capacity != status.capacity ||
                        executor_->labels != status.labels || executor_->service != status.service;
   executor_ = status;
-  if (is_new) {
-    needs_first_poll_ = true;
-    UpdateExecutorClock(status.clock);
-  }
+  if (is_new) needs_first_poll_ = true;
+  // A status may have been delayed. Without calls, it keeps the estimate close.
+  if (is_new || status.clock > ExecutorNow()) UpdateExecutorClock(status.clock);
   if (changed) actions_.emplace_back(ReportChanged{});
   StartWaitingOrders();
   SendDueHolds();
@@ -827,7 +826,7 @@
 
 ExecutorTime RunSupervisor::ExecutorNow() const {
   const Duration since = executor_pace_.now() - executor_clock_read_at_;
-  return executor_clock_ + std::chrono::floor<milliseconds>(since);
+  return executor_clock_ + RunEndBudget::LeaseWithin(since);
 }
 
 void RunSupervisor::UpdateExecutorClock(ExecutorTime clock) {
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -374,7 +374,7 @@
   bool HasEnoughHolds() const;
   bool IsSilent() const { return consecutive_unanswered_ > kMaxConsecutiveUnanswered; }
   bool MayRenewLease() const;
-  // Ahead of the executor's clock by at most the clock drift since the last answer.
+  // The executor's clock shows at least this, so no lease is longer than was meant.
   ExecutorTime ExecutorNow() const;
   void UpdateExecutorClock(ExecutorTime clock);
   // By when runs of the owner must have ended.
--- a/tests/property/suspension_property_test.cc
+++ b/tests/property/suspension_property_test.cc
@@ -192,6 +192,39 @@
   cr_expect(is_reported);
 }
 
+// Guards against leases that are too long after a time without calls: the clock of the executor is
+// up to 2 % slow, and its offset is as old as the last answer.
+Test(suspension, grants_no_lease_beyond_the_end_of_runs_after_an_idle_time) {
+  constexpr seconds kIdle{60};
+  SupervisedExecutor executor;
+  executor.Advance(kIdle, true);
+  executor.supervisor().OnOwnerHeard("silent", executor.now());
+  const TimePoint run_end = executor.now() + RunEndBudget().run_end();
+  executor.Advance(milliseconds(600), true);
+  executor.supervisor().OnOwnerHeard("heard", executor.now());
+  executor.Order("heard", 1);
+  const TimePoint lease_end = executor.TakeLeaseEnd();
+  cr_expect(lease_end > executor.now());
+  cr_expect(lease_end <= run_end);
+}
+
+// Guards against first starts that are refused as late: the estimate of an executor's clock falls
+// behind by 2 % without calls, unless announcements correct it.
+Test(suspension, grants_full_leases_after_an_idle_time_with_announcements) {
+  constexpr milliseconds kAnnouncePeriod{1500};
+  constexpr milliseconds kLeastLease{950};
+  SupervisedExecutor executor;
+  for (int i = 0; i < 40; ++i) {
+    executor.Advance(kAnnouncePeriod);
+    executor.Announce();
+    executor.AnswerCalls();
+  }
+  executor.Advance(kAnnouncePeriod);
+  executor.supervisor().OnOwnerHeard("owner", executor.now());
+  executor.Order("owner", 0);
+  cr_expect(executor.TakeLeaseEnd() >= executor.now() + kLeastLease);
+}
+
 // Guards against two runs of a task when VMs are suspended after their dispatcher was cut off: the
 // leases of the runs there do not go on meanwhile.
 Test(suspension, runs_tasks_once_if_vms_are_suspended_after_a_dispatcher_was_cut_off) {
