lease world: connections that go silent without a reset

The simulated world had cuts, after which TCP delivers what was sent, but no connection that loses everything from some time on while a new one works. SilenceLink adds it; either end replaces the connection after its silence limit.

--- a/tests/property/suspension_property_test.cc
+++ b/tests/property/suspension_property_test.cc
@@ -1,4 +1,5 @@
-// Leases and runs while VMs are suspended, and on executors with slow clocks.
+// Leases and runs while VMs are suspended, on executors with slow clocks, and while connections are
+// silent.
 #include <criterion/criterion.h>
 
 #include <algorithm>
@@ -253,3 +254,40 @@
   }
   cr_assert(broken == 0, "%zu of %lu seeds break a rule", broken, count);
 }
+
+// Guards against two runs of a task, and against jobs without an answer, when connections between
+// dispatchers and supervisors go silent without notice: orders, stops and ends of runs are lost.
+Test(suspension, runs_tasks_once_if_connections_go_silent) {
+  const std::uint64_t first = NumberFromEnvironment("ZINNIAMUX_SILENT_LINK_FIRST_SEED", 1);
+  const std::uint64_t count = NumberFromEnvironment("ZINNIAMUX_SILENT_LINK_SEEDS", 10);
+  std::size_t broken = 0;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    std::mt19937_64 random(seed);
+    const auto between = [&random](int least, int most) {
+      return milliseconds(std::uniform_int_distribution<>(least, most)(random));
+    };
+    LeaseWorld world({.seed = seed, .lost_answers = random() % 2 == 0 ? 0.06 : 0});
+    AddTrace(world, {.seed = seed, .begin = kWarmUp, .length = seconds(4), .load = 0.9});
+    for (std::size_t fault = 2 + random() % 3; fault > 0; --fault) {
+      const std::size_t dispatcher = random() % 3;
+      const milliseconds at = between(5500, 7500);
+      const std::size_t step = 1 + random() % 3;
+      for (std::size_t s = random() % step; s < kExecutors; s += step) {
+        world.SilenceLink(dispatcher, s, at + between(0, 300));
+      }
+      if (random() % 2 == 0) world.ResetCallers(dispatcher, at + between(-300, 600), 0.7);
+    }
+    if (random() % 2 == 0) {
+      world.KillSupervisor(random() % kExecutors, between(6000, 8000), between(50, 2500));
+    }
+    if (random() % 3 == 0) {
+      world.KillDispatcher(random() % 3, between(6000, 8000), between(50, 2500));
+    }
+    world.Run(seconds(25));
+    const std::string problems = ProblemsOf(world);
+    if (problems.empty()) continue;
+    ++broken;
+    cr_log_error("seed %lu: %s", seed, problems.c_str());
+  }
+  cr_assert(broken == 0, "%zu of %lu seeds break a rule", broken, count);
+}
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -46,6 +46,8 @@
   std::uint64_t orders_seen = 0;
   // Messages of an earlier connection are dropped.
   std::uint64_t generation = 0;
+  // What is sent on this connection is lost.
+  std::optional<std::uint64_t> silent_generation;
   // The last messages that are on their way arrive then.
   TimePoint last_to_dispatcher;
   TimePoint last_to_supervisor;
@@ -277,6 +279,10 @@
         dispatchers_[d]->scheduler->OnAgentDetached("agent-" + std::to_string(s));
         continue;
       }
+      if (link.silent_generation == link.generation && link.supervisor_heard < limit) {
+        Connect(d, s);
+        continue;
+      }
       SendReport(s, d);
       const std::uint64_t generation = link.generation;
       if (frozen || link.cut_until > clock_.now()) continue;
@@ -284,6 +290,7 @@
                [this, d, s, generation, handled = dispatchers_[d]->scheduler->InputHandled(),
                 pause = dispatchers_[d]->report_pace.pause()] {
                  if (LinkOf(d, s).generation != generation || !supervisors_[s]->core) return;
+                 LinkOf(d, s).supervisor_heard = clock_.now();
                  supervisors_[s]->core->OnOwnerHeard(OwnerOf(d), handled);
                  supervisors_[s]->schedule.SetPause(NameOf(d), pause);
                });
@@ -307,7 +314,7 @@
   link.connected = true;
   ++link.generation;
   link.orders_seen = 0;
-  link.dispatcher_heard = clock_.now();
+  link.dispatcher_heard = link.supervisor_heard = clock_.now();
   if (link.owner != OwnerOf(dispatcher)) link.pending.clear();
   std::vector<core::RunId> held = agent.core->RunsOf(link.owner);
   for (const core::RunUpdate& update : link.pending) held.push_back(update.id);
@@ -330,6 +337,7 @@
 
 void LeaseWorld::Transmit(const Link& link, TimePoint& last_arrival, const TimePoint& frozen_until,
                           Duration delay, std::function<void()> action) {
+  if (link.silent_generation == link.generation) return;
   const TimePoint now = clock_.now();
   const TimePoint sent = link.cut_until > now ? link.cut_until + kResendDelay : now;
   last_arrival = std::max(last_arrival, sent + options_.link_delay + delay);
@@ -918,6 +926,13 @@
   });
 }
 
+void LeaseWorld::SilenceLink(std::size_t dispatcher, std::size_t supervisor, Duration at) {
+  At(at, [this, dispatcher, supervisor] {
+    Link& link = LinkOf(dispatcher, supervisor);
+    link.silent_generation = link.generation;
+  });
+}
+
 void LeaseWorld::KillSupervisor(std::size_t supervisor, Duration at, Duration down) {
   At(at, [this, supervisor] {
     supervisors_[supervisor]->core.reset();
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -97,6 +97,9 @@
   // Faults; times are from the start of the world.
   void CutLink(std::size_t dispatcher, std::size_t supervisor, core::Duration at,
                core::Duration length);
+  // What is sent on the present connection from then on is lost without notice. A new connection
+  // replaces it once one end has heard nothing for the silence limit.
+  void SilenceLink(std::size_t dispatcher, std::size_t supervisor, core::Duration at);
   void KillSupervisor(std::size_t supervisor, core::Duration at, core::Duration down);
   void FreezeSupervisor(std::size_t supervisor, core::Duration at, core::Duration length);
   // Suspends the VM of a supervisor and its executor: both stand still, and so do their steady
