run supervisor: an answer to the second copy of a start revokes the first one

Callers may see two runs of one task: libcurl sends a start again when its reused connection breaks, and the answer is that of the second copy. The first one was not revoked, and the next incarnation of the executor could carry it out.

Evidence: run_supervisor/revokes_the_first_copy_of_a_start_that_was_sent_twice fails before (the token does not rise). Second copies of hold calls are not covered: the supervisor is not told of them.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -337,7 +337,7 @@
   RecordAnswer(answer != StartAnswer::kNone);
   if (resent && answer != StartAnswer::kStarted) answer = StartAnswer::kNone;
   const auto found = runs_.find(id);
-  if (answer == StartAnswer::kNone) {
+  if (answer == StartAnswer::kNone || resent) {
     // With which token a run that is over was started is not known any more.
     RevokeUnansweredCall(found == runs_.end() ? fencing_token_ : found->second.fencing_token);
   }
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -625,6 +625,19 @@
   cr_assert(stops[0].id == MakeRunId(0));
 }
 
+// Guards against the first copy of a start that was sent twice: it may be carried out after the
+// second one was answered, also by the next incarnation of the executor.
+Test(run_supervisor, revokes_the_first_copy_of_a_start_that_was_sent_twice) {
+  Fixture fixture;
+  fixture.OrderRun(0);
+  const std::uint64_t token = fixture.ActionsOf<CallStart>().at(0).fencing_token;
+  fixture.supervisor.OnStartAnswer(MakeRunId(0), StartAnswer::kStarted, fixture.ExecutorClock(),
+                                   true);
+  fixture.TakeActions();
+  fixture.OrderRun(1);
+  cr_assert_gt(fixture.ActionsOf<CallStart>().at(0).fencing_token, token);
+}
+
 // Guards against a start that is carried out in the next incarnation without a trace in the log.
 Test(run_supervisor, tells_of_restarts_and_of_starts_that_were_carried_out_late) {
   Fixture fixture;
