run supervisor: no quick polls for a stopped run whose start is under way

Since runs are kept until their start call has an outcome, a run that was stopped meanwhile made the supervisor send one quick poll after the other, for up to the 250 ms of that call.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -568,7 +568,8 @@
   }
   if (quick_holds >= options_.max_quick_holds) return false;
   return std::any_of(runs_.begin(), runs_.end(), [last_quick](const auto& entry) {
-    return entry.second.state == State::kStopped && entry.second.state_since > last_quick;
+    return entry.second.state == State::kStopped && !entry.second.start_pending &&
+           entry.second.state_since > last_quick;
   });
 }
 
