--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -645,9 +645,8 @@
 }
 
 void RunSupervisor::RevokeUnansweredCall(std::uint64_t token) {
-  // Calls with an earlier token are revoked already. Nothing is on its way to a closed port, and
-  // connections to one are refused quickly enough for the token to overtake those of later
-  // processes, which begin with the time.
+  // Calls with an earlier token are revoked already. A closed port has received nothing, and is
+  // tried so often that the token would exceed those of later processes, which are Unix times.
   if (token == fencing_token_ && !executor_is_down_) ++fencing_token_;
 }
 
