run supervisor: name jobs to other dispatchers early enough for reports that are held up

Callers saw a job run twice at a time: a dispatcher was cut off for a moment while the connections of its callers were reset, and the dispatcher that received the second copy of a job did not know of the first one.

Cause: supervisors named jobs from an age of 800 ms on, and a heartbeat later, so that 100 ms were left until the caller may have sent the job again. A cut of 480 ms between the second dispatcher and the supervisors, which is too short to be noticed, is enough to lose that margin.

Change: the notice age counts the isolation limit in, as all other limits do. Only jobs that are older are named, one id in each report of the supervisor that runs them.

--- a/src/core/run_end_budget.h
+++ b/src/core/run_end_budget.h
@@ -63,10 +63,11 @@
     return silence_ - kHeartbeat - kDelivery * 2;
   }
 
-  // From this age on, a job is made known to the dispatchers that its caller may turn to: a
-  // heartbeat and two turns of the timer later, its caller may have sent it again.
+  // From this age on, a job is made known to the dispatchers that its caller may turn to. What
+  // supervisors send may be held up for as long as a dispatcher does not notice it, and is due a
+  // heartbeat and two turns of the timer before the caller may have sent the job again.
   std::chrono::milliseconds notice_age() const {
-    return deployment_.retransmit - kHeartbeat - kDelivery * 4;
+    return deployment_.retransmit - isolation_limit() - kHeartbeat - kDelivery * 4;
   }
 
   // Executors may carry out a call without an answer up to this much later.
--- a/tests/property/silence_property_test.cc
+++ b/tests/property/silence_property_test.cc
@@ -233,6 +233,30 @@
   world.CutCallers(0, at, length, late);
 }
 
+struct LongJob {
+  std::size_t number = 0;
+  Duration arrives{0};
+  milliseconds run_time{0};
+  std::int64_t cpu_milli = 1000;
+};
+
+// Adds a job of two tasks that may take longer than its caller waits until it sends it again.
+void AddLongJob(LeaseWorld& world, const LongJob& job) {
+  world.Add({.request = {.id = "job" + std::to_string(job.number),
+                         .queue = "normal",
+                         .service = "service",
+                         .steps = {{.count = 2,
+                                    .need = {.cpu_milli = job.cpu_milli, .memory_mb = 64},
+                                    .estimate = job.run_time}},
+                         .attempts = 3,
+                         .stretch = 1.6,
+                         .slack = milliseconds(60),
+                         .deadline = zinniamux::core::TimePoint(seconds(8))},
+             .run_times = {job.run_time, job.run_time},
+             .arrives = job.arrives,
+             .dispatcher = job.number % kDispatchers});
+}
+
 struct Outcome {
   std::string problems;
   std::string faults;
@@ -410,20 +434,9 @@
   for (const milliseconds cut : {milliseconds(20), milliseconds(150), milliseconds(300)}) {
     LeaseWorld world({.seed = 1});
     for (std::size_t i = 0; i < kJobs; ++i) {
-      const milliseconds run_time(500 + 250 * static_cast<int>(i % 9));
-      world.Add({.request = {.id = "job" + std::to_string(i),
-                             .queue = "normal",
-                             .service = "service",
-                             .steps = {{.count = 2,
-                                        .need = {.cpu_milli = 1000, .memory_mb = 64},
-                                        .estimate = run_time}},
-                             .attempts = 3,
-                             .stretch = 1.6,
-                             .slack = milliseconds(60),
-                             .deadline = zinniamux::core::TimePoint(seconds(8))},
-                 .run_times = {run_time, run_time},
-                 .arrives = kWarmUp + static_cast<std::int64_t>(i) * kPeriod,
-                 .dispatcher = i % kDispatchers});
+      AddLongJob(world, {.number = i,
+                         .arrives = kWarmUp + static_cast<std::int64_t>(i) * kPeriod,
+                         .run_time = milliseconds(500 + 250 * static_cast<int>(i % 9))});
     }
     IsolateDispatcher(world, seconds(6), cut, kNever);
     world.ResetCallers(0, milliseconds(6010), 1);
@@ -432,3 +445,27 @@
     cr_expect(problems.empty(), "cut of %ld ms: %s", cut.count(), problems.c_str());
   }
 }
+
+// Guards against a second copy that starts beside the first one because reports that name the first
+// one reach its dispatcher late: a cut of its links that is too short to be noticed is enough.
+Test(silence, runs_tasks_once_if_reports_are_held_before_a_second_copy_arrives) {
+  constexpr milliseconds kPeriod{50};
+  constexpr std::size_t kJobs = 80;
+  constexpr seconds kNever{30};
+  LeaseWorld world({.seed = 1});
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    AddLongJob(world, {.number = i,
+                       .arrives = kWarmUp + static_cast<std::int64_t>(i) * kPeriod,
+                       .run_time = milliseconds(1500 + 250 * static_cast<int>(i % 5))});
+  }
+  IsolateDispatcher(world, seconds(6), milliseconds(300), kNever);
+  world.ResetCallers(0, milliseconds(6010), 1);
+  for (std::size_t d = 1; d < kDispatchers; ++d) {
+    for (std::size_t s = 0; s < kExecutors; ++s) {
+      world.CutLink(d, s, milliseconds(6780), milliseconds(480));
+    }
+  }
+  world.Run(seconds(50));
+  const std::string problems = ProblemsOf(world);
+  cr_expect(problems.empty(), "%s", problems.c_str());
+}
