job scheduler, run supervisor: an old job is ordered only while a supervisor names it

Callers saw: a job that has no run at the moment at which its caller turns to another dispatcher could run twice at a time. It was queued at its first dispatcher, which had not heard that the caller had left, or was between two runs; nothing named it, so that the second copy did not wait, and the first dispatcher then ordered the next run.

Cause: the limit on old jobs held only after a run that was lost with its supervisor, and supervisors stopped naming a job with the end of its run.

Evidence: with the two rules taken out, job_scheduler/refuses_a_queued_job_when_its_caller_may_have_sent_it_again and run_supervisor/names_a_job_between_two_of_its_runs fail.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -161,8 +161,8 @@
 }
 
 TimePoint JobScheduler::LatestOrder(const Job& job) const {
-  if (!job.has_lost_run || IsNamed(job)) return TimePoint::max();
-  return job.received + options_.budget.run_end();
+  if (IsNamed(job)) return TimePoint::max();
+  return std::max<TimePoint>(job.received + options_.budget.run_end(), job.named_until);
 }
 
 void JobScheduler::SetJobsOfOthers(Supervisor& supervisor, std::vector<std::string> jobs) {
@@ -529,11 +529,14 @@
     estimator_.Observe(queue, job.request.steps[id.task.step].estimate, elapsed);
   }
   RecordOrderWait(job, id, outcome, elapsed);
-  if (HasStarted(outcome)) job.has_lost_run = !is_reported || !HasNamed(supervisor, job, id);
+  if (HasStarted(outcome)) {
+    const bool is_named = is_reported && HasNamed(supervisor, job, id);
+    job.named_until = is_named ? clock_.now() + options_.budget.repeat_limit() : TimePoint();
+  }
   // Such an order does not wait at its supervisor, so it has expired on its way.
   const bool was_late =
       outcome == RunOutcome::kExpired && job.steps[id.task.step].tasks[id.task.index].at_once;
-  if (was_late) job.has_lost_run = true;
+  if (was_late) job.named_until = {};
   ApplyOutcome(job, id, outcome);
 }
 
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -104,9 +104,9 @@
 // - Nothing is ordered after the job's deadline, and orders expire at the supervisor.
 // - A job is given up when a supervisor has ended its run because it did not hear the dispatcher,
 //   or because another dispatcher has received the job.
-// - A job that has lost a run with its supervisor and is older than `budget.run_end()` is given up
-//   unless another supervisor names it to the other dispatchers. Its caller may have sent it to one
-//   of them, which waits only for jobs that are named.
+// - A job that is older than `budget.run_end()` is ordered only while a supervisor names it to the
+//   other dispatchers, and is given up otherwise. Its caller may have sent it to one of them, which
+//   waits only for jobs that are named.
 // - A job that a supervisor ran for another dispatcher when it arrived is ordered only after all
 //   supervisors have reported that they do not run it any more, or are certain not to.
 // - After an isolation, nothing is ordered until the input that came in it is handled. Jobs that
@@ -254,9 +254,9 @@
     std::uint32_t refused_starts = 0;
     // At least one run has started.
     bool any_run_started = false;
-    // The last of its runs that ended may not have been named to other dispatchers until then, or
-    // an order has been late on its way.
-    bool has_lost_run = false;
+    // Until then the supervisor of its last run names it to the other dispatchers. Unset if that is
+    // not certain, or if an order has been late on its way.
+    TimePoint named_until;
     // Its caller has left another dispatcher, whose runs of the job have not ended.
     bool awaits_earlier_copy = false;
   };
--- a/src/core/run_end_budget.h
+++ b/src/core/run_end_budget.h
@@ -70,6 +70,15 @@
     return deployment_.retransmit - isolation_limit() - kHeartbeat - kDelivery * 4;
   }
 
+  // After the end of a run, an old job of which nothing else runs may be ordered again for this
+  // long.
+  std::chrono::milliseconds repeat_limit() const { return kHeartbeat; }
+  // For this long after the end of a run its job is named to other dispatchers: until the run that
+  // may follow has been named with a heartbeat of its supervisor.
+  std::chrono::milliseconds notice_after_end() const {
+    return repeat_limit() + kHeartbeat + kDelivery * 2;
+  }
+
   // Executors may carry out a call without an answer up to this much later.
   static constexpr std::chrono::milliseconds kLateExecution{13'000};
   // Time between two messages of a connection without other traffic.
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -14,7 +14,8 @@
       clock_(clock),
       executor_pace_(executor_pace),
       fencing_token_(options.fencing_token),
-      queue_(options.max_waiting) {}
+      queue_(options.max_waiting),
+      superseded_jobs_(options.budget) {}
 
 std::string_view NameOf(StopReason reason) {
   switch (reason) {
@@ -172,6 +173,9 @@
   const TimePoint received_by = clock_.now() - options_.budget.notice_age();
   std::set<std::string> jobs;
   for (std::string& job : queue_.JobsOfOthers(owner, received_by)) jobs.insert(std::move(job));
+  for (std::string& job : superseded_jobs_.JobsOfOthers(owner, clock_.now())) {
+    jobs.insert(std::move(job));
+  }
   for (const auto& [id, run] : runs_) {
     if (run.owner != owner && run.order.job_received <= received_by) jobs.insert(id.task.job_id);
   }
@@ -428,6 +432,7 @@
   if (outcome == RunOutcome::kDone && estimate > 0) {
     pace_.AddSample(std::chrono::duration<double>(elapsed).count() / estimate, clock_.now());
   }
+  NoteEndOfRun(run->second, run->first, outcome);
   actions_.emplace_back(RunUpdate{
       .owner = run->second.owner, .id = run->first, .outcome = outcome, .elapsed = elapsed});
   // The other dispatcher waits for it.
@@ -435,6 +440,14 @@
   return runs_.erase(run);
 }
 
+void RunSupervisor::NoteEndOfRun(const Run& run, const RunId& id, RunOutcome outcome) {
+  // After kOwnerSilent the job is given up, and another dispatcher may wait for its end.
+  if (!HasStarted(outcome) || outcome == RunOutcome::kOwnerSilent) return;
+  const TimePoint now = clock_.now();
+  if (run.order.job_received + options_.budget.notice_age() > now) return;
+  superseded_jobs_.OnRunEnded(run.owner, id.task.job_id, now);
+}
+
 void RunSupervisor::ProcessEndedRun(const EndedRun& ended) {
   if (ended.number <= last_seen_) return;
   last_seen_ = ended.number;
@@ -746,6 +759,7 @@
     if (now - heard > options_.budget.silence()) silent_owners.push_back(owner);
   }
   for (const std::string& owner : silent_owners) LoseOwner(owner, StopReason::kOwnerSilent);
+  superseded_jobs_.OnTimer(now);
   if (!executor_) return;
   ReportPaceChange();
   EndExpiredStarts();
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -19,6 +19,7 @@
 #include "core/run.h"
 #include "core/run_end_budget.h"
 #include "core/start_queue.h"
+#include "core/superseded_jobs.h"
 #include "core/urgent_reserve.h"
 
 namespace zinniamux::core {
@@ -176,7 +177,8 @@
 // - A start without an answer may be carried out after the lease, by a later incarnation of the
 //   executor. Its run ends only when the incarnation that answers now has answered a stop, or after
 //   `late_execution_limit`.
-// - From its notice age on, a job with a run that has not ended is in JobsOfOthers of other owners.
+// - From its notice age on, a job with a run that has not ended, or has just ended, is in
+//   JobsOfOthers of other owners.
 // Not thread-safe.
 class RunSupervisor {
  public:
@@ -277,8 +279,8 @@
   // it in the last second. A burst of urgent runs releases more than that: they run for a short
   // time, and what they release is free for the others afterwards.
   double lesser_release_rate() const;
-  // Jobs with runs or orders of other owners, and unknown runs, whose callers may soon send them to
-  // this owner (see RunEndBudget::notice_age).
+  // Jobs with runs or orders of other owners, jobs whose next run other owners may order, and
+  // unknown runs, whose callers may soon send them to this owner (see RunEndBudget::notice_age).
   std::vector<std::string> JobsOfOthers(const std::string& owner) const;
   // Runs and waiting orders of the owner.
   std::vector<RunId> RunsOf(const std::string& owner) const;
@@ -360,6 +362,8 @@
   Runs::iterator FinishRun(Runs::iterator run, RunOutcome outcome);
   void ProcessEndedRun(const EndedRun& ended);
   void SamplePace(Run& run);
+  // Keeps the job known to other owners if this one may order its next run.
+  void NoteEndOfRun(const Run& run, const RunId& id, RunOutcome outcome);
   // Tells that the run is listed, if its start was not answered or it is unknown.
   void ReportUnconfirmedRun(const RunId& id, bool was_reported);
   void ReconcileRunning(std::span<const RunningRun> running, TimePoint sent_at);
@@ -476,6 +480,7 @@
   // Unanswered starts, with the time after which the executor cannot execute them late any more.
   std::map<RunId, TimePoint> revoked_starts_;
   bool stopped_accepting_ = false;
+  SupersededJobs superseded_jobs_;
   PaceMeter pace_;
   std::vector<SupervisorAction> actions_;
 };
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -232,6 +232,34 @@
   cr_assert_eq(fixture.starts[1].job_id, "job");
 }
 
+// Guards against two copies of a job that run beside each other: the first one has waited for room
+// for so long that its caller may have sent it to another dispatcher, which knows nothing of it.
+Test(job_scheduler, refuses_a_queued_job_when_its_caller_may_have_sent_it_again) {
+  Fixture fixture({"a"});
+  // An expected wait of 5 s.
+  constexpr double kReleaseRate = 200;
+  fixture.ReportFull("a", {}, kReleaseRate);
+  JobRequest job = fixture.MakeJob("job", 1);
+  // May wait for 8 s, of which 3.2 s at an executor.
+  job.steps[0].estimate = seconds(20);
+  job.deadline = fixture.clock.now() + seconds(60);
+  fixture.Submit(std::move(job));
+  constexpr milliseconds kPeriod{50};
+  for (milliseconds age{0}; age < zinniamux::core::RunEndBudget().run_end(); age += kPeriod) {
+    cr_assert(fixture.answers.empty());
+    fixture.clock.Advance(kPeriod);
+    fixture.ReportFull("a", {}, kReleaseRate);
+    fixture.scheduler.OnTimer();
+    fixture.PlaceAndTakeActions();
+  }
+  fixture.clock.Advance(kPeriod);
+  fixture.Report("a", 4000);
+  fixture.PlaceAndTakeActions();
+  cr_assert_eq(fixture.ordered_tasks(), 0);
+  cr_assert_eq(fixture.answers.size(), 1);
+  cr_assert(fixture.answers[0].answer.result == JobResult::kRefused);
+}
+
 // Guards against a job that waits for a supervisor that never comes back.
 Test(job_scheduler, starts_a_job_when_a_lost_supervisor_cannot_run_an_earlier_copy_any_more) {
   Fixture fixture;
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -992,6 +992,21 @@
   cr_assert_eq(fixture.supervisor.JobsOfOthers("other@1"), std::vector<std::string>{"job"});
 }
 
+// Guards against a second copy of a job that starts while the dispatcher of the first one is about
+// to order its next run.
+Test(run_supervisor, names_a_job_between_two_of_its_runs) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.clock.Advance(zinniamux::core::RunEndBudget().notice_age());
+  fixture.supervisor.OnOwnerHeard(kOwner, fixture.clock.now());
+  fixture.AnswerHold(
+      {.ended = {{.number = 1, .id = MakeRunId(0), .outcome = RunOutcome::kFailed}}});
+  cr_assert_eq(fixture.supervisor.run_count(), 0);
+  cr_assert_eq(fixture.supervisor.JobsOfOthers("other@1"), std::vector<std::string>{"job"});
+  fixture.clock.Advance(zinniamux::core::RunEndBudget().notice_after_end());
+  cr_assert(fixture.supervisor.JobsOfOthers("other@1").empty());
+}
+
 // Guards against runs that go on for a caller who has sent the job to another dispatcher, and
 // against one that waits for their end longer than it takes.
 Test(run_supervisor, ends_the_runs_of_a_job_that_another_dispatcher_has_received) {
