run supervisor: orders of an earlier copy of a job are refused

Callers saw: the second copy of a job could run beside the first one if an order of the first dispatcher was on its way when the second dispatcher received the job: a supervisor that held no run of the job was not told.

Cause: only supervisors that had named the job were told that it is superseded, and they forgot it with its last run.

Evidence: with the check taken out, run_supervisor/refuses_a_late_order_of_a_job_that_another_dispatcher_has_received fails.

A copy that the caller sends to the first dispatcher later is newer and is served. The log line job_superseded has the number of supervisors instead of one id. job_scheduler/starts_a_job_after_the_runs_of_an_earlier_copy_have_ended now expects both supervisors to be told instead of one.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -125,11 +125,11 @@
   const std::string& id = job.request.id;
   job.awaits_earlier_copy = run_elsewhere_.contains(id);
   if (!job.awaits_earlier_copy) return;
+  SupersedeJob action{.job_id = id};
   for (const auto& [supervisor_id, supervisor] : supervisors_) {
-    const auto& jobs = supervisor.jobs_of_others;
-    if (std::find(jobs.begin(), jobs.end(), id) == jobs.end()) continue;
-    actions_.emplace_back(SupersedeJob{.agent_id = supervisor_id, .job_id = id});
+    if (supervisor.view.attached()) action.agent_ids.push_back(supervisor_id);
   }
+  actions_.emplace_back(std::move(action));
 }
 
 void JobScheduler::NoteHeard(Supervisor& supervisor) {
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -62,11 +62,11 @@
   RunId id;
 };
 
-// Tells a supervisor that this dispatcher has received a job that the supervisor runs for another
-// one.
+// Tells supervisors that this dispatcher has received a job that a supervisor runs for another one.
 struct SupersedeJob {
-  std::string agent_id;
   std::string job_id;
+  // All that are connected: an order of the other dispatcher may be on its way to any of them.
+  std::vector<std::string> agent_ids;
 };
 
 // Answers the caller; the job is over.
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -161,6 +161,7 @@
 }
 
 void RunSupervisor::OnJobSuperseded(const std::string& owner, const std::string& job_id) {
+  superseded_jobs_.OnSuperseded(owner, job_id, clock_.now());
   RefuseOrders(queue_.TakeJobOfOthers(owner, job_id), RunOutcome::kWithdrawn);
   for (auto& [id, run] : runs_) {
     if (run.owner == owner || id.task.job_id != job_id) continue;
@@ -223,6 +224,9 @@
   }
   StartQueue::WaitingOrder waiting{.owner = owner, .order = order};
   if (order.job_received == TimePoint()) waiting.order.job_received = clock_.now();
+  if (superseded_jobs_.IsSuperseded(owner, order.id.task.job_id, waiting.order.job_received)) {
+    return RefuseOrders({waiting}, RunOutcome::kWithdrawn);
+  }
   if (!queue_.Add(std::move(waiting))) {
     actions_.emplace_back(
         RunUpdate{.owner = owner, .id = order.id, .outcome = RunOutcome::kNoRoom});
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -179,6 +179,7 @@
 //   `late_execution_limit`.
 // - From its notice age on, a job with a run that has not ended, or has just ended, is in
 //   JobsOfOthers of other owners.
+// - Nothing is started for a copy of a job after another owner has received a later one.
 // Not thread-safe.
 class RunSupervisor {
  public:
--- a/src/core/superseded_jobs.cc
+++ b/src/core/superseded_jobs.cc
@@ -3,6 +3,19 @@
 
 namespace zinniamux::core {
 
+void SupersededJobs::OnSuperseded(std::string_view owner, const std::string& job_id,
+                                  TimePoint now) {
+  newest_copies_.insert_or_assign(job_id, Copy{.owner = std::string(owner), .since = now});
+}
+
+bool SupersededJobs::IsSuperseded(std::string_view owner, const std::string& job_id,
+                                  TimePoint job_received) const {
+  const auto found = newest_copies_.find(job_id);
+  if (found == newest_copies_.end() || found->second.owner == owner) return false;
+  // The caller may have turned to this owner once more.
+  return job_received < found->second.since;
+}
+
 void SupersededJobs::OnRunEnded(std::string_view owner, const std::string& job_id, TimePoint now) {
   between_runs_.insert_or_assign(job_id, Copy{.owner = std::string(owner), .since = now});
 }
@@ -18,6 +31,10 @@
 }
 
 void SupersededJobs::OnTimer(TimePoint now) {
+  // The owner of an earlier copy has heard of the end of its runs by then, and gives the job up.
+  std::erase_if(newest_copies_, [&](const auto& entry) {
+    return entry.second.since + budget_.lost_after() <= now;
+  });
   std::erase_if(between_runs_, [&](const auto& entry) {
     return entry.second.since + budget_.notice_after_end() <= now;
   });
--- a/src/core/superseded_jobs.h
+++ b/src/core/superseded_jobs.h
@@ -21,6 +21,12 @@
  public:
   explicit SupersededJobs(const RunEndBudget& budget) : budget_(budget) {}
 
+  // `owner` has received the job from its caller, who expects nothing of other owners any more.
+  void OnSuperseded(std::string_view owner, const std::string& job_id, TimePoint now);
+  // Whether the order belongs to a copy of the job that was received before another owner's.
+  bool IsSuperseded(std::string_view owner, const std::string& job_id,
+                    TimePoint job_received) const;
+
   // A run has ended, and its owner may soon order another run of the job.
   void OnRunEnded(std::string_view owner, const std::string& job_id, TimePoint now);
   // Jobs of other owners that may soon have another run.
@@ -31,11 +37,12 @@
  private:
   struct Copy {
     std::string owner;
-    // When its last run ended.
+    // When another owner's copy replaced all earlier ones, or when the last run ended.
     TimePoint since;
   };
 
   const RunEndBudget budget_;
+  std::map<std::string, Copy> newest_copies_;
   std::map<std::string, Copy> between_runs_;
 };
 
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -354,7 +354,7 @@
     } else if (const auto* superseded = std::get_if<core::SupersedeJob>(&action)) {
       metrics_.Add("jobs_superseded_total");
       log_.Write(LogLevel::kInfo, "job_superseded",
-                 {{"job", superseded->job_id}, {"agent", superseded->agent_id}});
+                 {{"job", superseded->job_id}, {"agents", superseded->agent_ids.size()}});
       registry_.QueueSupersede(*superseded);
     } else if (const auto* answer = std::get_if<core::AnswerJob>(&action)) {
       gateway_.OnJobAnswered(*answer);
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -179,10 +179,12 @@
 }
 
 void SupervisorRegistry::QueueSupersede(const core::SupersedeJob& job) {
-  const auto registered = peers_by_supervisor_.find(job.agent_id);
-  if (registered == peers_by_supervisor_.end()) return;
-  registered->second->outgoing.add_superseded_jobs(job.job_id);
-  registered->second->has_outgoing = true;
+  for (const std::string& supervisor : job.agent_ids) {
+    const auto registered = peers_by_supervisor_.find(supervisor);
+    if (registered == peers_by_supervisor_.end()) continue;
+    registered->second->outgoing.add_superseded_jobs(job.job_id);
+    registered->second->has_outgoing = true;
+  }
 }
 
 void SupervisorRegistry::Flush() {
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -866,57 +866,63 @@
       }
       continue;
     }
-    std::string agent_id;
-    if (const auto* start = std::get_if<core::StartTasks>(&action)) agent_id = start->agent_id;
-    if (const auto* stop = std::get_if<core::StopTask>(&action)) agent_id = stop->agent_id;
-    if (const auto* job = std::get_if<core::SupersedeJob>(&action)) agent_id = job->agent_id;
-    if (agent_id.empty()) continue;
-    const std::size_t s = IndexOf(agent_id);
-    Link& link = LinkOf(index, s);
-    TraceOrder(index, action, link.connected);
-    if (!link.connected) continue;
-    Transmit(
-        link, link.last_to_supervisor, supervisors_[s]->frozen_until, supervisors_[s]->delay,
-        [this, index, s, generation = link.generation,
-         handled = dispatchers_[index]->scheduler->InputHandled(), action = std::move(action)] {
-          Supervisor& to = *supervisors_[s];
-          if (LinkOf(index, s).generation != generation || !to.core) return;
-          const std::string owner = OwnerOf(index);
-          to.core->OnOwnerHeard(owner, handled);
-          if (const auto* stop = std::get_if<core::StopTask>(&action)) {
-            to.core->OnStopOrder(owner, stop->id);
-          }
-          if (const auto* job = std::get_if<core::SupersedeJob>(&action)) {
-            Trace(job->job_id, "agent-" + std::to_string(s) + " stops it for " + owner);
-            to.core->OnJobSuperseded(owner, job->job_id);
-            SendReport(s, index);
-          }
-          if (const auto* start = std::get_if<core::StartTasks>(&action)) {
-            for (const auto& each : start->starts) {
-              Trace(start->job_id, "agent-" + std::to_string(s) + " takes the order of task " +
-                                       std::to_string(each.index));
-              to.core->OnOrder(owner, {.id = {.task = {.job_id = start->job_id,
-                                                       .step = start->step,
-                                                       .index = each.index},
-                                              .run = each.run},
-                                       .spec = start->spec,
-                                       .need = start->need,
-                                       .estimate = start->estimate,
-                                       .expires = start->expires,
-                                       .job_received = start->job_received,
-                                       .at_once = start->at_once,
-                                       .rank = start->rank,
-                                       .urgent = start->urgent});
-            }
-            LinkOf(index, s).orders_seen = start->order;
-            SendReportsToClose(s);
-            SendReport(s, index);
-          }
-          CarryOutSupervisor(s);
-        });
+    if (const auto* start = std::get_if<core::StartTasks>(&action)) {
+      SendAction(index, start->agent_id, action);
+    } else if (const auto* stop = std::get_if<core::StopTask>(&action)) {
+      SendAction(index, stop->agent_id, action);
+    } else if (const auto* job = std::get_if<core::SupersedeJob>(&action)) {
+      for (const std::string& agent_id : job->agent_ids) SendAction(index, agent_id, action);
+    }
   }
 }
 
+void LeaseWorld::SendAction(std::size_t index, const std::string& agent_id,
+                            const core::SchedulerAction& action) {
+  const std::size_t s = IndexOf(agent_id);
+  Link& link = LinkOf(index, s);
+  TraceOrder(index, action, link.connected);
+  if (!link.connected) return;
+  Transmit(
+      link, link.last_to_supervisor, supervisors_[s]->frozen_until, supervisors_[s]->delay,
+      [this, index, s, generation = link.generation,
+       handled = dispatchers_[index]->scheduler->InputHandled(), action] {
+        Supervisor& to = *supervisors_[s];
+        if (LinkOf(index, s).generation != generation || !to.core) return;
+        const std::string owner = OwnerOf(index);
+        to.core->OnOwnerHeard(owner, handled);
+        if (const auto* stop = std::get_if<core::StopTask>(&action)) {
+          to.core->OnStopOrder(owner, stop->id);
+        }
+        if (const auto* job = std::get_if<core::SupersedeJob>(&action)) {
+          Trace(job->job_id, "agent-" + std::to_string(s) + " stops it for " + owner);
+          to.core->OnJobSuperseded(owner, job->job_id);
+          SendReport(s, index);
+        }
+        if (const auto* start = std::get_if<core::StartTasks>(&action)) {
+          for (const auto& each : start->starts) {
+            Trace(start->job_id, "agent-" + std::to_string(s) + " takes the order of task " +
+                                     std::to_string(each.index));
+            to.core->OnOrder(
+                owner,
+                {.id = {.task = {.job_id = start->job_id, .step = start->step, .index = each.index},
+                        .run = each.run},
+                 .spec = start->spec,
+                 .need = start->need,
+                 .estimate = start->estimate,
+                 .expires = start->expires,
+                 .job_received = start->job_received,
+                 .at_once = start->at_once,
+                 .rank = start->rank,
+                 .urgent = start->urgent});
+          }
+          LinkOf(index, s).orders_seen = start->order;
+          SendReportsToClose(s);
+          SendReport(s, index);
+        }
+        CarryOutSupervisor(s);
+      });
+}
+
 // --- Faults
 
 void LeaseWorld::CutLink(std::size_t dispatcher, std::size_t supervisor, Duration at,
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -222,6 +222,9 @@
   void CarryOutSupervisor(std::size_t index);
   void StartDispatcher(std::size_t index);
   void CarryOutDispatcher(std::size_t index);
+  // Sends an order, a stop or a superseded job of the dispatcher to a supervisor.
+  void SendAction(std::size_t index, const std::string& agent_id,
+                  const core::SchedulerAction& action);
   void SendCopy(const std::string& id);
   // `is_held`: the copy was sent in a cut, and waits for the end of cuts that begin meanwhile.
   void DeliverCopy(const std::string& id, std::size_t dispatcher, std::size_t copy, bool is_held);
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -223,7 +223,7 @@
   cr_assert_eq(fixture.starts.size(), 1);
   cr_assert_eq(fixture.starts[0].job_id, "another job");
   cr_assert_eq(fixture.superseded.size(), 1);
-  cr_assert_eq(fixture.superseded[0].agent_id, "b");
+  cr_assert_eq(fixture.superseded[0].agent_ids, (std::vector<std::string>{"a", "b"}));
   cr_assert_eq(fixture.superseded[0].job_id, "job");
   report.jobs_of_others.clear();
   fixture.scheduler.OnReport("b", report);
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -992,6 +992,30 @@
   cr_assert_eq(fixture.supervisor.JobsOfOthers("other@1"), std::vector<std::string>{"job"});
 }
 
+// Guards against a first copy that starts beside the second one: its order was on its way when the
+// caller's new dispatcher made the job known. A caller that comes back is served again.
+Test(run_supervisor, refuses_a_late_order_of_a_job_that_another_dispatcher_has_received) {
+  Fixture fixture;
+  const auto order = [&fixture](std::uint32_t index, zinniamux::core::TimePoint received) {
+    fixture.supervisor.OnOwnerHeard(kOwner, fixture.clock.now());
+    fixture.supervisor.OnOrder(kOwner, {.id = MakeRunId(index),
+                                        .need = {.cpu_milli = 1000, .memory_mb = 10},
+                                        .estimate = milliseconds(100),
+                                        .expires = fixture.clock.now() + milliseconds(400),
+                                        .job_received = received});
+    fixture.TakeActions();
+  };
+  const auto received = fixture.clock.now();
+  fixture.clock.Advance(milliseconds(1300));
+  fixture.supervisor.OnJobSuperseded("other@1", "job");
+  order(0, received);
+  cr_assert(fixture.ActionsOf<CallStart>().empty());
+  cr_assert(fixture.ActionsOf<RunUpdate>().at(0).outcome == RunOutcome::kWithdrawn);
+  fixture.clock.Advance(milliseconds(1300));
+  order(1, fixture.clock.now());
+  cr_assert_eq(fixture.ActionsOf<CallStart>().size(), 1);
+}
+
 // Guards against a second copy of a job that starts while the dispatcher of the first one is about
 // to order its next run.
 Test(run_supervisor, names_a_job_between_two_of_its_runs) {
