dispatcher, supervisor: nothing starts in evacuated zones

Callers saw: tasks went on starting on executors of a zone that the operator had evacuated, as the rows evacuate/ZONE of the operator's table were not read.

Change: with the setting bounds.evacuate_ms, dispatchers read these rows before the configuration, each time that they read it, place nothing in these zones, and tell supervisors. A supervisor refuses new and waiting orders while its executor's zone is evacuated, and does not repeat a start that the executor has refused. The newest version of the store wins, and supervisors pass it on to dispatchers. A dispatcher that gets its configuration from a supervisor serves nothing before it knows the evacuated zones. Without the setting nothing changes.

--- a/src/adapters/checked_object.cc
+++ b/src/adapters/checked_object.cc
@@ -72,6 +72,12 @@
   return value_.is_object() && value_.find(key) != value_.end();
 }
 
+bool CheckedObject::HasValue(std::string_view key) {
+  const json* value = Find(key, true, "");
+  if (value == nullptr || value->is_null()) return false;
+  return !value->is_string() || !value->get_ref<const std::string&>().empty();
+}
+
 std::size_t CheckedObject::SizeOfText(std::string_view key) const {
   if (!Has(key)) return 0;
   const json& value = *value_.find(key);
--- a/src/adapters/checked_object.h
+++ b/src/adapters/checked_object.h
@@ -48,6 +48,9 @@
   CheckedObject(const nlohmann::json& value, std::string path, const DocumentContext& context);
 
   bool Has(std::string_view key) const;
+  // False if the field is missing or its value is empty (`key:` or `key: ""`). Counts as asking for
+  // the field.
+  bool HasValue(std::string_view key);
   // The bytes of a text, 0 if it is missing or not a text.
   std::size_t SizeOfText(std::string_view key) const;
   std::int64_t Integer(std::string_view key, std::int64_t lowest, std::int64_t highest,
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -136,6 +136,10 @@
   read("lease_ms", bounds.lease);
   read("stop_ms", bounds.stop_time);
   read("retransmit_ms", bounds.retransmit);
+  // The value is empty where the deployment has no such bound.
+  if (object.HasValue("evacuate_ms")) {
+    bounds.evacuate = milliseconds(object.Integer("evacuate_ms", 1, kMaxBoundMs, 1));
+  }
   const auto run_ends = core::RunEndBudget::For(
       {.retransmit = bounds.retransmit, .max_lease = bounds.lease, .stop_time = bounds.stop_time});
   if (run_ends) {
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -75,6 +75,9 @@
   std::chrono::milliseconds retransmit{1300};
   // A process is killed this long after SIGTERM.
   std::chrono::milliseconds grace{6000};
+  // Nothing starts in an evacuated zone later than this after the store has acknowledged its row.
+  // Unset if zones are not evacuated: the rows are not read then.
+  std::optional<std::chrono::milliseconds> evacuate;
   // Derived from the times above.
   core::RunEndBudget run_ends;
 };
--- a/src/core/executor_view.h
+++ b/src/core/executor_view.h
@@ -3,6 +3,7 @@
 #define ZINNIAMUX_CORE_EXECUTOR_VIEW_H_
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -43,6 +44,10 @@
   std::vector<std::string> jobs_of_others;
   // See RunSupervisor::executor_answered.
   bool executor_answered = false;
+  // How much longer the executor stays slower than usual after its start.
+  std::chrono::milliseconds cold_left{0};
+  // The zone that the executor has announced; empty if it is its supervisor's.
+  std::string availability_zone;
 };
 
 class ExecutorView {
@@ -103,7 +108,13 @@
   // with each report.
   bool may_take_last_room() const { return may_take_last_room_; }
   void set_may_take_last_room(bool may_take) { may_take_last_room_ = may_take; }
-  bool takes_work() const { return attached_ && report_.accepting; }
+  bool takes_work() const { return attached_ && report_.accepting && !in_evacuated_zone_; }
+  // The zone of the executor, as far as it has announced another one than its supervisor's.
+  const std::string& executor_zone() const {
+    return report_.availability_zone.empty() ? availability_zone_ : report_.availability_zone;
+  }
+  bool in_evacuated_zone() const { return in_evacuated_zone_; }
+  void set_in_evacuated_zone(bool evacuated) { in_evacuated_zone_ = evacuated; }
   bool HasLabel(std::string_view label) const {
     return std::find(report_.labels.begin(), report_.labels.end(), label) != report_.labels.end();
   }
@@ -113,6 +124,7 @@
   std::string availability_zone_;
   bool attached_ = false;
   bool may_take_last_room_ = false;
+  bool in_evacuated_zone_ = false;
   ExecutorReport report_;
   // Invariant: the free room of the report minus all pending needs.
   Resources free_;
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -43,6 +43,10 @@
   });
 }
 
+JobReason JobScheduler::ReasonForLackOfRoom(const Job& job) const {
+  return HasExecutors(job.request.service) ? JobReason::kOverloaded : JobReason::kNoExecutors;
+}
+
 bool JobScheduler::CanEverRun(const JobRequest& request) const {
   return std::all_of(request.steps.begin(), request.steps.end(), [&](const JobStep& step) {
     return std::any_of(views_.begin(), views_.end(), [&](const ExecutorView* view) {
@@ -286,7 +290,7 @@
         unmet != nullptr ? unmet->wait : ExpectedWait(job).value_or(Duration::max());
     if (found_none && unmet == nullptr) AddUnmetNeed(job, wait);
     // If no executor will have room in time, waiting would only delay other jobs.
-    if (wait > job.start_by - clock_.now()) RefuseOrAbandon(job, JobReason::kOverloaded);
+    if (wait > job.start_by - clock_.now()) RefuseOrAbandon(job, ReasonForLackOfRoom(job));
   }
 }
 
@@ -697,6 +701,7 @@
     for (auto& [id, each] : supervisors_) views_.push_back(&each.view);
   }
   supervisor.view.set_attached(true);
+  supervisor.view.set_in_evacuated_zone(evacuation_.IsEvacuated(supervisor.view.executor_zone()));
   supervisor.view.ClearOrders();
   should_retry_waiting_ = true;
   if (!is_new && supervisor.incarnation != incarnation) {
@@ -763,11 +768,21 @@
   SetJobsOfOthers(found->second, std::exchange(report.jobs_of_others, {}));
   ExecutorView& view = found->second.view;
   view.OnReport(std::move(report));
+  view.set_in_evacuated_zone(evacuation_.IsEvacuated(view.executor_zone()));
   view.set_may_take_last_room(
       std::uniform_int_distribution<std::uint32_t>(1, competitors)(placement_random_) == 1);
   should_retry_waiting_ = should_retry_waiting_ || MayHelpWaitingJobs(view);
 }
 
+bool JobScheduler::OnEvacuation(EvacuationState state) {
+  if (!evacuation_.Take(std::move(state))) return false;
+  for (ExecutorView* view : views_) {
+    view->set_in_evacuated_zone(evacuation_.IsEvacuated(view->executor_zone()));
+  }
+  should_retry_waiting_ = true;
+  return true;
+}
+
 // --- Time
 
 bool JobScheduler::MayStartLate(const Supervisor& supervisor) const {
@@ -802,9 +817,7 @@
   }
   for (const std::string& id : late) {
     Job& job = jobs_.at(id);
-    const bool overloaded = HasExecutors(job.request.service);
-    const JobReason refusal = overloaded ? JobReason::kOverloaded : JobReason::kNoExecutors;
-    RefuseOrAbandon(job, MayHaveRun(job) ? JobReason::kDeadline : refusal);
+    RefuseOrAbandon(job, MayHaveRun(job) ? JobReason::kDeadline : ReasonForLackOfRoom(job));
   }
   for (const ExecutorHealth::Change& change : health_.OnTimer(now)) {
     actions_.emplace_back(ExecutorJudged{change});
@@ -854,6 +867,12 @@
       views_.begin(), views_.end(), [](const ExecutorView* view) { return view->takes_work(); }));
 }
 
+bool JobScheduler::has_evacuated_executors() const {
+  return std::any_of(views_.begin(), views_.end(), [](const ExecutorView* view) {
+    return view->attached() && view->in_evacuated_zone() && !view->report().executor_id.empty();
+  });
+}
+
 std::vector<const ExecutorView*> JobScheduler::executors() const {
   return {views_.begin(), views_.end()};
 }
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -29,6 +29,7 @@
 #include "core/run_time_estimator.h"
 #include "core/view_trust.h"
 #include "core/wait_policy.h"
+#include "core/zone_evacuation.h"
 
 namespace zinniamux::core {
 
@@ -160,6 +161,8 @@
                        std::uint64_t incarnation, std::span<const RunId> held_runs);
   void OnAgentDetached(const std::string& supervisor_id);
   void OnReport(const std::string& supervisor_id, ExecutorReport report);
+  // Nothing is placed on executors in these zones. Returns false if the version is not newer.
+  bool OnEvacuation(EvacuationState state);
   void OnRunUpdate(const std::string& supervisor_id, const RunId& id, RunOutcome outcome,
                    Duration elapsed);
   // Places the queued jobs: new ones, and waiting ones if a report since the last call shows room
@@ -191,6 +194,9 @@
   // Jobs of the queue without any ordered task.
   std::size_t PendingOf(const std::string& queue) const;
   std::size_t agents_accepting() const;
+  const EvacuationState& evacuation() const { return evacuation_.state(); }
+  // Whether an executor of a connected supervisor is in an evacuated zone.
+  bool has_evacuated_executors() const;
   // Whether `at_once` orders are placed by the views of close executors, and of the others.
   bool trusts_close_views() const { return close_trust_.is_trusted(clock_.now()); }
   bool trusts_other_views() const { return others_trust_.is_trusted(clock_.now()); }
@@ -411,6 +417,8 @@
   bool IsCurrentRun(const std::string& supervisor_id, const RunId& id) const;
   bool InStartupGrace() const { return clock_.now() < started_ + options_.startup_grace; }
   bool HasExecutors(const std::string& service) const;
+  // Why a job is refused for which no executor has room in time.
+  JobReason ReasonForLackOfRoom(const Job& job) const;
   bool CanEverRun(const JobRequest& request) const;
 
   const Options options_;
@@ -434,6 +442,7 @@
   std::unordered_map<std::string, std::size_t> run_elsewhere_;
   // The views in supervisors_, in the same order.
   std::vector<ExecutorView*> views_;
+  ZoneEvacuation evacuation_;
   // RoomPlacement::MedianPace of views_ at the last placement.
   double median_pace_ = 1;
   // Groups the starts of the job being placed, so that tasks of a step share an order to one
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -51,8 +51,10 @@
   const bool is_new = !executor_;
   const bool changed = is_new || executor_->draining != status.draining ||
                        executor_->capacity != status.capacity ||
-                       executor_->labels != status.labels || executor_->service != status.service;
+                       executor_->labels != status.labels || executor_->service != status.service ||
+                       executor_->zone != status.zone;
   executor_ = status;
+  cold_until_ = clock_.now() + status.cold_left;
   if (is_new) needs_first_poll_ = true;
   // A status may have been delayed. Without calls, it keeps the estimate close.
   if (is_new || status.clock > ExecutorNow()) UpdateExecutorClock(status.clock);
@@ -188,7 +190,25 @@
 
 bool RunSupervisor::accepting() const {
   return executor_ && !executor_->draining && !stopped_accepting_ && !needs_first_poll_ &&
-         !IsSilent();
+         !IsSilent() && !in_evacuated_zone();
+}
+
+const std::string& RunSupervisor::executor_zone() const {
+  const bool has_announced = executor_ && !executor_->zone.empty();
+  return has_announced ? executor_->zone : options_.availability_zone;
+}
+
+milliseconds RunSupervisor::cold_left() const {
+  const Duration left = std::max(cold_until_ - clock_.now(), Duration(0));
+  return std::chrono::ceil<milliseconds>(left);
+}
+
+bool RunSupervisor::OnEvacuation(EvacuationState state) {
+  const bool was_accepting = accepting();
+  if (!evacuation_.Take(std::move(state))) return false;
+  StartWaitingOrders();
+  if (was_accepting != accepting()) actions_.emplace_back(ReportChanged{});
+  return true;
 }
 
 Resources RunSupervisor::free_room() const {
@@ -376,10 +396,13 @@
       if (run.fencing_token == fencing_token_) {
         fencing_token_ += std::max<std::uint64_t>(1, fencing_token_ / 1024);
       }
-      if (clock_.now() <= run.order.expires && CanLeaseStarts()) return SendStart(run);
-      FinishRun(found, RunOutcome::kExpired);
-      break;
+      [[fallthrough]];
     case StartAnswer::kLeaseExpired:
+      // It has not started, and would be sent again.
+      if (in_evacuated_zone()) {
+        FinishRun(found, RunOutcome::kNotAccepting);
+        break;
+      }
       if (clock_.now() <= run.order.expires && CanLeaseStarts()) return SendStart(run);
       FinishRun(found, RunOutcome::kExpired);
       break;
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -21,6 +21,7 @@
 #include "core/start_queue.h"
 #include "core/superseded_jobs.h"
 #include "core/urgent_reserve.h"
+#include "core/zone_evacuation.h"
 
 namespace zinniamux::core {
 
@@ -39,6 +40,10 @@
   // Increases with every status of one incarnation.
   std::uint64_t sequence = 0;
   ExecutorTime clock{0};
+  // The availability zone; empty if the executor has announced none.
+  std::string zone;
+  // How much longer it stays slower than usual after its start.
+  std::chrono::milliseconds cold_left{0};
 };
 
 // The executor's answer to a start call.
@@ -180,6 +185,8 @@
 // - From its notice age on, a job with a run that has not ended, or has just ended, is in
 //   JobsOfOthers of other owners.
 // - Nothing is started for a copy of a job after another owner has received a later one.
+// - No start is sent to an executor in a zone that is evacuated in the newest state that any owner
+//   has told. Starts that were sent before stay, as do the runs.
 // Not thread-safe.
 class RunSupervisor {
  public:
@@ -217,6 +224,8 @@
     // the objective, which is tens of tasks.
     std::size_t max_waiting = 512;
     std::uint64_t fencing_token = 1;
+    // The zone of an executor that has announced none.
+    std::string availability_zone;
   };
 
   // `executor_pace` goes on as the executor's clock does: it stands still while the VM of both is
@@ -256,6 +265,8 @@
 
   // Refuses new and waiting orders, and continues to supervise the current runs.
   void StopAccepting();
+  // The same while the state names the executor's zone. Returns false if the version is not newer.
+  bool OnEvacuation(EvacuationState state);
   void OnTimer();
   // When OnTimer must be called, at the latest.
   TimePoint next_timer() const;
@@ -264,6 +275,12 @@
 
   const std::optional<LeasedExecutor>& executor() const { return executor_; }
   bool accepting() const;
+  const EvacuationState& evacuation() const { return evacuation_.state(); }
+  // The zone that the executor has announced, or that of this process.
+  const std::string& executor_zone() const;
+  bool in_evacuated_zone() const { return evacuation_.IsEvacuated(executor_zone()); }
+  // How much longer the executor stays slower than usual.
+  std::chrono::milliseconds cold_left() const;
   // The present incarnation of the executor has answered a poll. It refuses calls of earlier
   // processes of this supervisor from then on.
   bool executor_answered() const { return executor_answered_; }
@@ -481,6 +498,9 @@
   // Unanswered starts, with the time after which the executor cannot execute them late any more.
   std::map<RunId, TimePoint> revoked_starts_;
   bool stopped_accepting_ = false;
+  ZoneEvacuation evacuation_;
+  // Until when the executor is slower than usual.
+  TimePoint cold_until_;
   SupersededJobs superseded_jobs_;
   PaceMeter pace_;
   std::vector<SupervisorAction> actions_;
--- a/src/zinniamuxd/configuration_watch.cc
+++ b/src/zinniamuxd/configuration_watch.cc
@@ -19,15 +19,40 @@
   retry_timer_.cancel();
 }
 
-void ConfigurationWatch::ReadConfiguration() {
-  source_.ReadConfiguration([self = shared_from_this()](auto document) {
-    asio::post(self->loop_, [self, document = std::move(document)]() mutable {
-      if (!self->stopped_) self->OnConfigurationRead(std::move(document));
+void ConfigurationWatch::Read() {
+  if (options_.reads_evacuation) return ReadEvacuation();
+  ReadConfiguration(std::nullopt);
+}
+
+void ConfigurationWatch::ReadEvacuation() {
+  source_.ReadEvacuation([self = shared_from_this()](auto state) {
+    asio::post(self->loop_, [self, state = std::move(state)]() mutable {
+      if (!self->stopped_) self->OnEvacuationRead(std::move(state));
+    });
+  });
+}
+
+void ConfigurationWatch::OnEvacuationRead(core::Result<core::EvacuationState> state) {
+  if (!state) {
+    handlers_.on_store_status(false, state.error().message);
+    return ScheduleRead();
+  }
+  const std::uint64_t position = state->version;
+  handlers_.on_store_status(true, "");
+  handlers_.on_evacuation(*std::move(state));
+  ReadConfiguration(position);
+}
+
+void ConfigurationWatch::ReadConfiguration(std::optional<std::uint64_t> position) {
+  source_.ReadConfiguration([self = shared_from_this(), position](auto document) {
+    asio::post(self->loop_, [self, position, document = std::move(document)]() mutable {
+      if (!self->stopped_) self->OnConfigurationRead(position, std::move(document));
     });
   });
 }
 
 void ConfigurationWatch::OnConfigurationRead(
+    std::optional<std::uint64_t> position,
     core::Result<core::ConfigurationSource::Document> document) {
   if (!document) {
     handlers_.on_store_status(document.error().kind == core::ErrorKind::kNotFound,
@@ -36,7 +61,7 @@
   }
   handlers_.on_store_status(true, "");
   handlers_.on_configuration(std::move(document->body));
-  WaitForChange(document->position);
+  WaitForChange(position.value_or(document->position));
 }
 
 void ConfigurationWatch::WaitForChange(std::uint64_t position) {
@@ -51,20 +76,20 @@
 void ConfigurationWatch::OnChangeResult(std::uint64_t awaited,
                                         const core::Result<std::uint64_t>& position) {
   if (!position) {
-    // The store answered, but dropped the changes since `awaited`: read the configuration again.
-    if (position.error().kind == core::ErrorKind::kNotFound) return ReadConfiguration();
+    // The store answered, but dropped the changes since `awaited`: read everything again.
+    if (position.error().kind == core::ErrorKind::kNotFound) return Read();
     handlers_.on_store_status(false, position.error().message);
     return ScheduleRead();
   }
   handlers_.on_store_status(true, "");
   if (*position == awaited) return WaitForChange(awaited);
-  ReadConfiguration();
+  Read();
 }
 
 void ConfigurationWatch::ScheduleRead() {
   retry_timer_.expires_after(options_.retry_delay);
   retry_timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
-    if (!error && !self->stopped_) self->ReadConfiguration();
+    if (!error && !self->stopped_) self->Read();
   });
 }
 
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -12,6 +12,7 @@
 
 #include "platform/configuration_codec.h"
 #include "platform/names.h"
+#include "zinniamuxd/evacuation_log.h"
 #include "zinniamuxd/incarnation.h"
 
 namespace zinniamux::daemon {
@@ -117,6 +118,8 @@
                  }
                  scheduler_.OnRunUpdate(supervisor, id, outcome, elapsed);
                },
+           .on_evacuation =
+               [this](const core::EvacuationState& state) { OnEvacuation(state, "supervisor"); },
            .on_configuration =
                [this](std::uint64_t /*version*/, const std::string& body) {
                  OnConfiguration(body, "supervisor");
@@ -199,9 +202,12 @@
       store_, clock_, [] {},
       [this](const core::UnreadableRow& row) { unreadable_rows_.Write(row); });
   configuration_watch_ = std::make_shared<ConfigurationWatch>(
-      loop_, store_, ConfigurationWatch::Options(),
+      loop_, store_,
+      ConfigurationWatch::Options{.reads_evacuation = settings_.bounds.evacuate.has_value()},
       ConfigurationWatch::Handlers{
           .on_configuration = [this](const std::string& body) { OnConfiguration(body, "store"); },
+          .on_evacuation =
+              [this](const core::EvacuationState& state) { OnEvacuation(state, "store"); },
           .on_store_status = [this](
                                  bool answered,
                                  const std::string& reason) { OnStoreStatus(answered, reason); }});
@@ -299,11 +305,30 @@
 }
 
 bool DispatcherDaemon::IsReady() const {
+  // While all zones are evacuated, it refuses jobs itself, and serves again as soon as one is
+  // restored.
   return shutdown_started_at_ == TimePoint() && gateway_.config_version() > 0 &&
-         scheduler_.agents_accepting() > 0;
+         (scheduler_.agents_accepting() > 0 || scheduler_.has_evacuated_executors());
+}
+
+void DispatcherDaemon::OnEvacuation(const core::EvacuationState& state, const std::string& source) {
+  // Without the setting, states that others tell have no effect either.
+  if (!settings_.bounds.evacuate) return;
+  const std::set<std::string> before = scheduler_.evacuation().zones;
+  if (!scheduler_.OnEvacuation(state)) return;
+  LogEvacuation(log_, before, state, source);
+  registry_.ShareEvacuation(state);
+  if (held_configuration_) {
+    OnConfiguration(*std::exchange(held_configuration_, std::nullopt), "supervisor");
+  }
+  SchedulePlacement();
 }
 
 void DispatcherDaemon::OnConfiguration(const std::string& body, const char* source) {
+  if (settings_.bounds.evacuate && scheduler_.evacuation().version == 0) {
+    held_configuration_ = body;
+    return;
+  }
   core::Result<core::QueueConfiguration> configuration = platform::ParseConfiguration(body);
   if (!configuration) {
     log_.Write(LogLevel::kError, "configuration_refused",
@@ -429,6 +454,7 @@
   metrics_.Set("placements_tried_total", static_cast<double>(scheduler_.placements_tried()));
   metrics_.Set("messages_handled_total", static_cast<double>(messages_handled_));
   metrics_.Set("store_answers", store_available_ ? 1 : 0);
+  metrics_.Set("zones_evacuated", static_cast<double>(scheduler_.evacuation().zones.size()));
   metrics_.Set("log_lines_dropped_total", static_cast<double>(log_.dropped()));
 }
 
--- a/src/zinniamuxd/dispatcher_daemon.h
+++ b/src/zinniamuxd/dispatcher_daemon.h
@@ -8,6 +8,7 @@
 #include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "adapters/http_client.h"
@@ -57,6 +58,8 @@
   bool IsReady() const;
   // Places tasks once, after the events that are already queued on the loop.
   void SchedulePlacement();
+  // `source` names who has told the state in log lines.
+  void OnEvacuation(const core::EvacuationState& state, const std::string& source);
   // Performs the actions that the scheduler has queued.
   void RunActions();
   void LogStatus();
@@ -85,6 +88,9 @@
   asio::steady_timer timer_;
   bool store_available_ = true;
   bool placement_scheduled_ = false;
+  // A configuration from a supervisor that came before the evacuated zones were known. It takes
+  // effect with them, so that nothing starts in such a zone.
+  std::optional<std::string> held_configuration_;
   // Delays of supervisors' messages, and the counts at the last status line.
   core::MessageDelayMeter message_delays_;
   core::BacklogMeter backlog_;
--- a/src/zinniamuxd/run_codec.cc
+++ b/src/zinniamuxd/run_codec.cc
@@ -78,6 +78,8 @@
   message.set_lesser_release_cpu_milli(static_cast<std::int64_t>(report.lesser_release_rate));
   for (const std::string& job : report.jobs_of_others) message.add_jobs_of_others(job);
   message.set_executor_answered(report.executor_answered);
+  message.set_cold_left_ms(static_cast<std::uint32_t>(report.cold_left.count()));
+  message.set_availability_zone(report.availability_zone);
 }
 
 core::ExecutorReport FromMessage(const runs::ExecutorReport& message) {
@@ -98,7 +100,9 @@
           .lesser_release_rate = static_cast<double>(message.lesser_release_cpu_milli()),
           .jobs_of_others = {message.jobs_of_others().begin(), message.jobs_of_others().end()},
           // Supervisors of earlier versions tell only whether they accept orders.
-          .executor_answered = message.executor_answered() || message.accepting()};
+          .executor_answered = message.executor_answered() || message.accepting(),
+          .cold_left = std::chrono::milliseconds(message.cold_left_ms()),
+          .availability_zone = message.availability_zone()};
 }
 
 void ToMessage(const core::StartTasks& start, core::Duration clock_offset,
--- a/src/zinniamuxd/run_codec.h
+++ b/src/zinniamuxd/run_codec.h
@@ -6,6 +6,7 @@
 #include "core/job_scheduler.h"
 #include "core/run.h"
 #include "core/run_supervisor.h"
+#include "core/zone_evacuation.h"
 #include "runs.pb.h"
 
 namespace zinniamux::daemon {
@@ -22,6 +23,19 @@
 void ToMessage(const core::ExecutorReport& report, runs::ExecutorReport& message);
 core::ExecutorReport FromMessage(const runs::ExecutorReport& message);
 
+// The evacuated zones that a frame of either side tells. Version 0 if it tells none.
+template <typename Frame>
+void ToMessage(const core::EvacuationState& state, Frame& frame) {
+  frame.set_evacuation_version(state.version);
+  frame.clear_evacuated_zones();
+  for (const std::string& zone : state.zones) frame.add_evacuated_zones(zone);
+}
+template <typename Frame>
+core::EvacuationState EvacuationFromMessage(const Frame& frame) {
+  return {.version = frame.evacuation_version(),
+          .zones = {frame.evacuated_zones().begin(), frame.evacuated_zones().end()}};
+}
+
 // `clock_offset` is the supervisor's clock minus this process's clock.
 void ToMessage(const core::StartTasks& start, core::Duration clock_offset,
                runs::StartOrder& message);
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -12,6 +12,7 @@
 #include "adapters/row_codec.h"
 #include "platform/executor_codec.h"
 #include "platform/names.h"
+#include "zinniamuxd/evacuation_log.h"
 #include "zinniamuxd/incarnation.h"
 #include "zinniamuxd/run_codec.h"
 
@@ -40,9 +41,11 @@
 constexpr long kMaxExecutorConnections = 12;
 constexpr long kMaxStoreConnections = 2;
 
-core::RunSupervisor::Options SupervisorOptions(const adapters::LeaseBounds& bounds,
+core::RunSupervisor::Options SupervisorOptions(const adapters::SupervisorSettings& settings,
                                                std::uint64_t fencing_token) {
-  return {.budget = bounds.run_ends, .fencing_token = fencing_token};
+  return {.budget = settings.bounds.run_ends,
+          .fencing_token = fencing_token,
+          .availability_zone = settings.availability_zone};
 }
 
 // Earlier versions of dispatchers do not tell; their frames count from now.
@@ -63,7 +66,7 @@
       incarnation_(TimestampIncarnation()),
       metrics_(clock),
       // The incarnation is the fencing token: later processes of this VM get higher ones.
-      run_supervisor_(SupervisorOptions(settings.bounds, incarnation_), clock, steady_clock),
+      run_supervisor_(SupervisorOptions(settings, incarnation_), clock, steady_clock),
       unreadable_rows_(log),
       store_client_({.max_connections_per_host = kMaxStoreConnections}),
       store_({.url = settings.store_url, .deadline = milliseconds(1000)}, store_client_, clock,
@@ -213,6 +216,7 @@
   link.Close();
   exchange_.OnPeerGone(link.address().entry_id);
   report_schedule_.Remove(link.address().entry_id);
+  evacuation_known_.erase(link.address().entry_id);
   if (audience_.Remove(link.address().entry_id)) ScheduleReports(true);
 }
 
@@ -235,6 +239,7 @@
               [this](const DispatcherLink& idle_link, runs::AgentFrame& frame) {
                 FillReport(idle_link, *frame.mutable_report());
                 frame.set_config_version(exchange_.version());
+                FillEvacuation(idle_link.address().entry_id, frame);
               },
           .on_frame =
               [this, id](const std::string& /*owner*/, const runs::EntryFrame& frame) {
@@ -274,12 +279,42 @@
   // Buffered updates are sent in the same frame; until they are applied, their runs count as held.
   for (const runs::RunUpdate& update : frame.updates()) *hello.add_held_runs() = update.run();
   frame.set_config_version(exchange_.version());
+  evacuation_known_.erase(link.address().entry_id);
+  FillEvacuation(link.address().entry_id, frame);
   FillReport(link, *frame.mutable_report());
 }
 
+void SupervisorDaemon::FillEvacuation(const std::string& dispatcher, runs::AgentFrame& frame) {
+  const core::EvacuationState& state = run_supervisor_.evacuation();
+  std::uint64_t& known = evacuation_known_[dispatcher];
+  if (known >= state.version) return;
+  known = state.version;
+  ToMessage(state, frame);
+}
+
+void SupervisorDaemon::OnEvacuation(const std::string& dispatcher,
+                                    const core::EvacuationState& state) {
+  // Without the setting, states that others tell have no effect either.
+  if (!settings_.bounds.evacuate) return;
+  std::uint64_t& known = evacuation_known_[dispatcher];
+  known = std::max(known, state.version);
+  const std::set<std::string> before = run_supervisor_.evacuation().zones;
+  if (!run_supervisor_.OnEvacuation(state)) return;
+  if (before == state.zones) return;
+  LogEvacuation(log_, before, state, dispatcher);
+  // Not with the next heartbeat only: dispatchers may not be able to read the store.
+  for (auto& [id, link] : links_) {
+    if (link->connected()) FillEvacuation(id, link->mutable_outgoing());
+  }
+}
+
 void SupervisorDaemon::OnDispatcherFrame(DispatcherLink& link, const runs::EntryFrame& frame) {
   const std::string owner = link.owner();
   if (owner.empty()) return;
+  // Before the orders of the same frame.
+  if (frame.evacuation_version() > 0) {
+    OnEvacuation(link.address().entry_id, EvacuationFromMessage(frame));
+  }
   // The runs that it stops have to end by what the dispatcher had handled before.
   for (const runs::RunRef& stop : frame.stops()) {
     run_supervisor_.OnStopOrder(owner, FromMessage(stop));
@@ -481,6 +516,7 @@
     report.service = executor->service;
     report.capacity = executor->capacity;
     report.labels = executor->labels;
+    report.availability_zone = executor->zone;
   }
   report.is_close = audience_.IsClose(link.address().entry_id);
   report.close_entries = static_cast<std::uint32_t>(audience_.close().size());
@@ -493,6 +529,7 @@
   report.lesser_release_rate = run_supervisor_.lesser_release_rate();
   report.jobs_of_others = run_supervisor_.JobsOfOthers(link.owner());
   report.executor_answered = run_supervisor_.executor_answered();
+  report.cold_left = run_supervisor_.cold_left();
   const auto seen = orders_seen_.find(link.owner());
   if (seen != orders_seen_.end()) report.orders_seen = seen->second;
   ToMessage(report, message);
@@ -604,6 +641,7 @@
                                               return item.second->connected();
                                             })));
   metrics_.Set("store_answers", store_available_ ? 1 : 0);
+  metrics_.Set("zones_evacuated", static_cast<double>(run_supervisor_.evacuation().zones.size()));
   metrics_.Set("log_lines_dropped_total", static_cast<double>(log_.dropped()));
 }
 
--- a/src/zinniamuxd/supervisor_daemon.h
+++ b/src/zinniamuxd/supervisor_daemon.h
@@ -50,6 +50,9 @@
   void OnDispatcherRows(const core::Result<std::vector<core::TableRow>>& rows);
   void AddLink(const core::EntryAddress& address);
   void FillHello(const DispatcherLink& link, runs::AgentFrame& frame);
+  // Adds the evacuated zones if the dispatcher may not know them in the newest version.
+  void FillEvacuation(const std::string& dispatcher, runs::AgentFrame& frame);
+  void OnEvacuation(const std::string& dispatcher, const core::EvacuationState& state);
   void CloseLink(DispatcherLink& link);
   // Requests the configuration from a dispatcher that holds a newer one, if there is any.
   void RequestConfiguration();
@@ -116,6 +119,9 @@
   bool reading_dispatchers_ = false;
   bool store_available_ = true;
   core::ConfigurationExchange exchange_;
+  // The version of the evacuated zones that each dispatcher was told on its present connection, or
+  // has told itself.
+  std::map<std::string, std::uint64_t> evacuation_known_;
   // Unset until a shutdown is requested.
   core::TimePoint shutdown_started_at_;
 };
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -84,6 +84,9 @@
   }
   if (peer->supervisor_id.empty()) return ClosePeer(peer, "no hello in the first frame");
   handlers_.on_message_delay(peer->supervisor_id, delay);
+  if (frame.evacuation_version() > 0 && handlers_.on_evacuation) {
+    handlers_.on_evacuation(EvacuationFromMessage(frame));
+  }
   for (const runs::RunUpdate& update : frame.updates()) {
     handlers_.on_update(peer->supervisor_id, FromMessage(update.run()), OutcomeFromMessage(update),
                         std::chrono::milliseconds(update.elapsed_ms()));
@@ -195,11 +198,23 @@
   }
 }
 
+void SupervisorRegistry::ShareEvacuation(const core::EvacuationState& state) {
+  const bool zones_changed = state.zones != evacuation_.zones;
+  evacuation_ = state;
+  if (!zones_changed) return;
+  for (const auto& [id, peer] : peers_by_supervisor_) peer->has_outgoing = true;
+  Flush();
+}
+
 void SupervisorRegistry::SendOutgoing(Peer& peer) {
   peer.last_sent_at = clock_.now();
   peer.has_outgoing = false;
   peer.outgoing.set_frames_handled(peer.frames_handled);
   peer.outgoing.set_config_version(exchange_.version());
+  if (peer.evacuation_sent < evacuation_.version) {
+    peer.evacuation_sent = evacuation_.version;
+    ToMessage(evacuation_, peer.outgoing);
+  }
   peer.outgoing.set_report_pause_ms(static_cast<std::uint32_t>(report_pace_.pause().count()));
   peer.outgoing.set_wants_changes(peers_by_supervisor_.size() <=
                                   options_.max_executors_for_all_changes);
--- a/src/zinniamuxd/supervisor_registry.h
+++ b/src/zinniamuxd/supervisor_registry.h
@@ -21,6 +21,7 @@
 #include "core/job_scheduler.h"
 #include "core/report_audience.h"
 #include "core/report_pace.h"
+#include "core/zone_evacuation.h"
 #include "link/frame_connection.h"
 #include "runs.pb.h"
 
@@ -59,6 +60,8 @@
     std::function<void(const std::string& supervisor_id, const core::RunId& id,
                        core::RunOutcome outcome, core::Duration elapsed)>
         on_update;
+    // The evacuated zones that a supervisor knows of. Called before the frame's other contents.
+    std::function<void(core::EvacuationState state)> on_evacuation = nullptr;
     // A supervisor has sent the configuration that this dispatcher requested.
     std::function<void(std::uint64_t version, const std::string& body)> on_configuration;
     // How long the frame that is being handled has waited; see MessageDelayMeter.
@@ -86,6 +89,9 @@
   void ShareConfiguration(std::uint64_t version, std::string body) {
     exchange_.Take(version, std::move(body));
   }
+  // Tells every supervisor with the next frame to it, and at once if other zones are evacuated than
+  // before. Supervisors that attach later are told with the welcome.
+  void ShareEvacuation(const core::EvacuationState& state);
   void OnTimer();
   std::size_t connection_count() const { return peers_.size(); }
   // The time that supervisors are asked to leave between two reports of changes.
@@ -100,6 +106,8 @@
     core::ClockOffset clock_offset;
     // Frames whose run updates have been passed to the handlers.
     std::uint64_t frames_handled = 0;
+    // The version of the evacuation state that was last sent.
+    std::uint64_t evacuation_sent = 0;
     runs::EntryFrame outgoing;
     bool has_outgoing = false;
   };
@@ -135,6 +143,7 @@
   std::map<std::string, HelloTime> last_hellos_;
   core::ConfigurationExchange exchange_;
   core::ReportPace report_pace_;
+  core::EvacuationState evacuation_;
 };
 
 }  // namespace zinniamux::daemon
