dispatcher: executors that have just started get work last

Callers saw: tasks that were placed on executors of a restored zone ran slowly for seconds while other executors had room.

Change: the supervisor reports how long its executor stays cold, as announced, and placement prefers other executors with room until then. Cold ones are used when no other has room. An announcement whose zone or cold time cannot be read counts as one without it, as before. The zone is part of the report only where it differs from that of the supervisor's settings.

Evidence: room_placement/uses_cold_executors_when_no_other_has_room. Unit tests of evacuated zones: supervisor, dispatcher, frames, store calls, settings and the feed, with the store down and the feed lost.

--- a/src/core/executor_view.h
+++ b/src/core/executor_view.h
@@ -113,6 +113,8 @@
   const std::string& executor_zone() const {
     return report_.availability_zone.empty() ? availability_zone_ : report_.availability_zone;
   }
+  // It has started a short time ago and is slower than usual.
+  bool is_cold() const { return report_.cold_left > std::chrono::milliseconds(0); }
   bool in_evacuated_zone() const { return in_evacuated_zone_; }
   void set_in_evacuated_zone(bool evacuated) { in_evacuated_zone_ = evacuated; }
   bool HasLabel(std::string_view label) const {
--- a/src/core/room_placement.cc
+++ b/src/core/room_placement.cc
@@ -59,12 +59,26 @@
 
 ExecutorView* RoomPlacement::ChooseWithRoom(std::span<ExecutorView* const> executors,
                                             const Query& query, std::minstd_rand& random) const {
+  bool has_cold = false;
+  ExecutorView* const warm = ChooseAmong(executors, query, /*cold=*/false, random, has_cold);
+  if (warm != nullptr || !has_cold) return warm;
+  bool has_warm = false;
+  return ChooseAmong(executors, query, /*cold=*/true, random, has_warm);
+}
+
+ExecutorView* RoomPlacement::ChooseAmong(std::span<ExecutorView* const> executors,
+                                         const Query& query, bool cold, std::minstd_rand& random,
+                                         bool& has_skipped) const {
   ExecutorView* best = nullptr;
   double best_score = 0;
   ExecutorView* sampled = nullptr;
   double sampled_room = 0;
   for (ExecutorView* executor : executors) {
     if (!executor->takes_work()) continue;
+    if (executor->is_cold() != cold) {
+      has_skipped = true;
+      continue;
+    }
     if (!(executor->report().is_close ? query.include_close : query.include_others)) continue;
     if (executor->ExpectedWait(query.step->need, query.rank) > Duration(0)) continue;
     if (!IsPreferred(*executor, query)) {
--- a/src/core/room_placement.h
+++ b/src/core/room_placement.h
@@ -23,6 +23,9 @@
 //   views are correct often enough, and sampling makes dispatchers with the same old view choose
 //   different executors.
 // - Tasks wait only on close executors, where the wait is known.
+// - Executors that have just started, for example in a restored zone, are slow for a while. They
+// get
+//   what no other executor has room for.
 class RoomPlacement {
  public:
   struct Options {
@@ -76,6 +79,10 @@
   static double MedianPace(std::span<ExecutorView* const> executors);
 
  private:
+  // ChooseWithRoom among the executors that are cold, or among the others. Sets `has_skipped` if it
+  // leaves out one that takes work.
+  ExecutorView* ChooseAmong(std::span<ExecutorView* const> executors, const Query& query, bool cold,
+                            std::minstd_rand& random, bool& has_skipped) const;
   // False if the executor is slow, or slower than normal and already filled up to its limit.
   bool HasAcceptablePace(const ExecutorView& executor, double median_pace) const;
   // True for executors that come before the others: close ones, and those in the preferred rack.
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -516,7 +516,7 @@
     report.service = executor->service;
     report.capacity = executor->capacity;
     report.labels = executor->labels;
-    report.availability_zone = executor->zone;
+    if (executor->zone != settings_.availability_zone) report.availability_zone = executor->zone;
   }
   report.is_close = audience_.IsClose(link.address().entry_id);
   report.close_entries = static_cast<std::uint32_t>(audience_.close().size());
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -44,6 +44,26 @@
   cr_assert_eq(decoded->status.clock.count(), 482113);
   cr_assert_eq(decoded->status.labels.size(), 2);
   cr_assert_not(decoded->status.draining);
+  cr_assert_eq(decoded->status.zone, "z");
+  cr_assert_eq(decoded->status.cold_left.count(), 0);
+}
+
+// Guards against an executor that is shut out by a zone or a cold time that cannot be read, and
+// against a cold executor that is taken for a warm one.
+Test(executor_codec, reads_the_zone_and_the_cold_time) {
+  const std::string good = kAnnouncement;
+  const auto with = [&good](const std::string& field) {
+    return zinniamux::platform::ParseExecutorAnnouncement("i-1", "{" + field + "," + good.substr(1))
+        ->status;
+  };
+  cr_assert_eq(with(R"("cold_left_ms":1500)").cold_left.count(), 1500);
+  for (const char* odd : {"-1", "null", "\"soon\"", "1e300", "[]"}) {
+    cr_assert_eq(with(R"("cold_left_ms":)" + std::string(odd)).cold_left.count(), 0, "%s", odd);
+  }
+  const auto odd_zone = zinniamux::platform::ParseExecutorAnnouncement(
+      "i-1", R"({"zone":7,)" + Without(good, R"("zone":"z",)").substr(1));
+  cr_assert(odd_zone.has_value());
+  cr_assert_eq(odd_zone->status.zone, "");
 }
 
 // Guards against malformed announcements that register an executor.
--- a/tests/unit/room_placement_test.cc
+++ b/tests/unit/room_placement_test.cc
@@ -120,6 +120,27 @@
   cr_assert_eq(pool.ChooseWithRoom(step), "labelled");
 }
 
+// Load pattern of a zone that is restored with cold executors. Guards against tasks that run slowly
+// there while others have room, and against cold executors that stay idle when none has.
+Test(room_placement, uses_cold_executors_when_no_other_has_room) {
+  Pool pool;
+  pool.Add("cold", "here", 10'000);
+  pool.Add("warm", "there", 1000);
+  pool.Add("other", "there", 1000, 1, {}, false);
+  zinniamux::core::ExecutorReport report = pool.views.front()->report();
+  report.cold_left = milliseconds(1);
+  pool.views.front()->OnReport(report);
+  cr_assert_eq(pool.ChooseWithRoom(kStep), "warm");
+  pool.views.at(1)->OnOrder(1, {.cpu_milli = 1000});
+  cr_assert_eq(pool.ChooseWithRoom(kStep), "other");
+  pool.views.at(2)->OnOrder(1, {.cpu_milli = 1000});
+  cr_assert_eq(pool.ChooseWithRoom(kStep), "cold");
+  report.cold_left = milliseconds(0);
+  pool.views.front()->OnReport(report);
+  pool.views.at(1)->ClearOrders();
+  cr_assert_eq(pool.ChooseWithRoom(kStep), "cold");
+}
+
 // Load pattern of a hot key or availability zone: the close executors are full and others idle.
 // Guards against tasks that wait for close executors, against orders by old views while close
 // executors have room, and against dispatchers with the same old views that all choose the same
--- a/tests/unit/run_codec_test.cc
+++ b/tests/unit/run_codec_test.cc
@@ -47,3 +47,19 @@
   cr_assert_eq(message.outcome(), static_cast<std::uint32_t>(RunOutcome::kLapsed));
   cr_assert(zinniamux::daemon::OutcomeFromMessage(message) == RunOutcome::kExecutorCrashed);
 }
+
+// Guards against a field of a report or of the evacuated zones that is lost on the way.
+Test(run_codec, carries_cold_executors_and_evacuated_zones) {
+  const zinniamux::core::ExecutorReport report{.cold_left = std::chrono::milliseconds(1500),
+                                               .availability_zone = "zone-b"};
+  zinniamux::runs::ExecutorReport message;
+  zinniamux::daemon::ToMessage(report, message);
+  cr_assert_eq(zinniamux::daemon::FromMessage(message).cold_left.count(), 1500);
+  cr_assert_eq(zinniamux::daemon::FromMessage(message).availability_zone, "zone-b");
+  const zinniamux::core::EvacuationState state{.version = 7, .zones = {"zone-a", "zone-b"}};
+  zinniamux::runs::EntryFrame frame;
+  cr_assert_eq(zinniamux::daemon::EvacuationFromMessage(frame).version, 0);
+  zinniamux::daemon::ToMessage(state, frame);
+  zinniamux::daemon::ToMessage(state, frame);
+  cr_assert(zinniamux::daemon::EvacuationFromMessage(frame) == state);
+}
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -137,3 +137,34 @@
   AssertReports(message, "1150 ms");
   AssertReports(message, "less than the 800 ms");
 }
+
+// Guards against a deployment without the bound that cannot start, as its template leaves the value
+// empty, and against a bound that is lost in silence.
+Test(settings, reads_an_empty_evacuation_bound_as_off) {
+  const auto read = [](const std::string& line) {
+    const TemporaryFolder folder("settings");
+    return LoadSettings(folder.Write("settings.yaml", R"(version: 1
+dispatcher:
+  id: dispatcher-1
+  availability_zone: oslo
+  caller: 127.0.0.1:34001
+  readiness: 127.0.0.1:34002
+  rpc: 127.0.0.1:34003
+  metrics: 127.0.0.1:34004
+  store: http://127.0.0.1:34090
+  bounds:
+    grace_s: 6
+)" + line));
+  };
+  for (const std::string line : {"", "    evacuate_ms:\n", "    evacuate_ms: \n",
+                                 "    evacuate_ms: \"\"\n", "    evacuate_ms: null\n"}) {
+    const auto settings = read(line);
+    cr_assert(settings.has_value(), "%s", line.c_str());
+    cr_assert_not(settings->dispatcher->bounds.evacuate.has_value(), "%s", line.c_str());
+  }
+  const auto settings = read("    evacuate_ms: 5000\n");
+  cr_assert_eq(settings->dispatcher->bounds.evacuate->count(), 5000);
+  for (const std::string line : {"    evacuate_ms: 0\n", "    evacuate_ms: soon\n"}) {
+    cr_assert_not(read(line).has_value(), "%s", line.c_str());
+  }
+}
--- a/tests/unit/store_client_test.cc
+++ b/tests/unit/store_client_test.cc
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,6 +28,7 @@
 using zinniamux::core::CommitOutcome;
 using zinniamux::core::ConfigurationSource;
 using zinniamux::core::ErrorKind;
+using zinniamux::core::EvacuationState;
 using zinniamux::core::Result;
 using zinniamux::core::TableRow;
 
@@ -227,3 +229,26 @@
   cr_assert_eq(document->body, "{}");
   cr_assert_eq(document->position, 530);
 }
+
+// Guards against a row without a readable value that names no zone, and against one that hides
+// others: an unreadable key, and a page that is not the last one.
+Test(store_client, reads_evacuated_zones_from_the_keys) {
+  ScriptedStore store(
+      {{.body = PageOf(
+            {Row("evacuate/"), R"({"key":7})", R"({"key":"evacuate/zone-a","value":"*"})"}, true)},
+       {.body = PageOf({R"({"key":"evacuate/zone-b"})"}, false)}});
+  const auto read = [&store] {
+    return CallAndWait<Result<EvacuationState>>(
+        [&](auto done) { store.client().ReadEvacuation(done); });
+  };
+  const auto state = read();
+  cr_assert_eq(state->version, 530);
+  cr_assert_eq(state->zones, (std::set<std::string>{"zone-a", "zone-b"}));
+  cr_assert_eq(store.unreadable().size(), 2);
+  cr_assert(store.calls().at(0).query.find("table=op&part=&from=evacuate%2F&") != std::string::npos,
+            "%s", store.calls().at(0).query.c_str());
+  cr_assert(store.calls().at(1).query.find("from=evacuate%2Fzone-a%01") != std::string::npos, "%s",
+            store.calls().at(1).query.c_str());
+  // The store is down: not the same as no evacuated zone.
+  cr_assert(read().error().kind == ErrorKind::kStoreUnavailable);
+}
--- a/tests/unit/supervisor_registry_test.cc
+++ b/tests/unit/supervisor_registry_test.cc
@@ -23,6 +23,7 @@
 
 namespace {
 
+using zinniamux::core::EvacuationState;
 using zinniamux::core::JobScheduler;
 using zinniamux::core::RunId;
 using zinniamux::core::SchedulerAction;
@@ -63,6 +64,7 @@
   JobScheduler scheduler{JobScheduler::Options(), clock};
   int detachments = 0;
   std::vector<SupervisorRegistry::OutdatedHello> outdated_hellos;
+  std::vector<EvacuationState> evacuations;
   std::optional<SupervisorRegistry> registry;
   std::vector<std::shared_ptr<Connection>> connections;
 
@@ -89,6 +91,7 @@
                 },
             .on_report = [](const auto&...) {},
             .on_update = [](const auto&...) {},
+            .on_evacuation = [this](const EvacuationState& state) { evacuations.push_back(state); },
             .on_configuration = [](const auto&...) {},
             .on_message_delay = [](const auto&...) {},
             .on_frame_handled = [] {}});
@@ -257,3 +260,39 @@
   cr_assert_eq(f.registry->connection_count(), 1);
   cr_assert_eq(f.detachments, 1);
 }
+
+// Guards against a supervisor that learns of an evacuated zone only with the next heartbeat, or not
+// at all because it attaches after the change or again.
+Test(supervisor_registry, tells_evacuated_zones_at_once_and_with_the_welcome) {
+  Fixture f;
+  const EvacuationState state{.version = 5, .zones = {"zone-a"}};
+  Connection& first = f.Connect();
+  f.Greet(first, 7, 1000);
+  cr_assert_eq(first.received.back().evacuation_version(), 0);
+  f.registry->ShareEvacuation(state);
+  cr_assert(f.RunUntil([&] { return first.received.size() > 1; }));
+  cr_assert_eq(first.received.back().evacuation_version(), 5);
+  cr_assert_eq(first.received.back().evacuated_zones(0), "zone-a");
+  // Told once on a connection.
+  cr_assert(f.GetsOrders(first));
+  cr_assert_eq(first.received.back().evacuation_version(), 0);
+  Connection& second = f.Connect();
+  f.Greet(second, 7, 2000);
+  cr_assert_eq(second.received.front().evacuation_version(), 5);
+  cr_assert_eq(second.received.front().evacuated_zones_size(), 1);
+}
+
+// Guards against a dispatcher that is cut off from the store and does not learn of an evacuated
+// zone from a supervisor, in the frame with which that attaches.
+Test(supervisor_registry, passes_on_the_evacuated_zones_of_a_supervisor) {
+  Fixture f;
+  Connection& connection = f.Connect();
+  AgentFrame frame;
+  frame.mutable_hello()->set_agent_id("s-1");
+  frame.set_evacuation_version(5);
+  frame.add_evacuated_zones("zone-a");
+  connection.frames->Send(frame.SerializeAsString());
+  cr_assert(f.RunUntil([&] { return connection.is_decided(); }));
+  cr_assert_eq(f.evacuations.size(), 1);
+  cr_assert(f.evacuations.front() == (EvacuationState{.version = 5, .zones = {"zone-a"}}));
+}
