overload tool: uneven executors, tails, loads that swing, and causes of refusals

A load is the share of the executors' room times their speed, with tails included. The shared queue knows the speeds. Late jobs and the worth of the answers are printed, and for refusals while all tasks of the job fit on the executors, which filter excluded most of the room.

--- a/bench/overload/main.cc
+++ b/bench/overload/main.cc
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "overload/load_shape.h"
+#include "overload/refusal_causes.h"
 #include "overload/shared_queue.h"
 #include "support/job_traces.h"
 #include "support/lease_world.h"
@@ -18,9 +20,11 @@
 namespace {
 
 using std::chrono::seconds;
+using zinniamux::bench::DrawJobs;
+using zinniamux::bench::RefusalCauses;
 using zinniamux::bench::ServeFromSharedQueue;
+using zinniamux::bench::SharedExecutor;
 using zinniamux::core::Duration;
-using zinniamux::testing::CounterTrace;
 using zinniamux::testing::CountKind;
 using zinniamux::testing::KindCount;
 using zinniamux::testing::LeaseWorld;
@@ -31,9 +35,15 @@
 // The longest jobs are answered within this time after the last arrival.
 constexpr seconds kCoolDown{10};
 constexpr std::int64_t kExecutorCpuMilli = 64'000;
-constexpr std::int64_t kTaskCpuMilli = 6200;
-// Processor need of CounterTrace at load 1 with these tasks.
-constexpr double kTraceCpuMilli = 490'000;
+// A part of the executors is slow for good, and the others are faster than the mean.
+constexpr std::size_t kSlowEvery = 4;
+constexpr double kSlowSpeed = 0.55;
+constexpr double kFastSpeed = 1.2;
+constexpr double kTailShare = 0.03;
+// What one answer in time is worth, by kind, and the part of it that a late one is worth.
+const std::map<std::string, double> kWorth = {
+    {"stock", .00485}, {"layout", .0267}, {"price", .00167}};
+constexpr double kLatePart = 0.2;
 
 struct Scenario {
   std::uint64_t seed = 1;
@@ -43,55 +53,91 @@
   double burst = 1;
   Duration length = seconds(10);
   double slowness = 1;
+  bool uneven = false;
+  bool tails = false;
+  double swing = 0;
+  double moving = 0;
 };
 
-// Arrivals at `load` of the executors' room; for the middle third, `burst` times as many.
-std::vector<SimulatedJob> DrawJobs(const Scenario& scenario) {
-  const double room =
-      static_cast<double>(kExecutorCpuMilli) * static_cast<double>(scenario.executors);
-  const double load = scenario.load * room / kTraceCpuMilli;
-  auto jobs = CounterTrace({.seed = scenario.seed,
-                            .begin = kWarmUp,
-                            .length = scenario.length,
-                            .load = load,
-                            .dispatchers = scenario.dispatchers,
-                            .task_cpu_milli = kTaskCpuMilli});
-  if (scenario.burst <= 1) return jobs;
-  for (auto& job : CounterTrace({.seed = scenario.seed + 1000,
-                   .begin = kWarmUp + scenario.length / 3,
-                   .length = scenario.length / 3,
-                   .load = load * (scenario.burst - 1),
+double SpeedOf(const Scenario& scenario, std::size_t executor) {
+  if (!scenario.uneven) return 1;
+  return executor % kSlowEvery == kSlowEvery - 1 ? kSlowSpeed : kFastSpeed;
+}
+
+std::vector<SharedExecutor> ExecutorsOf(const Scenario& scenario) {
+  std::vector<SharedExecutor> executors;
+  for (std::size_t i = 0; i < scenario.executors; ++i) {
+    executors.push_back({.cpu_milli = kExecutorCpuMilli, .slowness = 1 / SpeedOf(scenario, i)});
+  }
+  return executors;
+}
+
+std::vector<SimulatedJob> JobsOf(const Scenario& scenario) {
+  double cpu_milli = 0;
+  for (std::size_t i = 0; i < scenario.executors; ++i) {
+    cpu_milli += static_cast<double>(kExecutorCpuMilli) * SpeedOf(scenario, i);
+  }
+  return DrawJobs({.seed = scenario.seed,
+                   .begin = kWarmUp,
+                   .length = scenario.length,
+                   .load = scenario.load,
+                   .cpu_milli = cpu_milli,
                    .dispatchers = scenario.dispatchers,
-                   .task_cpu_milli = kTaskCpuMilli})) {
-    job.request.id += "-burst";
-    jobs.push_back(std::move(job));
+                   .swing = scenario.swing,
+                   .burst = scenario.burst,
+                   .moving = scenario.moving,
+                   .tail_share = scenario.tails ? kTailShare : 0});
+}
+
+void PrintCounts(const LeaseWorld& world, const std::map<std::string, KindCount>& bound) {
+  double worth = 0;
+  double whole = 0;
+  for (const auto& [kind, best] : bound) {
+    const KindCount count = CountKind(world, kind);
+    const auto asked = static_cast<double>(count.asked);
+    std::printf("  %s %.3f of %.3f late %.3f refused %.3f", kind.c_str(), count.in_time_share(),
+                best.in_time_share(), static_cast<double>(count.late) / asked,
+                static_cast<double>(count.refused) / asked);
+    worth += kWorth.at(kind) * (static_cast<double>(count.in_time) +
+                                kLatePart * static_cast<double>(count.late_within_limit));
+    whole += kWorth.at(kind) * asked;
   }
-  return jobs;
+  std::printf("  worth %.4f", worth / whole);
 }
 
 void Play(const Scenario& scenario) {
-  const std::vector<std::int64_t> executors(scenario.executors, kExecutorCpuMilli);
+  const std::vector<std::int64_t> sizes(scenario.executors, kExecutorCpuMilli);
+  const std::vector<SharedExecutor> executors = ExecutorsOf(scenario);
+  RefusalCauses causes(scenario.executors);
+  LeaseWorld* noted = nullptr;
   LeaseWorld world({.seed = scenario.seed,
                     .dispatchers = scenario.dispatchers,
-                    .executor_cpu_milli = executors});
-  const std::vector<SimulatedJob> jobs = DrawJobs(scenario);
+                    .executor_cpu_milli = sizes,
+                    .on_refusal = [&](std::size_t dispatcher, const auto& refusal) {
+                      causes.Note(*noted, dispatcher, refusal);
+                    }});
+  noted = &world;
+  const std::vector<SimulatedJob> jobs = JobsOf(scenario);
   for (const SimulatedJob& job : jobs) world.Add(job);
+  const Duration whole = kWarmUp + scenario.length + kCoolDown;
+  for (std::size_t i = 0; i < executors.size(); ++i) {
+    world.SlowExecutor(i, executors[i].slowness, Duration(0), whole);
+  }
   if (scenario.slowness > 1) {
     world.SlowExecutor(0, scenario.slowness, kWarmUp + scenario.length / 4, scenario.length / 2);
   }
-  world.Run(kWarmUp + scenario.length + kCoolDown);
-  const std::map<std::string, KindCount> bound = ServeFromSharedQueue(jobs, executors);
+  world.Run(whole);
   std::printf("load %.2f burst %.2f dispatchers %zu executors %zu seed %llu", scenario.load,
               scenario.burst, scenario.dispatchers, scenario.executors,
               static_cast<unsigned long long>(scenario.seed));
-  for (const auto& [kind, best] : bound) {
-    const KindCount count = CountKind(world, kind);
-    const auto asked = static_cast<double>(count.asked);
-    std::printf("  %s %.3f of %.3f refused %.3f", kind.c_str(), count.in_time_share(),
-                best.in_time_share(), static_cast<double>(count.refused) / asked);
-  }
+  PrintCounts(world, ServeFromSharedQueue(jobs, executors));
   std::printf("  not started %llu violations %zu\n",
               static_cast<unsigned long long>(world.refused_starts()), world.violations().size());
+  for (const auto& [kind, by_cause] : causes.counts()) {
+    std::printf("    refused beside free room, %s:", kind.c_str());
+    for (const auto& [cause, count] : by_cause) std::printf(" %s %zu,", cause.c_str(), count);
+    std::printf("\n");
+  }
 }
 
 std::vector<double> ParseNumbers(const std::string& text) {
@@ -121,6 +167,13 @@
                                            command);
     TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of the arrivals", false, 1, "N", command);
     TCLAP::ValueArg<int> length("", "seconds", "length of the load", false, 10, "N", command);
+    TCLAP::SwitchArg uneven("", "uneven", "a quarter of the executors at speed 0.55, others 1.2",
+                            command);
+    TCLAP::SwitchArg tails("", "tails", "3 % of the tasks take seven times as long", command);
+    TCLAP::ValueArg<double> swing("", "swing", "part by which the load of a zone varies", false, 0,
+                                  "PART", command);
+    TCLAP::ValueArg<double> moving("", "moving", "part of the callers in another zone", false, 0,
+                                   "PART", command);
     command.parse(argc, argv);
     for (const double load : ParseNumbers(loads.getValue())) {
       Play({.seed = seed.getValue(),
@@ -129,7 +182,11 @@
             .load = load,
             .burst = burst.getValue(),
             .length = seconds(length.getValue()),
-            .slowness = slowness.getValue()});
+            .slowness = slowness.getValue(),
+            .uneven = uneven.getValue(),
+            .tails = tails.getValue(),
+            .swing = swing.getValue(),
+            .moving = moving.getValue()});
     }
   } catch (const TCLAP::ArgException& error) {
     std::cerr << "overload_tool: " << error.error() << " for argument " << error.argId() << '\n';
--- a/bench/overload/shared_queue.cc
+++ b/bench/overload/shared_queue.cc
@@ -2,6 +2,8 @@
 #include "overload/shared_queue.h"
 
 #include <algorithm>
+#include <limits>
+#include <optional>
 #include <queue>
 #include <tuple>
 #include <vector>
@@ -15,8 +17,12 @@
 
 class SharedQueue {
  public:
-  SharedQueue(std::span<const SimulatedJob> jobs, std::span<const std::int64_t> executors)
-      : jobs_(jobs), free_(executors.begin(), executors.end()) {
+  SharedQueue(std::span<const SimulatedJob> jobs, std::span<const SharedExecutor> executors)
+      : jobs_(jobs), executors_(executors) {
+    for (const SharedExecutor& executor : executors) {
+      free_.push_back(executor.cpu_milli);
+      fastest_ = std::min(fastest_, executor.slowness);
+    }
     for (std::size_t i = 0; i < jobs.size(); ++i) events_.push({.time = jobs[i].arrives, .job = i});
   }
 
@@ -56,13 +62,20 @@
     return jobs_[job].request.steps.front().need.cpu_milli;
   }
 
+  // The end of the objective.
+  static Duration DueAt(const SimulatedJob& job) {
+    const Duration longest = *std::max_element(job.run_times.begin(), job.run_times.end());
+    return job.arrives + RunTime(longest, job.request.stretch) + job.request.slack;
+  }
+  static Duration RunTime(Duration run_time, double slowness) {
+    return std::chrono::duration_cast<Duration>(run_time * slowness);
+  }
+
   void Enqueue(std::size_t index) {
     const SimulatedJob& job = jobs_[index];
     const Duration longest = *std::max_element(job.run_times.begin(), job.run_times.end());
-    const auto spare = std::chrono::duration_cast<Duration>(longest * (job.request.stretch - 1)) +
-                       job.request.slack;
     ++counts_[job.request.queue].asked;
-    waiting_.push_back({job.request.urgent, job.arrives + spare, index});
+    waiting_.push_back({job.request.urgent, DueAt(job) - RunTime(longest, fastest_), index});
     std::sort(waiting_.begin(), waiting_.end());
   }
 
@@ -88,11 +101,18 @@
     const std::int64_t need = NeedOf(index);
     std::vector<std::int64_t> free = free_;
     std::vector<Event> ends;
+    const Duration left = DueAt(jobs_[index]) - now;
     for (const Duration run_time : jobs_[index].run_times) {
-      const auto most = std::max_element(free.begin(), free.end());
-      if (*most < need) return false;
-      *most -= need;
-      ends.push_back({.time = now + run_time, .job = index, .executor = most - free.begin()});
+      std::optional<std::size_t> most;
+      for (std::size_t i = 0; i < free.size(); ++i) {
+        if (free[i] < need || RunTime(run_time, executors_[i].slowness) > left) continue;
+        if (!most || free[i] > free[*most]) most = i;
+      }
+      if (!most) return false;
+      free[*most] -= need;
+      ends.push_back({.time = now + RunTime(run_time, executors_[*most].slowness),
+                      .job = index,
+                      .executor = static_cast<std::int64_t>(*most)});
     }
     free_ = std::move(free);
     for (const Event& end : ends) events_.push(end);
@@ -100,6 +120,8 @@
   }
 
   std::span<const SimulatedJob> jobs_;
+  std::span<const SharedExecutor> executors_;
+  double fastest_ = std::numeric_limits<double>::infinity();
   std::vector<std::int64_t> free_;
   std::priority_queue<Event> events_;
   // Sorted by the order in which jobs start.
@@ -109,9 +131,9 @@
 
 }  // namespace
 
-std::map<std::string, KindCount> ServeFromSharedQueue(
-    std::span<const SimulatedJob> jobs, std::span<const std::int64_t> executor_cpu_milli) {
-  return SharedQueue(jobs, executor_cpu_milli).Serve();
+std::map<std::string, KindCount> ServeFromSharedQueue(std::span<const SimulatedJob> jobs,
+                                                      std::span<const SharedExecutor> executors) {
+  return SharedQueue(jobs, executors).Serve();
 }
 
 }  // namespace zinniamux::bench
--- a/bench/overload/shared_queue.h
+++ b/bench/overload/shared_queue.h
@@ -12,13 +12,20 @@
 
 namespace zinniamux::bench {
 
+// An executor and the factor by which tasks take longer on it.
+struct SharedExecutor {
+  std::int64_t cpu_milli = 0;
+  double slowness = 1;
+};
+
 // Serves the jobs from a single queue that sees the free room of every executor at any moment and
-// knows all run times. Tasks start where most room is left. Urgent jobs come first, then the job
+// knows all run times. Tasks start where most room is left, of the executors on which they end
+// within the objective. Urgent jobs come first, then the job
 // that must start soonest; a job that cannot end within its objective any more is refused. Nothing
 // is delayed by messages, so dispatchers that share executors can hardly serve more.
 // Returns the counts by kind of job.
 std::map<std::string, testing::KindCount> ServeFromSharedQueue(
-    std::span<const testing::SimulatedJob> jobs, std::span<const std::int64_t> executor_cpu_milli);
+    std::span<const testing::SimulatedJob> jobs, std::span<const SharedExecutor> executors);
 
 }  // namespace zinniamux::bench
 
--- a/tests/support/job_traces.cc
+++ b/tests/support/job_traces.cc
@@ -100,9 +100,13 @@
       ++count.unanswered;
     } else if (record.reply->result == core::JobResult::kRefused) {
       ++count.refused;
-    } else if (record.reply->result == core::JobResult::kComplete &&
-               record.took <= record.objective) {
-      ++count.in_time;
+    } else if (record.reply->result == core::JobResult::kComplete) {
+      if (record.took <= record.objective) {
+        ++count.in_time;
+      } else {
+        ++count.late;
+        if (record.took <= record.objective * 3) ++count.late_within_limit;
+      }
     }
   }
   return count;
--- a/tests/support/job_traces.h
+++ b/tests/support/job_traces.h
@@ -36,6 +36,9 @@
 struct KindCount {
   std::size_t asked = 0;
   std::size_t in_time = 0;
+  // Complete after the objective, and of these within three times the objective.
+  std::size_t late = 0;
+  std::size_t late_within_limit = 0;
   std::size_t refused = 0;
   std::size_t unanswered = 0;
   double in_time_share() const {
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -861,6 +861,8 @@
                                        std::string(core::NameOf(answer->answer.reason)));
       if (found.empty() && !is_cancelled) Violate(answer->answer.job_id + " is answered twice");
       if (found.empty()) continue;
+      const bool is_refusal = answer->answer.result == core::JobResult::kRefused;
+      if (is_refusal && options_.on_refusal) options_.on_refusal(index, answer->answer);
       for (const std::size_t copy : found.mapped()) {
         NoteReply(answer->answer.job_id, copy, answer->answer);
       }
@@ -1082,6 +1084,15 @@
   if (supervisors_[executor]->core) supervisors_[executor]->core->OnConnectionRefused();
 }
 
+const core::JobScheduler& LeaseWorld::scheduler(std::size_t dispatcher) const {
+  return *dispatchers_[dispatcher]->scheduler;
+}
+
+core::Resources LeaseWorld::RoomOf(std::size_t executor) const {
+  const Supervisor& of = *supervisors_[executor];
+  return of.core && of.core->accepting() ? of.core->free_room() : core::Resources();
+}
+
 std::size_t LeaseWorld::most_crashes_of_a_task() const {
   std::size_t most = 0;
   for (const auto& [task, crashes] : crashes_) most = std::max(most, crashes);
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -86,6 +86,8 @@
     std::size_t closes_per_turn = 128;
     // Records what happens to this job; see trace().
     std::string traced_job;
+    // Called for each refusal that a dispatcher sends, before anything else happens.
+    std::function<void(std::size_t dispatcher, const core::JobReply&)> on_refusal;
   };
 
   explicit LeaseWorld(Options options);
@@ -146,6 +148,12 @@
   const std::map<std::string, JobRecord>& jobs() const { return records_; }
   // What broke a rule, in the order in which it happened.
   const std::vector<std::string>& violations() const { return violations_; }
+  const core::JobRequest& request(const std::string& job_id) const {
+    return work_.at(job_id).request;
+  }
+  // What a dispatcher knows of the executors, and the room that an executor has now.
+  const core::JobScheduler& scheduler(std::size_t dispatcher) const;
+  core::Resources RoomOf(std::size_t executor) const;
   std::size_t running_tasks() const { return running_.size(); }
   // What happened to the traced job, with times.
   const std::vector<std::string>& trace() const { return trace_; }
