--- a/src/core/room_placement.h
+++ b/src/core/room_placement.h
@@ -11,6 +11,7 @@
 
 #include "core/executor_view.h"
 #include "core/job_request.h"
+#include "core/speed_matching.h"
 
 namespace zinniamux::core {
 
@@ -45,6 +46,11 @@
     StartRank rank = StartRank::kNormal;
     // MedianPace of the executors.
     double median_pace = 1;
+    // Set where executors differ steadily in speed. The task is expected to run for `run_time` on a
+    // median one, and has to end within `time_left`.
+    const SpeedMatching* speeds = nullptr;
+    Duration run_time{0};
+    Duration time_left{0};
     // Whether ChooseWithRoom considers close executors, and the others.
     bool include_close = true;
     bool include_others = true;
@@ -75,15 +81,18 @@
   // The median of the known paces; 1 if none is known.
   static double MedianPace(std::span<ExecutorView* const> executors);
 
-  // False if the executor is slow, or slower than normal and already filled up to its limit.
-  bool HasAcceptablePace(const ExecutorView& executor, double median_pace) const;
+  // False if the executor is slow, or slower than normal and already filled up to its limit. If it
+  // is known to be slow steadily, it is acceptable for a task that ends in time after `wait`.
+  bool HasAcceptablePace(const ExecutorView& executor, const Query& query,
+                         Duration wait = Duration(0)) const;
 
  private:
   // True for executors that come before the others: close ones, and those in the preferred rack.
   static bool IsPreferred(const ExecutorView& executor, const Query& query);
   // True if a close executor can run the task, now or later.
   bool HasCloseCandidate(std::span<ExecutorView* const> executors, const Query& query) const;
-  bool IsCandidate(const ExecutorView& executor, const Query& query) const;
+  bool IsCandidate(const ExecutorView& executor, const Query& query,
+                   Duration wait = Duration(0)) const;
   double Score(const ExecutorView& executor, const Query& query) const;
 
   const Options options_;
