--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -304,6 +304,8 @@
   std::vector<RunId> RunsOf(const std::string& owner) const;
   // Recent run time divided by the estimate, 0 if unknown.
   double pace() const { return pace_.value(clock_.now()); }
+  // The same while it stays so, 0 otherwise; see SteadyPace.
+  double steady_pace() const { return pace_.steady_value(clock_.now()); }
 
  private:
   enum class State {
@@ -346,7 +348,8 @@
     // An earlier incarnation of the executor ended without notice while it ran it.
     bool lost_in_crash = false;
     int percent = 0;
-    bool pace_sampled = false;
+    // The sample of its progress for the pace.
+    std::optional<double> sampled_pace;
   };
   using Runs = std::map<RunId, Run>;
 
--- a/src/zinniamuxd/run_codec.cc
+++ b/src/zinniamuxd/run_codec.cc
@@ -80,6 +80,7 @@
   message.set_executor_answered(report.executor_answered);
   message.set_cold_left_ms(static_cast<std::uint32_t>(report.cold_left.count()));
   message.set_availability_zone(report.availability_zone);
+  message.set_steady_pace_permille(static_cast<std::uint32_t>(report.steady_pace * kPermille));
 }
 
 core::ExecutorReport FromMessage(const runs::ExecutorReport& message) {
@@ -93,6 +94,7 @@
           .close_entries = message.close_entries(),
           .orders_seen = message.orders_seen(),
           .pace = message.pace_permille() / kPermille,
+          .steady_pace = message.steady_pace_permille() / kPermille,
           .waiting = {.urgent_cpu_milli = message.waiting_urgent_cpu_milli(),
                       .all_cpu_milli = message.waiting_cpu_milli()},
           .kept_cpu_milli = message.kept_cpu_milli(),
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -383,6 +383,7 @@
   report.accepting = core.accepting();
   report.free = core.free_room();
   report.pace = core.pace();
+  report.steady_pace = core.steady_pace();
   report.waiting = core.waiting_room();
   report.kept_cpu_milli = core.kept_cpu_milli();
   report.release_rate = core.release_rate();
@@ -869,6 +870,8 @@
         Violate(answer->answer.job_id + " is answered twice");
       }
       if (found.empty()) continue;
+      const bool is_refusal = answer->answer.result == core::JobResult::kRefused;
+      if (is_refusal && options_.on_refusal) options_.on_refusal(index, answer->answer);
       for (const std::size_t copy : found.mapped()) {
         NoteReply(answer->answer.job_id, copy, answer->answer);
       }
@@ -1090,6 +1093,15 @@
   if (supervisors_[executor]->core) supervisors_[executor]->core->OnConnectionRefused();
 }
 
+const core::JobScheduler& LeaseWorld::scheduler(std::size_t dispatcher) const {
+  return *dispatchers_[dispatcher]->scheduler;
+}
+
+core::Resources LeaseWorld::RoomOf(std::size_t executor) const {
+  const Supervisor& of = *supervisors_[executor];
+  return of.core && of.core->accepting() ? of.core->free_room() : core::Resources();
+}
+
 std::size_t LeaseWorld::most_crashes_of_a_task() const {
   std::size_t most = 0;
   for (const auto& [task, crashes] : crashes_) most = std::max(most, crashes);
