--- a/bench/overload/main.cc
+++ b/bench/overload/main.cc
@@ -57,6 +57,8 @@
   bool tails = false;
   double swing = 0;
   double moving = 0;
+  bool by_zone = false;
+  zinniamux::core::LateAdmission::Options late;
 };
 
 double SpeedOf(const Scenario& scenario, std::size_t executor) {
@@ -89,6 +91,21 @@
                    .tail_share = scenario.tails ? kTailShare : 0});
 }
 
+// A dispatcher's zone is its number modulo the number of zones; see LeaseWorld.
+void PrintZones(const LeaseWorld& world, const std::map<std::string, KindCount>& kinds) {
+  const std::size_t zones = LeaseWorld::Options().zones;
+  for (std::size_t zone = 0; zone < zones; ++zone) {
+    std::printf("  zone %zu", zone);
+    for (const auto& [kind, unused] : kinds) {
+      const KindCount count = CountKind(
+          world, kind, [&](std::size_t dispatcher) { return dispatcher % zones == zone; });
+      std::printf("  %s asked %zu in time %zu late %zu refused %zu", kind.c_str(), count.asked,
+                  count.in_time, count.late, count.refused);
+    }
+    std::printf("\n");
+  }
+}
+
 void PrintCounts(const LeaseWorld& world, const std::map<std::string, KindCount>& bound) {
   double worth = 0;
   double whole = 0;
@@ -102,17 +119,29 @@
                                 kLatePart * static_cast<double>(count.late_within_limit));
     whole += kWorth.at(kind) * asked;
   }
+  std::map<std::string, std::size_t> held;
+  for (const auto& [id, record] : world.jobs()) {
+    if (!record.held_late || !record.reply) continue;
+    const bool is_complete = record.reply->result == zinniamux::core::JobResult::kComplete;
+    ++held[is_complete ? "answered" : std::string(NameOf(record.reply->result))];
+  }
+  for (const auto& [result, count] : held) {
+    std::printf(" held and %s %zu", result.c_str(), count);
+  }
   std::printf("  worth %.4f", worth / whole);
 }
 
 void Play(const Scenario& scenario) {
   const std::vector<std::int64_t> sizes(scenario.executors, kExecutorCpuMilli);
   const std::vector<SharedExecutor> executors = ExecutorsOf(scenario);
+  zinniamux::core::JobScheduler::Options scheduler;
+  scheduler.late = scenario.late;
   RefusalCauses causes(scenario.executors);
   LeaseWorld* noted = nullptr;
   LeaseWorld world({.seed = scenario.seed,
                     .dispatchers = scenario.dispatchers,
                     .executor_cpu_milli = sizes,
+                    .scheduler = scheduler,
                     .on_refusal = [&](std::size_t dispatcher, const auto& refusal) {
                       causes.Note(*noted, dispatcher, refusal);
                     }});
@@ -130,7 +159,8 @@
   std::printf("load %.2f burst %.2f dispatchers %zu executors %zu seed %llu", scenario.load,
               scenario.burst, scenario.dispatchers, scenario.executors,
               static_cast<unsigned long long>(scenario.seed));
-  PrintCounts(world, ServeFromSharedQueue(jobs, executors));
+  const std::map<std::string, KindCount> bound = ServeFromSharedQueue(jobs, executors);
+  PrintCounts(world, bound);
   std::printf("  not started %llu violations %zu\n",
               static_cast<unsigned long long>(world.refused_starts()), world.violations().size());
   for (const auto& [kind, by_cause] : causes.counts()) {
@@ -138,6 +168,7 @@
     for (const auto& [cause, count] : by_cause) std::printf(" %s %zu,", cause.c_str(), count);
     std::printf("\n");
   }
+  if (scenario.by_zone) PrintZones(world, bound);
 }
 
 std::vector<double> ParseNumbers(const std::string& text) {
@@ -174,6 +205,16 @@
                                   "PART", command);
     TCLAP::ValueArg<double> moving("", "moving", "part of the callers in another zone", false, 0,
                                    "PART", command);
+    TCLAP::SwitchArg late("", "late", "hold jobs for late answers", command);
+    TCLAP::ValueArg<double> min_spare("", "min-spare", "least spare room for late jobs", false,
+                                      zinniamux::core::LateAdmission::Options().min_spare_share,
+                                      "SHARE", command);
+    TCLAP::ValueArg<int> horizon("", "horizon", "averaging time of spare room, in ms", false, 1500,
+                                 "MS", command);
+    TCLAP::ValueArg<double> max_miss("", "max-miss", "share of misses without late jobs", false,
+                                     zinniamux::core::LateAdmission::Options().max_miss_share,
+                                     "SHARE", command);
+    TCLAP::SwitchArg by_zone("", "by-zone", "print the counts of each zone of callers", command);
     command.parse(argc, argv);
     for (const double load : ParseNumbers(loads.getValue())) {
       Play({.seed = seed.getValue(),
@@ -183,10 +224,12 @@
             .burst = burst.getValue(),
             .length = seconds(length.getValue()),
             .slowness = slowness.getValue(),
-            .uneven = uneven.getValue(),
-            .tails = tails.getValue(),
-            .swing = swing.getValue(),
-            .moving = moving.getValue()});
+            .moving = moving.getValue(),
+            .by_zone = by_zone.getValue(),
+            .late = {.enabled = late.getValue(),
+                     .min_spare_share = min_spare.getValue(),
+                     .horizon = std::chrono::milliseconds(horizon.getValue()),
+                     .max_miss_share = max_miss.getValue()}});
     }
   } catch (const TCLAP::ArgException& error) {
     std::cerr << "overload_tool: " << error.error() << " for argument " << error.argId() << '\n';
--- a/tests/support/job_traces.h
+++ b/tests/support/job_traces.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,9 @@
 
 // Counts jobs whose id begins with `kind`.
 KindCount CountKind(const LeaseWorld& world, const std::string& kind);
+// Only those that were first sent to one of these dispatchers.
+KindCount CountKind(const LeaseWorld& world, const std::string& kind,
+                    const std::function<bool(std::size_t dispatcher)>& includes);
 
 }  // namespace zinniamux::testing
 
