--- a/tests/unit/run_codec_test.cc
+++ b/tests/unit/run_codec_test.cc
@@ -47,3 +47,14 @@
   cr_assert_eq(message.outcome(), static_cast<std::uint32_t>(RunOutcome::kLapsed));
   cr_assert(zinniamux::daemon::OutcomeFromMessage(message) == RunOutcome::kExecutorCrashed);
 }
+
+// Guards against a steady pace that is lost on its way, and against supervisors of earlier
+// versions, which send none, that are taken for infinitely fast.
+Test(run_codec, carries_the_steady_pace) {
+  zinniamux::runs::ExecutorReport message;
+  cr_assert_eq(zinniamux::daemon::FromMessage(message).steady_pace, 0);
+  zinniamux::core::ExecutorReport report;
+  report.steady_pace = 1.75;
+  zinniamux::daemon::ToMessage(report, message);
+  cr_assert_float_eq(zinniamux::daemon::FromMessage(message).steady_pace, 1.75, 0.001);
+}
