--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -325,11 +325,14 @@
 void JobScheduler::AddSpeeds(const Job& job, const Step& step, RoomPlacement::Query& query) const {
   if (!speeds_.is_active()) return;
   query.speeds = &speeds_;
-  query.run_time = step.estimate;
-  // The objective was computed from estimates for the median executor.
-  const double longer = job.request.stretch * (speeds_.mean_pace() - 1);
-  query.time_left =
-      job.objective - clock_.now() + std::chrono::duration_cast<Duration>(step.estimate * longer);
+  // The mean of the queue, not the job's own estimate: choosing executors by estimates that are off
+  // would leave slow ones the tasks that take longer than estimated, and make them look slower.
+  const RunTimeEstimator::Estimate mean = estimator_.For(job.request.queue, Duration(0));
+  query.run_time = mean.learned ? mean.run_time : step.estimate;
+  // Estimates are for the median executor, objectives for one of mean speed.
+  const Duration longer = std::chrono::duration_cast<Duration>(
+      (query.run_time * speeds_.mean_pace() - step.estimate) * job.request.stretch);
+  query.time_left = job.objective - clock_.now() + longer;
 }
 
 void JobScheduler::PlaceQueuedJobs(bool retry_waiting) {
--- a/src/core/room_placement.cc
+++ b/src/core/room_placement.cc
@@ -41,8 +41,8 @@
     if (const std::optional<double> relative = query.speeds->RelativePace(executor)) {
       // A started job is completed even if it is late wherever its tasks run.
       const bool is_late = query.rank == StartRank::kStarted && query.run_time > query.time_left;
-      return is_late || wait + std::chrono::duration_cast<Duration>(query.run_time * *relative) <=
-                            query.time_left;
+      const auto run_time = std::chrono::duration_cast<Duration>(query.run_time * *relative);
+      return is_late || wait + run_time + options_.slow_margin <= query.time_left;
     }
   }
   const double ratio = executor.report().pace / query.median_pace;
--- a/src/core/room_placement.h
+++ b/src/core/room_placement.h
@@ -38,6 +38,9 @@
     // Up to this times the median, the pace is normal. In between, the executor is filled only in
     // part, so that a recovering one is tried with a few tasks before it gets many.
     double normal_ratio = 1.5;
+    // On a steadily slow executor a task has to be expected to end in time with this to spare, for
+    // the delivery of orders and ends, and for waits that are longer than expected.
+    std::chrono::milliseconds slow_margin{15};
     // Age of a view: the time between reports to a dispatcher that orders nothing.
     std::chrono::milliseconds view_age{20};
   };
--- a/src/core/speed_matching.cc
+++ b/src/core/speed_matching.cc
@@ -12,7 +12,8 @@
   std::vector<double> paces;
   paces.reserve(executors.size());
   for (const ExecutorView* executor : executors) {
-    const double pace = executor->report().steady_pace;
+    const ExecutorReport& report = executor->report();
+    const double pace = report.steady_pace > 0 ? report.steady_pace : report.pace;
     if (executor->takes_work() && pace > 0) paces.push_back(pace);
   }
   slow_ = fast_ = 0;
--- a/src/core/speed_matching.h
+++ b/src/core/speed_matching.h
@@ -58,7 +58,7 @@
 
   const Options options_;
   std::optional<TimePoint> updated_at_;
-  // Of the steady paces.
+  // Of the steady paces, and the present ones of other executors.
   double median_pace_ = 1;
   double mean_pace_ = 1;
   std::size_t slow_ = 0;
--- a/src/core/steady_pace.h
+++ b/src/core/steady_pace.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstddef>
+#include <optional>
 
 #include "core/clock.h"
 
@@ -19,23 +20,22 @@
  public:
   // The logarithm of run time / estimate of one run.
   void AddSample(double log_ratio, TimePoint now) {
-    if (count_ == 0) block_.began = now;
+    if (sampled_at_ && now - *sampled_at_ < kMinPause) return;
+    sampled_at_ = now;
     samples_[count_++] = log_ratio;
     if (count_ < kBlockSize) return;
-    block_.mean = TrimmedMean();
-    block_.ended = now;
-    blocks_ = {blocks_[1], blocks_[2], block_};
+    blocks_ = {blocks_[1], blocks_[2], TrimmedMean()};
+    block_ended_at_ = now;
     known_ = std::min(known_ + 1, kBlocks);
     count_ = 0;
   }
 
   // Run time / estimate, or 0 if it is not known to be steady.
   double value(TimePoint now) const {
-    if (known_ < kBlocks || now - blocks_.back().ended > kRetention) return 0;
-    if (blocks_.back().ended - blocks_.front().began < kMinSpan) return 0;
-    const auto [least, most] = std::minmax({blocks_[0].mean, blocks_[1].mean, blocks_[2].mean});
+    if (known_ < kBlocks || now - block_ended_at_ > kRetention) return 0;
+    const auto [least, most] = std::minmax({blocks_[0], blocks_[1], blocks_[2]});
     if (most - least > kTolerance) return 0;
-    const double mean = (blocks_[0].mean + blocks_[1].mean + blocks_[2].mean) / kBlocks;
+    const double mean = (blocks_[0] + blocks_[1] + blocks_[2]) / kBlocks;
     // The present block shows a change before it is complete.
     if (count_ >= kMinToContradict && std::abs(TrimmedMean() - mean) > kTolerance) return 0;
     return std::exp(mean);
@@ -49,20 +49,15 @@
   // Ignored at both ends of a block: 3 % of runs that take several times as long, and others that
   // end early.
   static constexpr std::size_t kTrimmedPart = 6;
-  static constexpr std::size_t kMinToContradict = 5;
-  // A factor of 1.6 between blocks. Normal spread stays below it, slow phases are above.
-  static constexpr double kTolerance = 0.47;
-  // A burst of jobs with the same wrong estimate is shorter.
-  static constexpr std::chrono::milliseconds kMinSpan{1500};
+  static constexpr std::size_t kMinToContradict = 8;
+  // A factor of 1.8 between blocks. Normal spread stays below it, slow phases are above.
+  static constexpr double kTolerance = 0.6;
+  // The tasks of one job, whose estimates are off alike, end together. With this pause between
+  // samples, three blocks take at least 1.4 s.
+  static constexpr std::chrono::milliseconds kMinPause{40};
   // The speed of an executor that gets little work is remembered for this time.
   static constexpr std::chrono::seconds kRetention{30};
 
-  struct Block {
-    double mean = 0;
-    TimePoint began;
-    TimePoint ended;
-  };
-
   // Of the samples of the present block.
   double TrimmedMean() const {
     std::array<double, kBlockSize> sorted = samples_;
@@ -78,8 +73,10 @@
   std::array<double, kBlockSize> samples_{};
   // Samples in the present block.
   std::size_t count_ = 0;
-  Block block_;
-  std::array<Block, kBlocks> blocks_;
+  std::optional<TimePoint> sampled_at_;
+  // Means of the last blocks.
+  std::array<double, kBlocks> blocks_{};
+  TimePoint block_ended_at_;
   std::size_t known_ = 0;
 };
 
--- a/tests/unit/run_codec_test.cc
+++ b/tests/unit/run_codec_test.cc
@@ -79,3 +79,14 @@
   zinniamux::daemon::ToMessage(ExecutorReport{.waiting = {.late_cpu_milli = 700}}, report);
   cr_assert_eq(zinniamux::daemon::FromMessage(report).waiting.late_cpu_milli, 700);
 }
+
+// Guards against a steady pace that is lost on its way, and against supervisors of earlier
+// versions, which send none, that are taken for infinitely fast.
+Test(run_codec, carries_the_steady_pace) {
+  zinniamux::runs::ExecutorReport message;
+  cr_assert_eq(zinniamux::daemon::FromMessage(message).steady_pace, 0);
+  zinniamux::core::ExecutorReport report;
+  report.steady_pace = 1.75;
+  zinniamux::daemon::ToMessage(report, message);
+  cr_assert_float_eq(zinniamux::daemon::FromMessage(message).steady_pace, 1.75, 0.001);
+}
