dispatcher, supervisor: bound what clients of the HTTP listeners make a process hold

Callers saw a dispatcher run out of memory while other clients left chunked bodies unfinished. Cause: RESTinio keeps a record of each chunk and each field, reserves announced bodies in full, and neither the total of unfinished requests nor the number of connections was bounded.

Change: core/input_budget chooses which connections to close when unfinished requests and unread answers exceed max_input_bytes, or connections max_connections; adapters/input_guard applies it and the limits of one connection (head, fields, empty lines, body, chunk framing, time without progress). The parser's callbacks are replaced through RESTinio's method mapper, and the stream socket reports bytes; reads after a reset and the two pipelined requests stay as they were. supervisor.local takes announcements of up to 4 MiB.

Evidence: input_limits_tests, one process per test, limits 8 MiB and 100 connections, bounds 64 MiB peak resident memory and 160 descriptors.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -20,11 +20,14 @@
 failed=0
 known_red=0
 known_tests=$(grep -oE '^[a-z_]+::[a-z0-9_]+' KNOWN-RED.txt 2>/dev/null || true)
-for program in unit_tests property_tests integration_tests; do
+for program in unit_tests property_tests integration_tests input_limits_tests; do
   executable="$build/tests/$program"
   [ -x "$executable" ] || continue
   log="$build/$program.log"
-  "$executable" --short-filename -j4 >"$log" 2>&1 || true
+  jobs=4
+  # Its tests measure memory and run one at a time.
+  [ "$program" != input_limits_tests ] || jobs=1
+  "$executable" --short-filename "-j$jobs" >"$log" 2>&1 || true
   summary=$(grep -o 'Tested: [0-9]* | Passing: [0-9]* | Failing: [0-9]* | Crashing: [0-9]*' "$log" \
     | tail -n 1 || true)
   if [ -z "$summary" ]; then
--- a/src/adapters/loop_http_server.cc
+++ b/src/adapters/loop_http_server.cc
@@ -4,9 +4,12 @@
 #include <exception>
 #include <restinio/all.hpp>
 #include <string>
+#include <unordered_map>
 #include <utility>
 
-#include "adapters/reset_aware_socket.h"
+#include "adapters/guarded_socket.h"
+#include "adapters/input_guard.h"
+#include "adapters/parser_hooks.h"
 #include "adapters/restinio_messages.h"
 
 namespace zinniamux::adapters {
@@ -20,25 +23,43 @@
 constexpr std::size_t kPipelinedRequests = 2;
 constexpr std::size_t kConcurrentAccepts = 4;
 
-class ClosedListener {
+// Opens and closes the accounts of connections, and reports their end.
+class StateListener {
  public:
-  explicit ClosedListener(std::function<void(LoopHttpServer::ConnectionId)> on_closed)
-      : on_closed_(std::move(on_closed)) {}
+  StateListener(InputGuard* guard, std::string name,
+                std::function<void(LoopHttpServer::ConnectionId)> on_closed)
+      : guard_(guard), name_(std::move(name)), on_closed_(std::move(on_closed)) {}
 
   void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
     const restinio::connection_state::cause_t cause = notice.cause();
-    if (std::holds_alternative<restinio::connection_state::closed_t>(cause) && on_closed_) {
-      on_closed_(notice.connection_id());
+    if (std::holds_alternative<restinio::connection_state::accepted_t>(cause)) {
+      if (guard_ == nullptr) return;
+      accepted_input = guard_->Open(name_);
+      inputs_[notice.connection_id()] = accepted_input;
+      return;
     }
+    if (!std::holds_alternative<restinio::connection_state::closed_t>(cause)) return;
+    if (const auto node = inputs_.extract(notice.connection_id())) node.mapped()->OnClosed();
+    if (on_closed_) on_closed_(notice.connection_id());
+  }
+
+  // Null for a connection that has no account or is closed.
+  std::shared_ptr<ConnectionInput> InputOf(LoopHttpServer::ConnectionId id) const {
+    const auto found = inputs_.find(id);
+    return found == inputs_.end() ? nullptr : found->second;
   }
 
  private:
+  InputGuard* const guard_;
+  const std::string name_;
+  std::unordered_map<LoopHttpServer::ConnectionId, std::shared_ptr<ConnectionInput>> inputs_;
   const std::function<void(LoopHttpServer::ConnectionId)> on_closed_;
 };
 
 struct Traits : public restinio::default_single_thread_traits_t {
-  using connection_state_listener_t = ClosedListener;
-  using stream_socket_t = ResetAwareSocket;
+  using connection_state_listener_t = StateListener;
+  using stream_socket_t = GuardedSocket;
+  using http_methods_mapper_t = LimitedMethods;
 };
 
 using Server = restinio::http_server_t<Traits>;
@@ -48,7 +69,11 @@
 class LoopHttpServer::Implementation {
  public:
   Implementation(asio::io_context& loop, Options options)
-      : server_(restinio::external_io_context(loop), [&options](auto& settings) {
+      : listener_(std::make_shared<StateListener>(options.input_guard, options.name,
+                                                  std::move(options.on_closed))),
+        server_(restinio::external_io_context(loop), [this, &options](auto& settings) {
+          const ConnectionLimits limits =
+              options.input_guard ? options.input_guard->limits() : ConnectionLimits();
           settings.address(options.address.host)
               .port(options.address.port)
               .handle_request_timeout(kHandleRequestTimeout)
@@ -59,13 +84,19 @@
                                             .max_url_size(kMaxFieldBytes)
                                             .max_field_name_size(kMaxFieldBytes)
                                             .max_field_value_size(kMaxFieldBytes)
+                                            .max_field_count(limits.max_fields)
                                             .max_body_size(options.max_body_bytes))
-              .connection_state_listener(
-                  std::make_shared<ClosedListener>(std::move(options.on_closed)))
-              .request_handler([handler = std::move(options.handler)](auto request) {
-                handler(
-                    request->connection_id(), FromRestinio(*request),
-                    [request](HttpResponse response) { Respond(request, std::move(response)); });
+              .connection_state_listener(listener_)
+              .request_handler([this, handler = std::move(options.handler)](auto request) {
+                handler(request->connection_id(), FromRestinio(*request),
+                        [request, input = listener_->InputOf(request->connection_id())](
+                            HttpResponse response) {
+                          if (input == nullptr) return Respond(request, std::move(response));
+                          input->OnAnswered();
+                          // The next request may have arrived already.
+                          const InputScope scope(*input);
+                          Respond(request, std::move(response));
+                        });
                 return restinio::request_accepted();
               });
         }) {
@@ -77,6 +108,7 @@
   Implementation& operator=(const Implementation&) = delete;
 
  private:
+  const std::shared_ptr<StateListener> listener_;
   Server server_;
 };
 
--- a/src/adapters/loop_http_server.h
+++ b/src/adapters/loop_http_server.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "adapters/http_message.h"
 #include "adapters/listen_address.h"
@@ -15,6 +16,8 @@
 
 namespace zinniamux::adapters {
 
+class InputGuard;
+
 // All callbacks and calls are on the loop. The loop outlives the server and every responder.
 class LoopHttpServer {
  public:
@@ -25,6 +28,9 @@
 
   struct Options {
     ListenAddress address;
+    // Counts the input of this listener under `name`; null for no totals. Outlives the server.
+    InputGuard* input_guard = nullptr;
+    std::string name = "http";
     std::size_t max_body_bytes = 1U << 20U;
     // A connection without a request is closed after this time.
     std::chrono::milliseconds idle_timeout{60'000};
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -151,6 +151,46 @@
   return bounds;
 }
 
+InputLimits ReadInputLimits(CheckedObject object) {
+  // One announcement of 4 MiB beside ordinary requests.
+  constexpr std::int64_t kMinInputBytes = 6LL << 20U;
+  constexpr std::int64_t kMaxInputBytes = 1LL << 30U;
+  constexpr std::int64_t kMinConnections = 16;
+  constexpr std::int64_t kMaxConnections = 1'000'000;
+  // Heads of 8 KiB are always served; the parser itself takes at most 80 KiB.
+  constexpr std::int64_t kMinHeadBytes = 8192 + 4096;
+  constexpr std::int64_t kMaxHeadBytes = 65'536;
+  constexpr std::int64_t kMinFields = 32;
+  constexpr std::int64_t kMaxFields = 1000;
+  constexpr std::int64_t kMinChunkOverheadBytes = 65'536;
+  constexpr std::int64_t kMaxChunkOverheadBytes = 64LL << 20U;
+  constexpr std::int64_t kMinStallMs = 1000;
+  constexpr std::int64_t kMaxStallMs = 60'000;
+  InputLimits limits;
+  const auto read_size = [&object](std::string_view key, std::int64_t lowest, std::int64_t highest,
+                                   std::size_t fallback) {
+    return static_cast<std::size_t>(
+        object.Integer(key, lowest, highest, static_cast<std::int64_t>(fallback)));
+  };
+  if (object.Has("max_input_bytes")) {
+    limits.max_input_bytes = read_size("max_input_bytes", kMinInputBytes, kMaxInputBytes, 0);
+  }
+  if (object.Has("max_connections")) {
+    limits.max_connections = read_size("max_connections", kMinConnections, kMaxConnections, 0);
+  }
+  ConnectionLimits& connection = limits.connection;
+  connection.max_head_bytes =
+      read_size("max_head_bytes", kMinHeadBytes, kMaxHeadBytes, connection.max_head_bytes);
+  connection.max_fields = read_size("max_fields", kMinFields, kMaxFields, connection.max_fields);
+  connection.max_chunk_overhead_bytes =
+      read_size("max_chunk_overhead_bytes", kMinChunkOverheadBytes, kMaxChunkOverheadBytes,
+                connection.max_chunk_overhead_bytes);
+  limits.stall_limit = milliseconds(
+      object.Integer("stall_ms", kMinStallMs, kMaxStallMs, limits.stall_limit.count()));
+  object.Finish();
+  return limits;
+}
+
 DispatcherSettings ReadDispatcher(CheckedObject object) {
   DispatcherSettings dispatcher;
   dispatcher.id = object.Id("id");
@@ -163,6 +203,9 @@
   if (std::optional<CheckedObject> bounds = object.Object("bounds")) {
     dispatcher.bounds = ReadBounds(*std::move(bounds));
   }
+  if (std::optional<CheckedObject> limits = object.Object("limits")) {
+    dispatcher.limits = ReadInputLimits(*std::move(limits));
+  }
   object.Finish();
   return dispatcher;
 }
@@ -179,6 +222,9 @@
   if (std::optional<CheckedObject> bounds = object.Object("bounds")) {
     supervisor.bounds = ReadBounds(*std::move(bounds));
   }
+  if (std::optional<CheckedObject> limits = object.Object("limits")) {
+    supervisor.limits = ReadInputLimits(*std::move(limits));
+  }
   object.Finish();
   return supervisor;
 }
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "adapters/input_limits.h"
 #include "adapters/json_log.h"
 #include "adapters/listen_address.h"
 #include "core/error_kind.h"
@@ -91,6 +92,7 @@
   ListenAddress metrics;
   std::string store_url;
   LeaseBounds bounds;
+  InputLimits limits;
 };
 
 // Settings of the supervisor role: the agent beside an executor that runs tasks under leases.
@@ -105,6 +107,7 @@
   std::string service;
   std::string store_url;
   LeaseBounds bounds;
+  InputLimits limits;
 };
 
 // Invariant: exactly one of `entry` and `agent` is set.
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -68,6 +68,9 @@
       log_(log),
       incarnation_(TimestampIncarnation()),
       metrics_(clock),
+      input_guard_({.budget = adapters::BudgetOptions(settings.limits),
+                    .connection = settings.limits.connection},
+                   clock, log, metrics_),
       unreadable_rows_(log),
       store_client_({.max_connections_per_host = kMaxStoreConnections}),
       store_({.url = settings.store_url, .deadline = milliseconds(1000)}, store_client_, clock,
@@ -146,6 +149,8 @@
 core::Result<void> DispatcherDaemon::Listen() {
   auto callers = LoopHttpServer::Start(
       loop_, {.address = settings_.caller,
+              .input_guard = &input_guard_,
+              .name = "caller",
               .handler =
                   [this](LoopHttpServer::ConnectionId connection, const HttpRequest& request,
                          HttpResponder responder) {
@@ -166,6 +171,8 @@
   caller_server_ = *std::move(callers);
   auto readiness = LoopHttpServer::Start(
       loop_, {.address = settings_.readiness,
+              .input_guard = &input_guard_,
+              .name = "readiness",
               .handler = [this](LoopHttpServer::ConnectionId, const HttpRequest& request,
                                 const HttpResponder& responder) {
                 constexpr int kOk = 200;
@@ -180,6 +187,8 @@
   readiness_server_ = *std::move(readiness);
   auto metrics = LoopHttpServer::Start(
       loop_, {.address = settings_.metrics,
+              .input_guard = &input_guard_,
+              .name = "metrics",
               .handler = [this](LoopHttpServer::ConnectionId, const HttpRequest& /*request*/,
                                 const HttpResponder& responder) {
                 UpdateGauges();
@@ -231,6 +240,7 @@
   const TimePoint now = clock_.now();
   // What had arrived when the timer was started is read before the timer is handled.
   PostInputHandled(std::exchange(timer_started_at_, now), kInputHops);
+  input_guard_.OnTimer();
   gateway_.OnTimer();
   scheduler_.OnTimer();
   if (shutdown_started_at_ != TimePoint() &&
@@ -419,6 +429,7 @@
 }
 
 void DispatcherDaemon::UpdateGauges() {
+  input_guard_.UpdateGauges();
   metrics_.Set("jobs_open", static_cast<double>(scheduler_.job_count()));
   metrics_.Set("supervisors_attached", static_cast<double>(registry_.connection_count()));
   metrics_.Set("executors_accepting", static_cast<double>(scheduler_.agents_accepting()));
--- a/src/zinniamuxd/dispatcher_daemon.h
+++ b/src/zinniamuxd/dispatcher_daemon.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "adapters/http_client.h"
+#include "adapters/input_guard.h"
 #include "adapters/json_log.h"
 #include "adapters/loop_http_server.h"
 #include "adapters/metrics.h"
@@ -69,6 +70,7 @@
   const std::uint64_t incarnation_;
   asio::io_context loop_;
   adapters::Metrics metrics_;
+  adapters::InputGuard input_guard_;
   // Used by callbacks of store_client_.
   UnreadableRowLog unreadable_rows_;
   adapters::HttpClient store_client_;
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -39,6 +39,7 @@
 // Starts and stops share these connections with hold calls.
 constexpr long kMaxExecutorConnections = 12;
 constexpr long kMaxStoreConnections = 2;
+constexpr std::size_t kMaxAnnouncementBytes = 4U << 20U;
 
 core::RunSupervisor::Options SupervisorOptions(const adapters::LeaseBounds& bounds,
                                                std::uint64_t fencing_token) {
@@ -62,6 +63,9 @@
       log_(log),
       incarnation_(TimestampIncarnation()),
       metrics_(clock),
+      input_guard_({.budget = adapters::BudgetOptions(settings.limits),
+                    .connection = settings.limits.connection},
+                   clock, log, metrics_),
       // The incarnation is the fencing token: later processes of this VM get higher ones.
       run_supervisor_(SupervisorOptions(settings.bounds, incarnation_), clock, steady_clock),
       unreadable_rows_(log),
@@ -80,6 +84,9 @@
 core::Result<void> SupervisorDaemon::Listen() {
   auto local = LoopHttpServer::Start(
       loop_, {.address = settings_.local,
+              .input_guard = &input_guard_,
+              .name = "local",
+              .max_body_bytes = kMaxAnnouncementBytes,
               .handler = [this](LoopHttpServer::ConnectionId, const HttpRequest& request,
                                 const HttpResponder& responder) {
                 responder(OnExecutorRequest(request));
@@ -89,6 +96,8 @@
   local_server_ = *std::move(local);
   auto metrics = LoopHttpServer::Start(
       loop_, {.address = settings_.metrics,
+              .input_guard = &input_guard_,
+              .name = "metrics",
               .handler = [this](LoopHttpServer::ConnectionId, const HttpRequest& /*request*/,
                                 const HttpResponder& responder) {
                 UpdateGauges();
@@ -553,6 +562,7 @@
 }
 
 void SupervisorDaemon::OnTimer() {
+  input_guard_.OnTimer();
   run_supervisor_.OnTimer();
   RunActions();
   for (auto& [id, link] : links_) link->OnTimer();
@@ -594,6 +604,7 @@
 }
 
 void SupervisorDaemon::UpdateGauges() {
+  input_guard_.UpdateGauges();
   metrics_.Set("runs", static_cast<double>(run_supervisor_.run_count()));
   metrics_.Set("waiting_orders", static_cast<double>(run_supervisor_.waiting_count()));
   metrics_.Set("free_cpu_milli", static_cast<double>(run_supervisor_.free_room().cpu_milli));
--- a/src/zinniamuxd/supervisor_daemon.h
+++ b/src/zinniamuxd/supervisor_daemon.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "adapters/http_client.h"
+#include "adapters/input_guard.h"
 #include "adapters/json_log.h"
 #include "adapters/loop_http_server.h"
 #include "adapters/metrics.h"
@@ -93,6 +94,7 @@
   const std::uint64_t incarnation_;
   asio::io_context loop_;
   adapters::Metrics metrics_;
+  adapters::InputGuard input_guard_;
   core::RunSupervisor run_supervisor_;
   // Used by callbacks of store_client_.
   UnreadableRowLog unreadable_rows_;
--- a/tests/support/leased_deployment.cc
+++ b/tests/support/leased_deployment.cc
@@ -130,7 +130,8 @@
       << "\n  rpc: " << Loopback(dispatcher.rpc_port)
       << "\n  metrics: " << Loopback(dispatcher.metrics_port) << "\n  store: http://"
       << Loopback(store_port_) << '\n'
-      << kBounds << "log:\n  file: " << (directory_ / (dispatcher.id + ".log")).string() << '\n';
+      << kBounds << options_.limits
+      << "log:\n  file: " << (directory_ / (dispatcher.id + ".log")).string() << '\n';
   dispatcher.process = StartDaemon(dispatcher.id);
 }
 
@@ -143,7 +144,8 @@
       << "\n  executor: " << Loopback(supervisor.executor_proxy->port())
       << "\n  service: " << kService << "\n  store: http://" << Loopback(supervisors_store_port_)
       << '\n'
-      << kBounds << "log:\n  file: " << (directory_ / (supervisor.id + ".log")).string() << '\n';
+      << kBounds << options_.limits
+      << "log:\n  file: " << (directory_ / (supervisor.id + ".log")).string() << '\n';
   supervisor.process = StartDaemon(supervisor.id);
 }
 
--- a/tests/support/leased_deployment.h
+++ b/tests/support/leased_deployment.h
@@ -34,6 +34,8 @@
     bool refuses_second_copies = false;
     // The zinniamuxd to run; that of the build if it is empty.
     std::string daemon;
+    // YAML of the key `limits` of every process; empty for the defaults.
+    std::string limits;
   };
 
   // What each task takes, and what an executor has.
@@ -61,6 +63,17 @@
   // Starts the process again after its end.
   void StartSupervisor(std::size_t index);
   std::vector<std::uint16_t> caller_ports() const;
+  // Listeners of the processes themselves, without a proxy.
+  std::uint16_t caller_port(std::size_t index) const { return dispatchers_[index].caller_port; }
+  std::uint16_t readiness_port(std::size_t index) const {
+    return dispatchers_[index].readiness_port;
+  }
+  std::uint16_t rpc_port(std::size_t index) const { return dispatchers_[index].rpc_port; }
+  std::uint16_t metrics_port(std::size_t index) const { return dispatchers_[index].metrics_port; }
+  std::uint16_t local_port(std::size_t index) const { return supervisors_[index].local_port; }
+  std::uint16_t supervisor_metrics_port(std::size_t index) const {
+    return supervisors_[index].metrics_port;
+  }
   const RunRecords& records() const { return records_; }
   // Settings and logs of the processes.
   const std::filesystem::path& directory() const { return directory_; }
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -137,3 +137,49 @@
   AssertReports(message, "1150 ms");
   AssertReports(message, "less than the 800 ms");
 }
+
+// Guards against limits that are lost, and against defaults that an ordinary client could meet.
+Test(settings, reads_limits_of_input) {
+  const std::string dispatcher = R"(version: 1
+dispatcher:
+  id: dispatcher-1
+  availability_zone: oslo
+  caller: 127.0.0.1:34001
+  readiness: 127.0.0.1:34002
+  rpc: 127.0.0.1:34003
+  metrics: 127.0.0.1:34004
+  store: http://127.0.0.1:34090
+)";
+  const TemporaryFolder folder("settings_limits");
+  const auto defaults = LoadSettings(folder.Write("defaults.yaml", dispatcher));
+  cr_assert(defaults.has_value());
+  cr_assert(!defaults->dispatcher->limits.max_input_bytes.has_value());
+  cr_assert_geq(defaults->dispatcher->limits.connection.max_head_bytes, 8192U);
+  const auto set = LoadSettings(folder.Write(
+      "set.yaml", dispatcher + "  limits:\n    max_input_bytes: 8388608\n    max_connections: 100\n"
+                               "    max_head_bytes: 16384\n    max_fields: 64\n"
+                               "    max_chunk_overhead_bytes: 65536\n    stall_ms: 2000\n"));
+  cr_assert(set.has_value());
+  const auto& limits = set->dispatcher->limits;
+  cr_assert_eq(limits.max_input_bytes.value(), 8'388'608U);
+  cr_assert_eq(limits.max_connections.value(), 100U);
+  cr_assert_eq(limits.connection.max_head_bytes, 16'384U);
+  cr_assert_eq(limits.connection.max_fields, 64U);
+  cr_assert_eq(limits.connection.max_chunk_overhead_bytes, 65'536U);
+  cr_assert_eq(limits.stall_limit.count(), 2000);
+  AssertReports(MessageFor(dispatcher + "  limits:\n    max_input_bytes: 1000\n"),
+                "max_input_bytes");
+  AssertReports(MessageFor(dispatcher + "  limits:\n    max_inputs: 1000\n"), "max_inputs");
+}
+
+// Guards against defaults that do not fit the smallest VMs: 120 MB and 3,075 descriptors.
+Test(settings, default_limits_follow_memory_and_descriptors) {
+  using zinniamux::adapters::MaxConnections;
+  using zinniamux::adapters::MaxInputBytes;
+  cr_assert_eq(MaxInputBytes(120'000'000), 15'000'000U);
+  cr_assert_eq(MaxInputBytes(0), 8U << 20U);
+  cr_assert_eq(MaxInputBytes(32'000'000'000), 64U << 20U);
+  cr_assert_eq(MaxConnections(3075), 2563U);
+  cr_assert_eq(MaxConnections(256), 128U);
+  cr_assert_eq(MaxConnections(1'000'000), 4096U);
+}
