link, dispatcher: bound what unfinished frames at rpc hold

A client of a dispatcher's rpc address that sent four bytes made it set aside and fill the announced length of up to 4 MiB, and the number of connections was not bounded. Frames are now read in pieces that double, long buffers are released after their frame, and connections and unfinished frames count in the process's input budget; links of known supervisors are closed last.

--- a/src/adapters/input_guard.cc
+++ b/src/adapters/input_guard.cc
@@ -119,6 +119,22 @@
   guard_.Close(guard_.budget_.TakeExcess(now));
 }
 
+void ConnectionInput::OnMessagePart(std::size_t held_bytes) {
+  if (dropped_) return;
+  const core::TimePoint now = guard_.clock_.now();
+  guard_.budget_.OnInput(id_, held_bytes, now);
+  guard_.Close(guard_.budget_.TakeExcess(now));
+}
+
+void ConnectionInput::OnMessageComplete() {
+  guard_.budget_.OnInputComplete(id_, guard_.clock_.now());
+}
+
+void ConnectionInput::OnPeerKnown() {
+  requests_ = 1;
+  ReportOutput();
+}
+
 void ConnectionInput::OnWriting(std::size_t bytes) {
   unread_bytes_ = bytes;
   ReportOutput();
@@ -136,6 +152,7 @@
 
 void ConnectionInput::OnClosed() {
   socket_ = nullptr;
+  close_ = nullptr;
   guard_.budget_.OnClosed(id_);
   // Destroys this object at the earliest when its socket is destroyed.
   guard_.inputs_.erase(id_);
@@ -163,6 +180,7 @@
 void ConnectionInput::Drop(RefusalCause cause) {
   if (std::exchange(dropped_, true)) return;
   Refuse(cause);
+  if (close_) close_();
   if (socket_ == nullptr) return;
   asio::error_code ignored;
   socket_->cancel(ignored);
--- a/src/adapters/input_guard.h
+++ b/src/adapters/input_guard.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -47,6 +48,13 @@
 
   // `socket` outlives the connection or its OnClosed.
   void Attach(asio::ip::tcp::socket& socket) { socket_ = &socket; }
+  // For a connection without HTTP, which `close` closes in a later event.
+  void SetDropHandler(std::function<void()> close) { close_ = std::move(close); }
+  // A part of a message has arrived, or the rest of it.
+  void OnMessagePart(std::size_t held_bytes);
+  void OnMessageComplete();
+  // The peer has introduced itself: the connection is closed after all others.
+  void OnPeerKnown();
   void OnRead(std::size_t bytes) { wire_bytes_ += bytes; }
   // The bytes that were read are parsed.
   void OnParsed();
@@ -85,6 +93,7 @@
   const std::uint64_t id_;
   const std::string listener_;
   asio::ip::tcp::socket* socket_ = nullptr;
+  std::function<void()> close_;
   Phase phase_ = Phase::kIdle;
   // Since the end of the last complete request.
   std::size_t wire_bytes_ = 0;
--- a/src/link/frame_connection.cc
+++ b/src/link/frame_connection.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <asio/read.hpp>
@@ -55,16 +56,34 @@
   if (size > options_.max_frame_bytes) {
     return CloseWithError("frame of " + std::to_string(size) + " bytes exceeds the limit");
   }
-  body_.resize(size);
-  asio::async_read(socket_, asio::buffer(body_),
+  frame_bytes_ = size;
+  body_.clear();
+  ReadPiece();
+}
+
+void FrameConnection::ReadPiece() {
+  const std::size_t received = body_.size();
+  body_.resize(std::min(frame_bytes_, std::max(kFirstPieceBytes, 2 * received)));
+  asio::async_read(socket_, asio::buffer(body_) + received,
                    [self = shared_from_this()](const asio::error_code& error, std::size_t) {
                      if (self->closed_) return;
                      if (error) return self->CloseWithError(error.message());
-                     self->handlers_.on_frame(self->body_);
-                     if (!self->closed_) self->ReadHeader();
+                     self->OnPiece();
                    });
 }
 
+void FrameConnection::OnPiece() {
+  if (body_.size() < frame_bytes_) {
+    if (handlers_.on_part) handlers_.on_part(body_.capacity());
+    if (!closed_) ReadPiece();
+    return;
+  }
+  handlers_.on_frame(body_);
+  if (closed_) return;
+  if (body_.capacity() > kKeptBytes) std::string().swap(body_);
+  ReadHeader();
+}
+
 void FrameConnection::Send(std::string_view frame) {
   if (closed_) return;
   if (queued_.size() + frame.size() > options_.max_queued_bytes) {
--- a/src/link/frame_connection.h
+++ b/src/link/frame_connection.h
@@ -17,6 +17,10 @@
 // the socket's event loop. Created with std::make_shared.
 class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
  public:
+  // A frame is read in pieces, so that an announced length alone takes no memory. Most frames are
+  // one piece.
+  static constexpr std::size_t kFirstPieceBytes = 4096;
+
   struct Options {
     // A longer frame is a protocol error and closes the connection.
     std::size_t max_frame_bytes = 4U << 20U;
@@ -27,6 +31,8 @@
   };
   struct Handlers {
     std::function<void(std::string_view frame)> on_frame;
+    // Part of a long frame has arrived and takes this much memory; optional.
+    std::function<void(std::size_t held_bytes)> on_part;
     // Called once when the connection fails, but not after Close.
     std::function<void(const std::string& reason)> on_closed;
   };
@@ -43,10 +49,15 @@
 
  private:
   static constexpr std::size_t kHeaderBytes = 4;
+  // The buffer of a longer frame is released after it.
+  static constexpr std::size_t kKeptBytes = 65'536;
 
   void SetSocketOptions();
   void ReadHeader();
   void ReadBody(std::size_t size);
+  // Reads as much again as has arrived of the frame.
+  void ReadPiece();
+  void OnPiece();
   void WriteQueued();
   void CloseWithError(const std::string& reason);
 
@@ -54,7 +65,9 @@
   const Options options_;
   Handlers handlers_;
   std::array<unsigned char, kHeaderBytes> header_{};
+  // The frame, as far as it has arrived, and its length.
   std::string body_;
+  std::size_t frame_bytes_ = 0;
   // Encoded frames that wait for the next write, and those of the current write.
   std::string queued_;
   std::string writing_;
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -2,6 +2,7 @@
 #include "zinniamuxd/supervisor_registry.h"
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <utility>
 
 #include "zinniamuxd/run_codec.h"
@@ -66,10 +67,30 @@
   peers_.push_back(peer);
   peer->connection->Start(
       {.on_frame = [this, peer](std::string_view bytes) { OnFrame(peer, bytes); },
+       .on_part =
+           [peer](std::size_t held_bytes) {
+             if (peer->input) peer->input->OnMessagePart(held_bytes);
+           },
        .on_closed = [this, peer](const std::string& reason) { ClosePeer(peer, reason); }});
+  OpenInput(peer);
+}
+
+void SupervisorRegistry::OpenInput(const std::shared_ptr<Peer>& peer) {
+  if (options_.input_guard == nullptr) return;
+  peer->input = options_.input_guard->Open("rpc");
+  if (peer->input->dropped()) return ClosePeer(peer, "too many connections");
+  // Posted because another peer's frame may be the reason and is being handled.
+  peer->input->SetDropHandler([this, weak = std::weak_ptr<Peer>(peer)] {
+    asio::post(loop_, [this, weak] {
+      if (const auto dropped = weak.lock()) ClosePeer(dropped, "input over the limits");
+    });
+  });
 }
 
 void SupervisorRegistry::OnFrame(const std::shared_ptr<Peer>& peer, std::string_view bytes) {
+  if (peer->input && bytes.size() > link::FrameConnection::kFirstPieceBytes) {
+    peer->input->OnMessageComplete();
+  }
   runs::AgentFrame frame;
   if (!frame.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     return ClosePeer(peer, "malformed frame");
@@ -141,6 +162,7 @@
   }
   peer->supervisor_id = hello.agent_id();
   peers_by_supervisor_[peer->supervisor_id] = peer;
+  if (peer->input) peer->input->OnPeerKnown();
   std::vector<core::RunId> held;
   for (const runs::RunRef& run : hello.held_runs()) held.push_back(FromMessage(run));
   handlers_.on_attached(peer->supervisor_id, hello.availability_zone(), hello.incarnation(), held);
@@ -156,6 +178,7 @@
   const auto position = std::find(peers_.begin(), peers_.end(), peer);
   if (position == peers_.end()) return;
   peers_.erase(position);
+  if (peer->input) peer->input->OnClosed();
   const auto registered = peers_by_supervisor_.find(peer->supervisor_id);
   if (registered == peers_by_supervisor_.end() || registered->second != peer) return;
   peers_by_supervisor_.erase(registered);
--- a/src/zinniamuxd/supervisor_registry.h
+++ b/src/zinniamuxd/supervisor_registry.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "adapters/input_guard.h"
 #include "adapters/listen_address.h"
 #include "core/clock.h"
 #include "core/clock_offset.h"
@@ -39,6 +40,8 @@
     std::chrono::milliseconds heartbeat{300};
     // A connection is closed when no frame arrives for this long: three heartbeats.
     std::chrono::milliseconds silence_limit{900};
+    // Counts connections and unfinished frames; null for no limits. Outlives the registry.
+    adapters::InputGuard* input_guard = nullptr;
   };
   // A hello that arrived after one that the supervisor sent later.
   struct OutdatedHello {
@@ -94,6 +97,8 @@
  private:
   struct Peer {
     std::shared_ptr<link::FrameConnection> connection;
+    // Null without an input guard.
+    std::shared_ptr<adapters::ConnectionInput> input;
     std::string supervisor_id;
     core::TimePoint last_received_at;
     core::TimePoint last_sent_at;
@@ -111,6 +116,8 @@
 
   void Accept();
   void AddPeer(asio::ip::tcp::socket socket);
+  // Counts the input of the peer, if there is an input guard.
+  void OpenInput(const std::shared_ptr<Peer>& peer);
   void OnFrame(const std::shared_ptr<Peer>& peer, std::string_view bytes);
   // Returns false if the hello is outdated; `peer` is closed then.
   bool OnHello(const std::shared_ptr<Peer>& peer, const runs::AgentHello& hello,
--- a/tests/integration/input_limits_test.cc
+++ b/tests/integration/input_limits_test.cc
@@ -103,9 +103,15 @@
   void Check(ChildProcess& process, std::uint16_t port, const Attack& attack) {
     Clients clients(port);
     attack(clients);
+    CheckListener(port);
+    CheckProcess(process);
+  }
+  void CheckListener(std::uint16_t port) {
     const std::string url = "http://127.0.0.1:" + std::to_string(port) + "/ready";
     cr_expect(WaitFor([&] { return client_.SendAndWait({.url = url}).status != 0; }),
               "the attacked listener answers");
+  }
+  void CheckProcess(ChildProcess& process) {
     cr_expect(WaitFor([this] { return RunJob(); }), "an ordinary job is answered");
     cr_assert(process.running());
     const std::size_t peak = PeakKilobytes(process);
@@ -219,3 +225,16 @@
   fixture.Check(deployment.dispatcher(0), deployment.metrics_port(0), attack);
   fixture.Check(deployment.supervisor(0), deployment.supervisor_metrics_port(0), attack);
 }
+
+// Guards against links that set aside the announced length of a frame: 4 bytes cost 4 MiB.
+Test(input_limits, frames_that_end_short) {
+  constexpr std::size_t kFrameBytes = 4U << 20U;
+  const std::string header{'\x00', '\x40', '\x00', '\x00'};
+  Fixture fixture;
+  LeasedDeployment& deployment = fixture.deployment();
+  Clients clients(deployment.rpc_port(0));
+  clients.Send(60, header);
+  clients.Send(40, header + std::string(kFrameBytes - 1, 'x'));
+  clients.Send(200, header.substr(0, 1));
+  fixture.CheckProcess(deployment.dispatcher(0));
+}
