entry, agent: bound what one connection of the HTTP listeners holds

Chunked bodies and heads with many small fields cost these roles as much as the dispatcher. Their server uses the same parser callbacks now, at most 128 fields, and RESTinio's limit on connections, below the descriptors: a failed accept would end RESTinio's accepting for good. There is no byte budget for these roles.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -5,6 +5,8 @@
 #include <restinio/all.hpp>
 #include <utility>
 
+#include "adapters/input_limits.h"
+#include "adapters/parser_hooks.h"
 #include "adapters/restinio_messages.h"
 
 namespace zinniamux::adapters {
@@ -14,23 +16,36 @@
 constexpr std::chrono::minutes kHandleRequestTimeout{11};
 constexpr std::chrono::seconds kReadTimeout{60};
 constexpr std::uint64_t kMaxHeaderBytes = 8192;
+// A process has a caller and an admin listener. Beyond its share a server stops accepting, which is
+// better than a failed accept: after that RESTinio never accepts again.
+constexpr std::size_t kListeners = 2;
+
+// Without the records of chunks that clients control.
+struct Traits : public restinio::default_traits_t {
+  using http_methods_mapper_t = LimitedMethods;
+  // RESTinio's name.
+  static constexpr bool use_connection_count_limiter =  // NOLINT(readability-identifier-naming)
+      true;
+};
 
 }  // namespace
 
 class HttpServer::Implementation {
  public:
   Implementation(const Options& options, HttpHandler handler)
-      : server_(restinio::run_async(
+      : server_(restinio::run_async<Traits>(
             restinio::own_io_context(),
-            restinio::server_settings_t<>{}
+            restinio::server_settings_t<Traits>{}
                 .address(options.address)
                 .port(options.port)
+                .max_parallel_connections(BudgetOptions(InputLimits()).max_connections / kListeners)
                 .handle_request_timeout(kHandleRequestTimeout)
                 .read_next_http_message_timelimit(kReadTimeout)
                 .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                               .max_url_size(kMaxHeaderBytes)
                                               .max_field_name_size(kMaxHeaderBytes)
                                               .max_field_value_size(kMaxHeaderBytes)
+                                              .max_field_count(ConnectionLimits().max_fields)
                                               .max_body_size(options.max_body_bytes))
                 .request_handler(
                     [handler = std::move(handler)](const restinio::request_handle_t& request) {
@@ -47,7 +62,7 @@
   }
 
  private:
-  restinio::running_server_handle_t<restinio::default_traits_t> server_;
+  restinio::running_server_handle_t<Traits> server_;
 };
 
 HttpServer::HttpServer(std::unique_ptr<Implementation> implementation)
--- a/tests/integration/input_limits_test.cc
+++ b/tests/integration/input_limits_test.cc
@@ -93,6 +93,16 @@
   return static_cast<std::size_t>(std::distance(begin(open), end(open)));
 }
 
+void CheckBounds(ChildProcess& process) {
+  cr_assert(process.running());
+  const std::size_t peak = PeakKilobytes(process);
+  const std::size_t descriptors = Descriptors(process);
+  cr_log_info("peak %zu KiB, descriptors %zu", peak, descriptors);
+  cr_expect_gt(peak, 0);
+  cr_expect_lt(peak, kMaxPeakKilobytes);
+  cr_expect_lt(descriptors, kMaxDescriptors);
+}
+
 class Fixture {
  public:
   Fixture() : deployment_({.dispatchers = 1, .supervisors = 1, .limits = kLimits}) {}
@@ -111,15 +121,10 @@
     cr_expect(WaitFor([&] { return client_.SendAndWait({.url = url}).status != 0; }),
               "the attacked listener answers");
   }
+  // The job is for the dispatcher.
   void CheckProcess(ChildProcess& process) {
     cr_expect(WaitFor([this] { return RunJob(); }), "an ordinary job is answered");
-    cr_assert(process.running());
-    const std::size_t peak = PeakKilobytes(process);
-    const std::size_t descriptors = Descriptors(process);
-    cr_log_info("peak %zu KiB, descriptors %zu", peak, descriptors);
-    cr_expect_gt(peak, 0);
-    cr_expect_lt(peak, kMaxPeakKilobytes);
-    cr_expect_lt(descriptors, kMaxDescriptors);
+    CheckBounds(process);
   }
   // Against the listeners that take bodies.
   void CheckBoth(const Attack& attack) {
@@ -238,3 +243,17 @@
   clients.Send(200, header.substr(0, 1));
   fixture.CheckProcess(deployment.dispatcher(0));
 }
+
+// Guards against the same at the demo's roles, which share the parser's callbacks.
+Test(input_limits, entry_and_agent) {
+  zinniamux::testing::Deployment deployment({.entries = 1, .agents = 1});
+  Clients callers(deployment.entry(0).caller_port);
+  Clients executors(deployment.agent(0).local_port);
+  for (Clients* clients : {&callers, &executors}) {
+    clients->Send(12, kChunkedHead + Repeated(Chunk(1), kBodyBytes));
+    clients->Send(60, "GET / HTTP/1.1\r\n" + Repeated("a:b\r\n", 15'000));
+  }
+  cr_expect(WaitFor([&deployment] { return deployment.Ready(0); }));
+  CheckBounds(*deployment.entry(0).process);
+  CheckBounds(*deployment.agent(0).process);
+}
