--- a/tests/integration/input_limits_test.cc
+++ b/tests/integration/input_limits_test.cc
@@ -11,10 +11,12 @@
 #include <fstream>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "adapters/http_client.h"
 #include "adapters/steady_clock.h"
+#include "platform/names.h"
 #include "support/child_process.h"
 #include "support/deployment.h"
 #include "support/leased_deployment.h"
@@ -133,6 +135,18 @@
   }
 
   LeasedDeployment& deployment() { return deployment_; }
+  // The status of one request, 0 without an answer.
+  int Send(const std::string& method, std::uint16_t port, const std::string& path,
+           std::string body) {
+    return client_
+        .SendAndWait({.method = method,
+                      .url = "http://127.0.0.1:" + std::to_string(port) + path,
+                      .headers = {{"Host", LeasedDeployment::kHost}},
+                      .body = std::move(body),
+                      .timeout = std::chrono::seconds(60),
+                      .fresh_connection = true})
+        .status;
+  }
 
  private:
   bool RunJob() {
@@ -257,3 +271,25 @@
   CheckBounds(*deployment.entry(0).process);
   CheckBounds(*deployment.agent(0).process);
 }
+
+// Guards against limits that ordinary clients meet: the handlers' own answers to bodies of 1 MiB,
+// announcements of 4 MiB and heads of 8 KiB.
+Test(input_limits, requests_at_the_limits_are_served) {
+  constexpr int kBadRequest = 400;
+  constexpr int kNotFound = 404;
+  constexpr std::size_t kJobBytes = 1U << 20U;
+  constexpr std::size_t kAnnouncementBytes = 4U << 20U;
+  constexpr std::size_t kHeadBytes = 8000;
+  Fixture fixture;
+  LeasedDeployment& deployment = fixture.deployment();
+  cr_expect_eq(fixture.Send("POST", deployment.caller_port(0), "/jobs/1000000000000001",
+                            std::string(kJobBytes, 'x')),
+               kBadRequest);
+  cr_expect_eq(fixture.Send("PUT", deployment.local_port(0),
+                            std::string(zinniamux::platform::kInstancePathPrefix) + "executor-9",
+                            std::string(kAnnouncementBytes, 'x')),
+               kBadRequest);
+  cr_expect_eq(
+      fixture.Send("GET", deployment.caller_port(0), "/" + std::string(kHeadBytes, 'p'), ""),
+      kNotFound);
+}
