--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -77,70 +77,66 @@
              [this](const core::UnreadableRow& row) { unreadable_rows_.Write(row); }),
       scheduler_(SchedulerOptions(settings), clock),
       gateway_(scheduler_, clock, log, metrics_),
-      registry_(loop_,
-                {.address = settings.rpc,
-                 .entry_id = settings.id,
-                 .incarnation = incarnation_,
-                 .input_guard = &input_guard_},
-                clock,
-                {.on_attached =
-                     [this](const std::string& supervisor, const std::string& zone,
-                            std::uint64_t incarnation, const std::vector<core::RunId>& held) {
-                       log_.Write(
-                           LogLevel::kInfo, "supervisor_attached",
-                           {{"agent", supervisor}, {"zone", zone}, {"held_runs", held.size()}});
-                       scheduler_.OnAgentAttached(supervisor, zone, incarnation, held);
-                     },
-                 .on_detached =
-                     [this](const std::string& supervisor, const std::string& reason) {
-                       log_.Write(LogLevel::kWarning, "supervisor_detached",
-                                  {{"agent", supervisor}, {"reason", reason}});
-                       scheduler_.OnAgentDetached(supervisor);
-                     },
-                 .on_hello_outdated =
-                     [this](const SupervisorRegistry::OutdatedHello& hello) {
-                       log_.Write(LogLevel::kWarning, "supervisor_hello_outdated",
-                                  {{"agent", hello.supervisor_id},
-                                   {"incarnation", hello.incarnation},
-                                   {"newer_incarnation", hello.newer_incarnation},
-                                   {"age_ms", hello.age.count()}});
-                     },
-                 .on_report =
-                     [this](const std::string& supervisor, core::ExecutorReport report) {
-                       scheduler_.OnReport(supervisor, std::move(report));
-                     },
-                 .on_update =
-                     [this](const std::string& supervisor, const core::RunId& id,
-                            core::RunOutcome outcome, core::Duration elapsed) {
-                       metrics_.Add("runs_ended_total", 1, {{"outcome", NameOf(outcome)}});
-                       if (outcome != core::RunOutcome::kDone) {
-                         log_.Write(LogLevel::kInfo, "run_ended",
-                                    {{"job", id.task.job_id},
-                                     {"step", id.task.step},
-                                     {"task", id.task.index},
-                                     {"run", id.run},
-                                     {"agent", supervisor},
-                                     {"outcome", NameOf(outcome)}});
-                       }
-                       scheduler_.OnRunUpdate(supervisor, id, outcome, elapsed);
-                     },
-                 .on_configuration =
-                     [this](std::uint64_t /*version*/, const std::string& body) {
-                       OnConfiguration(body, "supervisor");
-                     },
-                 .on_message_delay =
-                     [this](const std::string& supervisor, core::Duration delay) {
-                       ++messages_handled_;
-                       message_delays_.Record(delay);
-                       backlog_.OnMessage(supervisor, delay, clock_.now());
-                     },
-                 .input_handled = [this] { return scheduler_.InputHandled(); },
-                 .on_frame_handled =
-                     [this] {
-                       DetectStall();
-                       scheduler_.Place();
-                       RunActions();
-                     }}),
+      registry_(
+          loop_, {.address = settings.rpc, .entry_id = settings.id, .incarnation = incarnation_},
+          clock,
+          {.on_attached =
+               [this](const std::string& supervisor, const std::string& zone,
+                      std::uint64_t incarnation, const std::vector<core::RunId>& held) {
+                 log_.Write(LogLevel::kInfo, "supervisor_attached",
+                            {{"agent", supervisor}, {"zone", zone}, {"held_runs", held.size()}});
+                 scheduler_.OnAgentAttached(supervisor, zone, incarnation, held);
+               },
+           .on_detached =
+               [this](const std::string& supervisor, const std::string& reason) {
+                 log_.Write(LogLevel::kWarning, "supervisor_detached",
+                            {{"agent", supervisor}, {"reason", reason}});
+                 scheduler_.OnAgentDetached(supervisor);
+               },
+           .on_hello_outdated =
+               [this](const SupervisorRegistry::OutdatedHello& hello) {
+                 log_.Write(LogLevel::kWarning, "supervisor_hello_outdated",
+                            {{"agent", hello.supervisor_id},
+                             {"incarnation", hello.incarnation},
+                             {"newer_incarnation", hello.newer_incarnation},
+                             {"age_ms", hello.age.count()}});
+               },
+           .on_report =
+               [this](const std::string& supervisor, core::ExecutorReport report) {
+                 scheduler_.OnReport(supervisor, std::move(report));
+               },
+           .on_update =
+               [this](const std::string& supervisor, const core::RunId& id,
+                      core::RunOutcome outcome, core::Duration elapsed) {
+                 metrics_.Add("runs_ended_total", 1, {{"outcome", NameOf(outcome)}});
+                 if (outcome != core::RunOutcome::kDone) {
+                   log_.Write(LogLevel::kInfo, "run_ended",
+                              {{"job", id.task.job_id},
+                               {"step", id.task.step},
+                               {"task", id.task.index},
+                               {"run", id.run},
+                               {"agent", supervisor},
+                               {"outcome", NameOf(outcome)}});
+                 }
+                 scheduler_.OnRunUpdate(supervisor, id, outcome, elapsed);
+               },
+           .on_configuration =
+               [this](std::uint64_t /*version*/, const std::string& body) {
+                 OnConfiguration(body, "supervisor");
+               },
+           .on_message_delay =
+               [this](const std::string& supervisor, core::Duration delay) {
+                 ++messages_handled_;
+                 message_delays_.Record(delay);
+                 backlog_.OnMessage(supervisor, delay, clock_.now());
+               },
+           .input_handled = [this] { return scheduler_.InputHandled(); },
+           .on_frame_handled =
+               [this] {
+                 DetectStall();
+                 scheduler_.Place();
+                 RunActions();
+               }}),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       timer_(loop_),
       stall_detector_(settings.bounds.run_ends.stall_limit()),
@@ -200,6 +196,7 @@
               }});
   if (!metrics) return tl::unexpected(metrics.error());
   metrics_server_ = *std::move(metrics);
+  registry_.LimitInput(input_guard_);
   return registry_.Listen();
 }
 
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -76,8 +76,8 @@
 }
 
 void SupervisorRegistry::OpenInput(const std::shared_ptr<Peer>& peer) {
-  if (options_.input_guard == nullptr) return;
-  peer->input = options_.input_guard->Open("rpc");
+  if (input_guard_ == nullptr) return;
+  peer->input = input_guard_->Open("rpc");
   if (peer->input->dropped()) return ClosePeer(peer, "too many connections");
   // Posted because another peer's frame may be the reason and is being handled.
   peer->input->SetDropHandler([this, weak = std::weak_ptr<Peer>(peer)] {
--- a/src/zinniamuxd/supervisor_registry.h
+++ b/src/zinniamuxd/supervisor_registry.h
@@ -40,8 +40,6 @@
     std::chrono::milliseconds heartbeat{300};
     // A connection is closed when no frame arrives for this long: three heartbeats.
     std::chrono::milliseconds silence_limit{900};
-    // Counts connections and unfinished frames; null for no limits. Outlives the registry.
-    adapters::InputGuard* input_guard = nullptr;
   };
   // A hello that arrived after one that the supervisor sent later.
   struct OutdatedHello {
@@ -78,6 +76,8 @@
   SupervisorRegistry(const SupervisorRegistry&) = delete;
   SupervisorRegistry& operator=(const SupervisorRegistry&) = delete;
 
+  // Counts connections and unfinished frames from now on. `guard` outlives the registry.
+  void LimitInput(adapters::InputGuard& guard) { input_guard_ = &guard; }
   core::Result<void> Listen();
   // Orders are collected until Flush sends them. Orders to disconnected supervisors are dropped.
   void QueueStart(const core::StartTasks& start);
@@ -130,6 +130,8 @@
   void RequestConfiguration();
 
   asio::io_context& loop_;
+  // Null for no limits.
+  adapters::InputGuard* input_guard_ = nullptr;
   const Options options_;
   const core::Clock& clock_;
   const Handlers handlers_;
