--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "adapters/input_limits.h"
 #include "adapters/json_log.h"
 #include "adapters/listen_address.h"
 #include "core/error_kind.h"
@@ -101,6 +102,7 @@
   std::string store_url;
   LeaseBounds bounds;
   AdmissionSettings admission;
+  InputLimits limits;
 };
 
 // Settings of the supervisor role: the agent beside an executor that runs tasks under leases.
@@ -115,6 +117,7 @@
   std::string service;
   std::string store_url;
   LeaseBounds bounds;
+  InputLimits limits;
 };
 
 // Invariant: exactly one of `entry` and `agent` is set.
--- a/src/zinniamuxd/supervisor_registry.h
+++ b/src/zinniamuxd/supervisor_registry.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "adapters/input_guard.h"
 #include "adapters/listen_address.h"
 #include "core/clock.h"
 #include "core/clock_offset.h"
@@ -78,6 +79,8 @@
   SupervisorRegistry(const SupervisorRegistry&) = delete;
   SupervisorRegistry& operator=(const SupervisorRegistry&) = delete;
 
+  // Counts connections and unfinished frames from now on. `guard` outlives the registry.
+  void LimitInput(adapters::InputGuard& guard) { input_guard_ = &guard; }
   core::Result<void> Listen();
   // Orders are collected until Flush sends them. Orders to disconnected supervisors are dropped.
   void QueueStart(const core::StartTasks& start);
@@ -100,6 +103,8 @@
  private:
   struct Peer {
     std::shared_ptr<link::FrameConnection> connection;
+    // Null without an input guard.
+    std::shared_ptr<adapters::ConnectionInput> input;
     std::string supervisor_id;
     core::TimePoint last_received_at;
     core::TimePoint last_sent_at;
@@ -119,6 +124,8 @@
 
   void Accept();
   void AddPeer(asio::ip::tcp::socket socket);
+  // Counts the input of the peer, if there is an input guard.
+  void OpenInput(const std::shared_ptr<Peer>& peer);
   void OnFrame(const std::shared_ptr<Peer>& peer, std::string_view bytes);
   // Returns false if the hello is outdated; `peer` is closed then.
   bool OnHello(const std::shared_ptr<Peer>& peer, const runs::AgentHello& hello,
@@ -131,6 +138,8 @@
   void RequestConfiguration();
 
   asio::io_context& loop_;
+  // Null for no limits.
+  adapters::InputGuard* input_guard_ = nullptr;
   const Options options_;
   const core::Clock& clock_;
   const Handlers handlers_;
