--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -1,6 +1,7 @@
 // Connects the scheduler to callers, supervisors, the store and the timers.
 #include "zinniamuxd/dispatcher_daemon.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <chrono>
 #include <csignal>
@@ -316,7 +317,12 @@
   if (!settings_.bounds.evacuate) return;
   const std::set<std::string> before = scheduler_.evacuation().zones;
   if (!scheduler_.OnEvacuation(state)) return;
-  LogEvacuation(log_, before, state, source);
+  const std::vector<const core::ExecutorView*> views = scheduler_.executors();
+  LogEvacuation(log_, before, state, source, [&views](const std::string& zone) {
+    return static_cast<std::size_t>(std::count_if(
+        views.begin(), views.end(),
+        [&zone](const core::ExecutorView* view) { return view->executor_zone() == zone; }));
+  });
   registry_.ShareEvacuation(state);
   if (held_configuration_) {
     OnConfiguration(*std::exchange(held_configuration_, std::nullopt), "supervisor");
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -301,7 +301,9 @@
   const std::set<std::string> before = run_supervisor_.evacuation().zones;
   if (!run_supervisor_.OnEvacuation(state)) return;
   if (before == state.zones) return;
-  LogEvacuation(log_, before, state, dispatcher);
+  LogEvacuation(log_, before, state, dispatcher, [this](const std::string& zone) {
+    return std::size_t{run_supervisor_.executor_zone() == zone ? 1U : 0U};
+  });
   // Not with the next heartbeat only: dispatchers may not be able to read the store.
   for (auto& [id, link] : links_) {
     if (link->connected()) FillEvacuation(id, link->mutable_outgoing());
--- a/tests/integration/leased_round_test.cc
+++ b/tests/integration/leased_round_test.cc
@@ -58,3 +58,33 @@
   // Otherwise no start was sent again.
   cr_assert_gt(report.outcomes.count("stopped"), 0, "%s", report.ToJson().c_str());
 }
+
+// Guards against tasks that start in an evacuated zone, whoever learns of the row: a dispatcher is
+// cut off from the supervisors and a supervisor of the zone restarts meanwhile. Guards as well
+// against a restored zone that gets no work.
+Test(leased_round, evacuated_zone_starts_no_task_until_it_is_restored) {
+  constexpr std::size_t kZone = 1;
+  LeasedPlan plan{.seed = 2, .dispatchers = 2, .supervisors = 4};
+  for (std::size_t i = 0; i < 120; ++i) {
+    plan.jobs.push_back({.id = std::to_string(2'000'000'000'000'000 + i),
+                         .at = milliseconds(100 * i),
+                         .task_length = milliseconds(200),
+                         .tasks = 4,
+                         .dispatcher = i % plan.dispatchers});
+  }
+  plan.faults = {{.kind = LeasedFault::Kind::kEvacuateZone,
+                  .target = kZone,
+                  .at = milliseconds(1500),
+                  .length = milliseconds(7500)},
+                 {.kind = LeasedFault::Kind::kCutDispatcher,
+                  .target = 0,
+                  .at = milliseconds(1400),
+                  .length = milliseconds(1500)},
+                 {.kind = LeasedFault::Kind::kKillSupervisor,
+                  .target = kZone,
+                  .at = milliseconds(4000),
+                  .length = milliseconds(500)}};
+  const LeasedRoundReport report = RunLeasedRound(plan);
+  cr_assert(report.clean(), "%s", report.ToJson().c_str());
+  cr_assert_gt(report.restored_starts, 0, "%s", report.ToJson().c_str());
+}
--- a/tests/standins/platform_standin/platform_state.cc
+++ b/tests/standins/platform_standin/platform_state.cc
@@ -37,11 +37,23 @@
   if (!allowed) return false;
   for (const auto& put : transaction.puts) {
     rows_[put.key] = {.key = put.key, .value = put.value, .version = ++last_version_};
+    removed_.erase(put.key);
+  }
+  for (const std::string& key : transaction.deletes) {
+    if (rows_.erase(key) > 0) removed_[key] = ++last_version_;
   }
-  for (const std::string& key : transaction.deletes) rows_.erase(key);
   return true;
 }
 
+std::uint64_t PlatformState::Newest(std::string_view prefix) const {
+  std::uint64_t newest = 0;
+  for (const core::TableRow& row : Rows(prefix)) newest = std::max(newest, row.version);
+  for (const auto& [key, version] : removed_) {
+    if (key.starts_with(prefix)) newest = std::max(newest, version);
+  }
+  return newest;
+}
+
 void PlatformState::PutObject(const std::string& key, std::string body) {
   objects_[key] = std::move(body);
 }
--- a/tests/standins/platform_standin/platform_state.h
+++ b/tests/standins/platform_standin/platform_state.h
@@ -27,6 +27,8 @@
   Page RowsAfter(std::string_view prefix, std::string_view after, std::size_t max_bytes) const;
   // Applies all writes and returns true, or applies none if a condition does not hold.
   bool Commit(const core::TableTransaction& transaction);
+  // The version of the last change, also a removal, of a row whose key has the prefix.
+  std::uint64_t Newest(std::string_view prefix) const;
 
   void PutObject(const std::string& key, std::string body);
   std::optional<std::string> Object(const std::string& key) const;
@@ -37,6 +39,8 @@
   // One counter for all rows: a row that is deleted and created again never repeats a version.
   std::uint64_t last_version_ = 0;
   std::map<std::string, core::TableRow, std::less<>> rows_;
+  // When rows that do not exist any more were removed.
+  std::map<std::string, std::uint64_t, std::less<>> removed_;
   std::map<std::string, std::string> objects_;
 };
 
--- a/tests/support/leased_deployment.cc
+++ b/tests/support/leased_deployment.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <fstream>
+#include <future>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
@@ -18,9 +19,12 @@
 
 const std::string kBinaryDir = ZINNIAMUX_BINARY_DIR;
 constexpr const char* kService = "workers";
-constexpr const char* kZone = "zone-a";
-constexpr const char* kBounds =
-    "  bounds:\n    lease_ms: 1000\n    stop_ms: 50\n    retransmit_ms: 1300\n    grace_s: 6\n";
+
+std::string Bounds() {
+  return "  bounds:\n    lease_ms: 1000\n    stop_ms: 50\n    retransmit_ms: 1300\n    grace_s: 6\n"
+         "    evacuate_ms: " +
+         std::to_string(LeasedDeployment::kEvacuate.count()) + '\n';
+}
 
 std::string Loopback(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
@@ -124,26 +128,28 @@
 void LeasedDeployment::StartDispatcher(std::size_t index) {
   Dispatcher& dispatcher = dispatchers_[index];
   std::ofstream(directory_ / (dispatcher.id + ".yaml"))
-      << "version: 1\ndispatcher:\n  id: " << dispatcher.id << "\n  availability_zone: " << kZone
+      << "version: 1\ndispatcher:\n  id: " << dispatcher.id
+      << "\n  availability_zone: " << ZoneName(0)
       << "\n  caller: " << Loopback(dispatcher.caller_port)
       << "\n  readiness: " << Loopback(dispatcher.readiness_port)
       << "\n  rpc: " << Loopback(dispatcher.rpc_port)
       << "\n  metrics: " << Loopback(dispatcher.metrics_port) << "\n  store: http://"
       << Loopback(store_port_) << '\n'
-      << kBounds << "log:\n  file: " << (directory_ / (dispatcher.id + ".log")).string() << '\n';
+      << Bounds() << "log:\n  file: " << (directory_ / (dispatcher.id + ".log")).string() << '\n';
   dispatcher.process = StartDaemon(dispatcher.id);
 }
 
 void LeasedDeployment::StartSupervisor(std::size_t index) {
   Supervisor& supervisor = supervisors_[index];
   std::ofstream(directory_ / (supervisor.id + ".yaml"))
-      << "version: 1\nsupervisor:\n  id: " << supervisor.id << "\n  availability_zone: " << kZone
+      << "version: 1\nsupervisor:\n  id: " << supervisor.id
+      << "\n  availability_zone: " << ZoneName(index % kZones)
       << "\n  local: " << Loopback(supervisor.local_port)
       << "\n  metrics: " << Loopback(supervisor.metrics_port)
       << "\n  executor: " << Loopback(supervisor.executor_proxy->port())
       << "\n  service: " << kService << "\n  store: http://" << Loopback(supervisors_store_port_)
       << '\n'
-      << kBounds << "log:\n  file: " << (directory_ / (supervisor.id + ".log")).string() << '\n';
+      << Bounds() << "log:\n  file: " << (directory_ / (supervisor.id + ".log")).string() << '\n';
   supervisor.process = StartDaemon(supervisor.id);
 }
 
@@ -151,9 +157,9 @@
   const Supervisor& supervisor = supervisors_[index];
   executors_.push_back(std::make_unique<LeasedExecutor>(
       loop_,
-      LeasedExecutor::Options{.id = "executor-" + std::to_string(index + 1),
+      LeasedExecutor::Options{.id = ExecutorId(index),
                               .service = kService,
-                              .zone = kZone,
+                              .zone = ZoneName(index % kZones),
                               .address = {.port = supervisor.executor_port},
                               .announced_address = Loopback(supervisor.executor_proxy->port()),
                               .refuses_second_copies = options_.refuses_second_copies,
@@ -174,6 +180,21 @@
   return metrics.body.find(gauge) != std::string::npos;
 }
 
+void LeasedDeployment::SetEvacuated(std::size_t zone, bool evacuated) {
+  std::promise<void> done;
+  asio::post(loop_, [&] {
+    const std::string table(platform::kOperatorTable);
+    const std::string key = std::string(platform::kEvacuationKeyPrefix) + ZoneName(zone);
+    if (evacuated) {
+      rows_.Put(table, key, "");
+    } else {
+      rows_.Remove(table, key);
+    }
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
 std::vector<std::uint16_t> LeasedDeployment::caller_ports() const {
   std::vector<std::uint16_t> ports;
   for (const Dispatcher& dispatcher : dispatchers_) {
--- a/tests/support/leased_deployment.h
+++ b/tests/support/leased_deployment.h
@@ -4,6 +4,7 @@
 #define ZINNIAMUX_TESTS_SUPPORT_LEASED_DEPLOYMENT_H_
 
 #include <asio.hpp>
+#include <chrono>
 #include <cstdint>
 #include <filesystem>
 #include <memory>
@@ -42,6 +43,14 @@
   // Host and prefix of the only queue.
   static constexpr const char* kHost = "jobs.example";
   static constexpr const char* kPrefix = "/jobs/";
+  // Supervisors and their executors are in these zones in turn; dispatchers are in the first one.
+  static constexpr std::size_t kZones = 2;
+  static std::string ZoneName(std::size_t zone) { return "zone-" + std::to_string(zone + 1); }
+  static std::string ExecutorId(std::size_t supervisor) {
+    return "executor-" + std::to_string(supervisor + 1);
+  }
+  // `evacuate_ms` of the settings.
+  static constexpr std::chrono::milliseconds kEvacuate{5000};
 
   // Starts everything and waits until jobs can run.
   explicit LeasedDeployment(Options options);
@@ -60,6 +69,8 @@
   }
   // Starts the process again after its end.
   void StartSupervisor(std::size_t index);
+  // Writes or removes the operator's row. Returns when the store has it.
+  void SetEvacuated(std::size_t zone, bool evacuated);
   std::vector<std::uint16_t> caller_ports() const;
   const RunRecords& records() const { return records_; }
   // Settings and logs of the processes.
--- a/tests/support/leased_plan.cc
+++ b/tests/support/leased_plan.cc
@@ -14,11 +14,11 @@
 using std::chrono::milliseconds;
 using Kind = LeasedFault::Kind;
 
-constexpr std::array<const char*, 6> kKindNames{"freeze_supervisor", "freeze_dispatcher",
-                                                "cut_dispatcher",    "reset_callers",
-                                                "kill_supervisor",   "reset_executor_answers"};
-// Kinds of single faults. The last kind comes in series, see DrawBrokenAnswers.
-constexpr std::size_t kSingleFaults = kKindNames.size() - 1;
+constexpr std::array<const char*, 7> kKindNames{
+    "freeze_supervisor", "freeze_dispatcher",      "cut_dispatcher", "reset_callers",
+    "kill_supervisor",   "reset_executor_answers", "evacuate_zone"};
+// Kinds of single faults. The last ones are drawn apart, see DrawBrokenAnswers and DrawEvacuations.
+constexpr std::size_t kSingleFaults = kKindNames.size() - 2;
 constexpr milliseconds kLoadTime{10'000};
 constexpr std::size_t kJobs = 80;
 constexpr std::size_t kMaxTasks = 4;
@@ -47,6 +47,7 @@
     }
     // Last, so that the other faults of a seed stay what they were.
     if (!plan_.incident) DrawBrokenAnswers();
+    if (!plan_.incident) DrawEvacuations();
     return plan_;
   }
 
@@ -109,6 +110,7 @@
       case Kind::kKillSupervisor:
         return Add(Kind::kKillSupervisor, supervisor, at, Time(0, 1000));
       case Kind::kResetExecutorAnswers:
+      case Kind::kEvacuateZone:
         return;
     }
   }
@@ -125,6 +127,13 @@
     }
   }
 
+  // One zone for longer than the bound, and in half of the rounds the other one meanwhile.
+  void DrawEvacuations() {
+    const std::size_t zone = Number(0, 1);
+    Add(Kind::kEvacuateZone, zone, Time(500, 2000), Time(6500, 7500));
+    if (Number(0, 1) == 1) Add(Kind::kEvacuateZone, 1 - zone, Time(3000, 6000), Time(200, 2000));
+  }
+
   std::mt19937_64 random_;
   LeasedPlan plan_;
 };
--- a/tests/support/leased_plan.h
+++ b/tests/support/leased_plan.h
@@ -31,10 +31,12 @@
     kKillSupervisor,
     // The connections from the supervisor to its executor break at the executor's next answers.
     kResetExecutorAnswers,
+    // The operator's row names the zone until it is healed.
+    kEvacuateZone,
   };
 
   Kind kind = Kind::kFreezeSupervisor;
-  // Index of the dispatcher or supervisor.
+  // Index of the dispatcher, supervisor or zone.
   std::size_t target = 0;
   std::chrono::milliseconds at{0};
   // Until it is healed.
--- a/tests/support/leased_round.cc
+++ b/tests/support/leased_round.cc
@@ -30,6 +30,49 @@
 // What happens when, from the start of the round.
 using Timeline = std::multimap<milliseconds, std::function<void()>>;
 
+// A zone that was evacuated from the row's write to its removal.
+struct Evacuation {
+  std::size_t zone = 0;
+  core::TimePoint from;
+  core::TimePoint until = core::TimePoint::max();
+};
+
+void AddEvacuation(const LeasedFault& fault, LeasedDeployment& deployment, Timeline& timeline,
+                   std::vector<Evacuation>& evacuations) {
+  timeline.emplace(fault.at, [&deployment, &evacuations, zone = fault.target] {
+    deployment.SetEvacuated(zone, true);
+    evacuations.push_back({.zone = zone, .from = adapters::SteadyClock().now()});
+  });
+  timeline.emplace(fault.at + fault.length, [&deployment, &evacuations, zone = fault.target] {
+    const core::TimePoint now = adapters::SteadyClock().now();
+    deployment.SetEvacuated(zone, false);
+    for (Evacuation& each : evacuations) {
+      if (each.zone == zone) each.until = std::min(each.until, now);
+    }
+  });
+}
+
+void JudgeEvacuations(const std::vector<Evacuation>& evacuations, const RunRecords& records,
+                      std::size_t executors, LeasedRoundReport& report) {
+  std::map<std::string, std::size_t> zones;
+  for (std::size_t index = 0; index < executors; ++index) {
+    zones[LeasedDeployment::ExecutorId(index)] = index % LeasedDeployment::kZones;
+  }
+  for (const RunRecords::Record& record : records.records()) {
+    for (const Evacuation& each : evacuations) {
+      if (zones.at(record.executor) != each.zone || record.start < each.from) continue;
+      if (record.start >= each.until) {
+        ++report.restored_starts;
+        continue;
+      }
+      const auto late = std::chrono::duration_cast<milliseconds>(record.start - each.from);
+      ++report.evacuated_starts;
+      report.last_evacuated_start = std::max(report.last_evacuated_start, late);
+      if (late > LeasedDeployment::kEvacuate) ++report.evacuated_late;
+    }
+  }
+}
+
 void AddFault(const LeasedFault& fault, LeasedDeployment& deployment, Timeline& timeline) {
   const auto add = [&](std::function<void()> begin, std::function<void()> heal) {
     timeline.emplace(fault.at, std::move(begin));
@@ -59,6 +102,9 @@
         deployment.executor_link(target).ResetOpenConnectionsAtAnswer();
       });
       return;
+    case Kind::kEvacuateZone:
+      // See AddEvacuation.
+      return;
   }
 }
 
@@ -167,7 +213,7 @@
 
 bool LeasedRoundReport::clean() const {
   return twice == 0 && unanswered == 0 && unexpected_answers == 0 && false_complete == 0 &&
-         false_refused == 0 && still_running == 0;
+         false_refused == 0 && still_running == 0 && evacuated_late == 0;
 }
 
 std::string LeasedRoundReport::ToJson() const {
@@ -190,7 +236,11 @@
                               {"unexpected_answers", unexpected_answers},
                               {"false_complete", false_complete},
                               {"false_refused", false_refused},
-                              {"still_running", still_running}};
+                              {"still_running", still_running},
+                              {"evacuated_late", evacuated_late},
+                              {"evacuated_starts", evacuated_starts},
+                              {"last_evacuated_start_ms", last_evacuated_start.count()},
+                              {"restored_starts", restored_starts}};
   if (!twice_runs.empty()) root["twice_runs"] = twice_runs;
   if (!directory.empty()) root["directory"] = directory;
   return root.dump();
@@ -209,9 +259,13 @@
   const adapters::SteadyClock clock;
   ResendingCaller caller(deployment.caller_ports(), clock);
   Timeline timeline;
+  std::vector<Evacuation> evacuations;
   for (const LeasedFault& fault : plan.faults) {
     report.faults.push_back(fault.Text());
     AddFault(fault, deployment, timeline);
+    if (fault.kind == Kind::kEvacuateZone) {
+      AddEvacuation(fault, deployment, timeline, evacuations);
+    }
   }
   for (const LeasedJob& job : plan.jobs) {
     timeline.emplace(job.at, [&caller, &job] { caller.Submit(job); });
@@ -227,6 +281,7 @@
   WaitFor([&] { return deployment.records().running() == 0; });
   JudgeAnswers(outcomes, deployment.records(), report);
   JudgeRuns(deployment.records(), report);
+  JudgeEvacuations(evacuations, deployment.records(), plan.supervisors, report);
   if (!report.clean()) {
     deployment.KeepDirectory();
     report.directory = deployment.directory().string();
--- a/tests/support/leased_round.h
+++ b/tests/support/leased_round.h
@@ -3,6 +3,7 @@
 #ifndef ZINNIAMUX_TESTS_SUPPORT_LEASED_ROUND_H_
 #define ZINNIAMUX_TESTS_SUPPORT_LEASED_ROUND_H_
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -45,6 +46,13 @@
   std::size_t false_refused = 0;
   // Runs that go on although no caller waits.
   std::size_t still_running = 0;
+  // Starts in an evacuated zone later than the bound after its row was written.
+  std::size_t evacuated_late = 0;
+  // All starts in evacuated zones, and how long after the row the last one came.
+  std::size_t evacuated_starts = 0;
+  std::chrono::milliseconds last_evacuated_start{0};
+  // Starts in zones that were restored, after that. No violation.
+  std::size_t restored_starts = 0;
   // Details of `twice`, and where logs and records are kept, if there is a violation.
   std::vector<std::string> twice_runs;
   std::string directory;
--- a/tests/support/platform_rows.cc
+++ b/tests/support/platform_rows.cc
@@ -51,6 +51,12 @@
   state_.Commit(transaction);
 }
 
+void PlatformRows::Remove(const std::string& table, const std::string& key) {
+  core::TableTransaction transaction;
+  transaction.deletes.push_back(TablePrefix(table) + key);
+  state_.Commit(transaction);
+}
+
 void PlatformRows::Handle(const HttpRequest& request, const HttpResponder& respond, Reader reader) {
   try {
     if (request.path == platform::kRowsPath) return respond(Read(request, reader));
@@ -132,12 +138,6 @@
   });
 }
 
-std::uint64_t PlatformRows::Newest(const std::string& prefix) const {
-  std::uint64_t newest = 0;
-  for (const core::TableRow& row : state_.Rows(prefix)) newest = std::max(newest, row.version);
-  return newest;
-}
-
 std::string PlatformRows::ValueFor(const std::string& value, Reader reader) const {
   if (reader == Reader::kAsWritten) return value;
   std::string result = value;
--- a/tests/support/platform_rows.h
+++ b/tests/support/platform_rows.h
@@ -25,6 +25,7 @@
   explicit PlatformRows(asio::io_context& loop) : loop_(loop) {}
 
   void Put(const std::string& table, const std::string& key, const std::string& value);
+  void Remove(const std::string& table, const std::string& key);
   // Both are host:port.
   void AddProxy(const std::string& address, const std::string& proxy) { proxies_[address] = proxy; }
   void Handle(const adapters::HttpRequest& request, const adapters::HttpResponder& respond,
@@ -35,8 +36,8 @@
   adapters::HttpResponse Commit(const adapters::HttpRequest& request);
   void Feed(const std::string& table, std::uint64_t after, std::chrono::milliseconds wait,
             const adapters::HttpResponder& respond);
-  // The newest version among the rows of which the composite key has the prefix.
-  std::uint64_t Newest(const std::string& prefix) const;
+  // The version of the last change of a row of which the composite key has the prefix.
+  std::uint64_t Newest(const std::string& prefix) const { return state_.Newest(prefix); }
   std::string ValueFor(const std::string& value, Reader reader) const;
 
   asio::io_context& loop_;
