dispatcher: a welcome comes with its stops when the hello tells of evacuated zones

Callers could see a task run twice: a supervisor that attached with a newer state of the evacuated zones was welcomed before the stops of runs that belong to no job any more, so that the welcome counted as a sign of life for them.

Cause: the state was handled between the hello and the end of its frame, and is passed on to all supervisors at once.

Evidence: supervisor_registry/welcome_comes_with_stops_when_the_hello_tells_evacuated_zones failed before.

Change: the state is handled before the hello of the same frame.

--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -78,15 +78,18 @@
   const Duration delay = peer->clock_offset.Record(std::chrono::milliseconds(frame.sent_clock_ms()),
                                                    peer->last_received_at);
   report_pace_.OnMessage(delay, peer->last_received_at);
+  // Before the hello: what it changes is sent at once, and a welcome comes only with the stops that
+  // follow from the hello.
+  const bool is_known = frame.has_hello() || !peer->supervisor_id.empty();
+  if (is_known && frame.evacuation_version() > 0 && handlers_.on_evacuation) {
+    handlers_.on_evacuation(EvacuationFromMessage(frame));
+  }
   if (frame.has_hello() &&
       !OnHello(peer, frame.hello(), std::chrono::milliseconds(frame.sent_clock_ms()))) {
     return;
   }
   if (peer->supervisor_id.empty()) return ClosePeer(peer, "no hello in the first frame");
   handlers_.on_message_delay(peer->supervisor_id, delay);
-  if (frame.evacuation_version() > 0 && handlers_.on_evacuation) {
-    handlers_.on_evacuation(EvacuationFromMessage(frame));
-  }
   for (const runs::RunUpdate& update : frame.updates()) {
     handlers_.on_update(peer->supervisor_id, FromMessage(update.run()), OutcomeFromMessage(update),
                         std::chrono::milliseconds(update.elapsed_ms()));
--- a/tests/unit/supervisor_registry_test.cc
+++ b/tests/unit/supervisor_registry_test.cc
@@ -65,6 +65,8 @@
   int detachments = 0;
   std::vector<SupervisorRegistry::OutdatedHello> outdated_hellos;
   std::vector<EvacuationState> evacuations;
+  // Stopped when a frame has been handled.
+  std::optional<RunId> stopped_run;
   std::optional<SupervisorRegistry> registry;
   std::vector<std::shared_ptr<Connection>> connections;
 
@@ -91,10 +93,17 @@
                 },
             .on_report = [](const auto&...) {},
             .on_update = [](const auto&...) {},
-            .on_evacuation = [this](const EvacuationState& state) { evacuations.push_back(state); },
+            .on_evacuation =
+                [this](const EvacuationState& state) {
+                  evacuations.push_back(state);
+                  registry->ShareEvacuation(state);
+                },
             .on_configuration = [](const auto&...) {},
             .on_message_delay = [](const auto&...) {},
-            .on_frame_handled = [] {}});
+            .on_frame_handled =
+                [this] {
+                  if (stopped_run) registry->QueueStop({.agent_id = "s-1", .id = *stopped_run});
+                }});
     cr_assert(registry->Listen().has_value());
   }
   ~Fixture() {
@@ -296,3 +305,19 @@
   cr_assert_eq(f.evacuations.size(), 1);
   cr_assert(f.evacuations.front() == (EvacuationState{.version = 5, .zones = {"zone-a"}}));
 }
+
+// Guards against a welcome that overtakes the stops of runs without a job, and so counts as a sign
+// of life for them: the hello tells of evacuated zones, which are passed on at once.
+Test(supervisor_registry, welcome_comes_with_stops_when_the_hello_tells_evacuated_zones) {
+  Fixture f;
+  f.stopped_run = RunId{.task = {.job_id = "job"}, .run = 1};
+  Connection& connection = f.Connect();
+  AgentFrame frame;
+  frame.mutable_hello()->set_agent_id("s-1");
+  frame.set_evacuation_version(5);
+  frame.add_evacuated_zones("zone-a");
+  connection.frames->Send(frame.SerializeAsString());
+  cr_assert(f.RunUntil([&] { return connection.is_decided(); }));
+  cr_assert_eq(f.evacuations.size(), 1);
+  cr_assert_eq(connection.received.front().stops_size(), 1);
+}
