--- a/src/core/zone_evacuation.cc
+++ b/src/core/zone_evacuation.cc
@@ -12,7 +12,8 @@
 }
 
 bool ZoneEvacuation::IsEvacuated(std::string_view zone) const {
-  return state_.zones.contains(std::string(zone));
+  // Asked for each order and report; zones are seldom evacuated.
+  return !state_.zones.empty() && state_.zones.contains(std::string(zone));
 }
 
 }  // namespace zinniamux::core
