job scheduler: refuse large jobs first while room is short

DisplacementAdmission refuses jobs of more than twice the mean core-seconds at arrival, the more the less spare room supervisors report to all dispatchers; each queue and each dispatcher keep 0.8 of their arrivals. Their Retry-After grows with the same pressure. Off by default (dispatcher.admission.displacement).

--- a/bench/overload/main.cc
+++ b/bench/overload/main.cc
@@ -50,6 +50,7 @@
   double slowness = 1;
   bool by_zone = false;
   zinniamux::core::LateAdmission::Options late;
+  zinniamux::core::DisplacementAdmission::Options displacement;
 };
 
 // Arrivals at `load` of the executors' room; for the middle third, `burst` times as many.
@@ -95,6 +96,7 @@
   const std::vector<std::int64_t> executors(scenario.executors, kExecutorCpuMilli);
   zinniamux::core::JobScheduler::Options scheduler;
   scheduler.late = scenario.late;
+  scheduler.displacement = scenario.displacement;
   LeaseWorld world({.seed = scenario.seed,
                     .dispatchers = scenario.dispatchers,
                     .executor_cpu_milli = executors,
@@ -179,6 +181,14 @@
     TCLAP::ValueArg<double> max_miss("", "max-miss", "share of misses without late jobs", false,
                                      zinniamux::core::LateAdmission::Options().max_miss_share,
                                      "SHARE", command);
+    using zinniamux::core::DisplacementAdmission;
+    TCLAP::SwitchArg displacement("", "displacement", "refuse large jobs while room is short",
+                                  command);
+    TCLAP::ValueArg<double> short_share("", "short-share", "spare room below which it is short",
+                                        false, DisplacementAdmission::Options().short_share,
+                                        "SHARE", command);
+    TCLAP::ValueArg<double> floor("", "floor", "share of its arrivals that a queue keeps", false,
+                                  DisplacementAdmission::Options().queue_floor, "SHARE", command);
     TCLAP::SwitchArg by_zone("", "by-zone", "print the counts of each zone of callers", command);
     command.parse(argc, argv);
     for (const double load : ParseNumbers(loads.getValue())) {
@@ -193,7 +203,10 @@
             .late = {.enabled = late.getValue(),
                      .min_spare_share = min_spare.getValue(),
                      .horizon = std::chrono::milliseconds(horizon.getValue()),
-                     .max_miss_share = max_miss.getValue()}});
+                     .max_miss_share = max_miss.getValue()},
+            .displacement = {.enabled = displacement.getValue(),
+                             .short_share = short_share.getValue(),
+                             .queue_floor = floor.getValue()}});
     }
   } catch (const TCLAP::ArgException& error) {
     std::cerr << "overload_tool: " << error.error() << " for argument " << error.argId() << '\n';
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -170,11 +170,33 @@
   return late;
 }
 
+core::DisplacementAdmission::Options ReadDisplacementAdmission(CheckedObject object) {
+  constexpr double kMinShortShare = 0.001;
+  constexpr double kMaxLargeFactor = 100;
+  constexpr std::int64_t kMinHorizonMs = 100;
+  constexpr std::int64_t kMaxHorizonMs = 60'000;
+  core::DisplacementAdmission::Options displacement;
+  displacement.enabled = object.Bool("enabled", displacement.enabled);
+  displacement.short_share =
+      object.Number("short_share", kMinShortShare, 1, displacement.short_share);
+  displacement.large_factor =
+      object.Number("large_factor", 1, kMaxLargeFactor, displacement.large_factor);
+  displacement.queue_floor = object.Number("queue_floor", 0, 1, displacement.queue_floor);
+  displacement.zone_floor = object.Number("zone_floor", 0, 1, displacement.zone_floor);
+  displacement.horizon = milliseconds(
+      object.Integer("horizon_ms", kMinHorizonMs, kMaxHorizonMs, displacement.horizon.count()));
+  object.Finish();
+  return displacement;
+}
+
 AdmissionSettings ReadAdmission(CheckedObject object) {
   AdmissionSettings admission;
   if (std::optional<CheckedObject> late = object.Object("late")) {
     admission.late = ReadLateAdmission(*std::move(late));
   }
+  if (std::optional<CheckedObject> displacement = object.Object("displacement")) {
+    admission.displacement = ReadDisplacementAdmission(*std::move(displacement));
+  }
   object.Finish();
   return admission;
 }
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -11,6 +11,7 @@
 
 #include "adapters/json_log.h"
 #include "adapters/listen_address.h"
+#include "core/displacement_admission.h"
 #include "core/error_kind.h"
 #include "core/late_admission.h"
 #include "core/run_end_budget.h"
@@ -83,6 +84,7 @@
 // Which jobs a dispatcher accepts when room is short.
 struct AdmissionSettings {
   core::LateAdmission::Options late;
+  core::DisplacementAdmission::Options displacement;
 };
 
 // Settings of the dispatcher role: an entry of a deployment with leased execution.
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -16,6 +16,7 @@
       started_(clock.now()),
       wait_policy_(options.wait),
       late_admission_(options.late),
+      displacement_(options.displacement),
       placement_({.availability_zone = options.availability_zone}),
       placement_random_(options.placement_seed),
       last_input_(started_) {}
@@ -98,7 +99,7 @@
     Refuse(request, *reason, Duration(0));
     return true;
   }
-  Accept(std::move(request));
+  if (!RefuseDisplaced(request)) Accept(std::move(request));
   return true;
 }
 
@@ -259,10 +260,27 @@
   return Duration(0);
 }
 
-// --- Late jobs
+// --- Shortage of room
 
-void JobScheduler::ObserveRoomForLateJobs() {
-  if (!late_admission_.enabled()) return;
+bool JobScheduler::RefuseDisplaced(const JobRequest& request) {
+  if (!displacement_.enabled() || InStartupGrace()) return false;
+  double core_time = 0;
+  for (const JobStep& step : request.steps) {
+    core_time += static_cast<double>(step.count * step.need.cpu_milli) *
+                 std::chrono::duration<double>(EstimatedRunTime(request, step)).count();
+  }
+  const TimePoint now = clock_.now();
+  if (!displacement_.ShouldRefuse(request.service, request.queue, core_time, now)) return false;
+  // The larger the pressure, the later the caller should come back.
+  const auto wait = std::chrono::duration_cast<Duration>(
+      options_.wait.max_retry_after * displacement_.Pressure(request.service, now));
+  Refuse(request, JobReason::kOverloaded, wait);
+  std::get<AnswerJob>(actions_.back()).displaced = true;
+  return true;
+}
+
+void JobScheduler::ObserveRoom() {
+  if (!late_admission_.enabled() && !displacement_.enabled()) return;
   std::map<std::string, LateAdmission::Room> rooms;
   for (const ExecutorView* view : views_) {
     const ExecutorReport& report = view->report();
@@ -275,6 +293,7 @@
   }
   for (const auto& [service, room] : rooms) {
     late_admission_.Observe(service, room, clock_.now());
+    displacement_.Observe(service, room, clock_.now());
   }
 }
 
@@ -862,7 +881,7 @@
   const TimePoint now = clock_.now();
   if (orders_paused_until_ && *orders_paused_until_ <= now) orders_paused_until_.reset();
   SettleIsolation();
-  ObserveRoomForLateJobs();
+  ObserveRoom();
   std::vector<std::string> late;
   for (const auto& [id, job] : jobs_) {
     const bool is_waiting = !MayHaveRun(job);
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "core/displacement_admission.h"
 #include "core/executor_health.h"
 #include "core/executor_view.h"
 #include "core/job_request.h"
@@ -83,6 +84,8 @@
   std::uint32_t refused_starts = 0;
   // The job was held for a late answer.
   bool held_late = false;
+  // It was refused because it needs more room than others while room is short.
+  bool displaced = false;
 };
 
 // Reports a change of an executor's health state.
@@ -124,6 +127,7 @@
     std::uint32_t placement_seed = 1;
     WaitPolicy::Options wait;
     LateAdmission::Options late;
+    DisplacementAdmission::Options displacement;
     // Gives the time after which a disconnected supervisor has ended every run, and the longest
     // wait of an order for room on an executor, before it is placed again.
     RunEndBudget budget;
@@ -361,7 +365,9 @@
   StartRank RankOf(const Job& job) const;
   // Holds a job of which nothing is ordered for a late answer; false if it must be refused.
   bool HoldAsLate(Job& job);
-  void ObserveRoomForLateJobs();
+  void ObserveRoom();
+  // Refuses an arriving job if it would displace others; see DisplacementAdmission.
+  bool RefuseDisplaced(const JobRequest& request);
   QueueKey KeyOf(const Job& job) const;
   // The wait of the job's first ready tasks at the best executor; nothing if none can run them.
   std::optional<Duration> ExpectedWait(const Job& job) const;
@@ -428,6 +434,7 @@
   const TimePoint started_;
   const WaitPolicy wait_policy_;
   LateAdmission late_admission_;
+  DisplacementAdmission displacement_;
   const RoomPlacement placement_;
   std::minstd_rand placement_random_;
   // For the views of close executors, and of the others.
--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -203,7 +203,9 @@
               {"failed_runs", answer.failed_runs},
               {"refused_starts", answer.refused_starts},
               {"retry_after_ms", reply.retry_after.count()},
-              {"held_late", answer.held_late}});
+              {"held_late", answer.held_late},
+              {"displaced", answer.displaced}});
+  if (answer.displaced) metrics_.Add("jobs_displaced_total", 1, {{"queue", answer.queue}});
   if (answer.held_late) {
     metrics_.Add("late_jobs_total", 1, {{"queue", answer.queue}, {"result", NameOf(reply.result)}});
   }
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -55,6 +55,7 @@
   options.placement_seed = static_cast<std::uint32_t>(std::hash<std::string>()(settings.id));
   options.budget = settings.bounds.run_ends;
   options.late = settings.admission.late;
+  options.displacement = settings.admission.displacement;
   return options;
 }
 
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -163,4 +163,13 @@
   const std::string message =
       MessageFor(dispatcher + "  admission:\n    late: {min_spare_share: 1.5}\n");
   AssertReports(message, "min_spare_share");
+  cr_assert_not(plain->dispatcher->admission.displacement.enabled);
+  const auto displacement = LoadSettings(folder.Write(
+      "displacement.yaml",
+      dispatcher + "  admission:\n    displacement: {enabled: true, queue_floor: 0.7}\n"));
+  cr_assert(displacement.has_value());
+  cr_assert(displacement->dispatcher->admission.displacement.enabled);
+  cr_assert_eq(displacement->dispatcher->admission.displacement.queue_floor, 0.7);
+  AssertReports(MessageFor(dispatcher + "  admission:\n    displacement: {short_share: 0}\n"),
+                "short_share");
 }
