--- a/tests/property/overload_property_test.cc
+++ b/tests/property/overload_property_test.cc
@@ -257,8 +257,8 @@
   cr_assert_geq(with.in_time, without.in_time * 998 / 1000);
 }
 
-// Load pattern: a steady load of 0.9, at which executors are never filled completely. Guards against
-// long jobs that displace many small ones.
+// Load pattern: a steady load of 0.9, at which executors are never filled completely. Guards
+// against long jobs that displace many small ones.
 Test(overload_property, large_jobs_do_not_displace_many_small_ones) {
   const KindCount without = PlayTraces({}, 0.9);
   const KindCount with = PlayTraces({.displacement = {.enabled = true}}, 0.9);
