--- a/bench/overload/main.cc
+++ b/bench/overload/main.cc
@@ -59,6 +59,7 @@
   double moving = 0;
   bool by_zone = false;
   zinniamux::core::LateAdmission::Options late;
+  zinniamux::core::DisplacementAdmission::Options displacement;
 };
 
 double SpeedOf(const Scenario& scenario, std::size_t executor) {
@@ -136,6 +137,7 @@
   const std::vector<SharedExecutor> executors = ExecutorsOf(scenario);
   zinniamux::core::JobScheduler::Options scheduler;
   scheduler.late = scenario.late;
+  scheduler.displacement = scenario.displacement;
   RefusalCauses causes(scenario.executors);
   LeaseWorld* noted = nullptr;
   LeaseWorld world({.seed = scenario.seed,
@@ -214,6 +216,14 @@
     TCLAP::ValueArg<double> max_miss("", "max-miss", "share of misses without late jobs", false,
                                      zinniamux::core::LateAdmission::Options().max_miss_share,
                                      "SHARE", command);
+    using zinniamux::core::DisplacementAdmission;
+    TCLAP::SwitchArg displacement("", "displacement", "refuse large jobs while room is short",
+                                  command);
+    TCLAP::ValueArg<double> short_share("", "short-share", "spare room below which it is short",
+                                        false, DisplacementAdmission::Options().short_share,
+                                        "SHARE", command);
+    TCLAP::ValueArg<double> floor("", "floor", "share of its arrivals that a queue keeps", false,
+                                  DisplacementAdmission::Options().queue_floor, "SHARE", command);
     TCLAP::SwitchArg by_zone("", "by-zone", "print the counts of each zone of callers", command);
     command.parse(argc, argv);
     for (const double load : ParseNumbers(loads.getValue())) {
@@ -229,7 +239,10 @@
             .late = {.enabled = late.getValue(),
                      .min_spare_share = min_spare.getValue(),
                      .horizon = std::chrono::milliseconds(horizon.getValue()),
-                     .max_miss_share = max_miss.getValue()}});
+                     .max_miss_share = max_miss.getValue()},
+            .displacement = {.enabled = displacement.getValue(),
+                             .short_share = short_share.getValue(),
+                             .queue_floor = floor.getValue()}});
     }
   } catch (const TCLAP::ArgException& error) {
     std::cerr << "overload_tool: " << error.error() << " for argument " << error.argId() << '\n';
