dispatcher: decide how long a wait for a task's rack pays

Callers saw jobs with data in a full rack late although the rack had room a moment later: a preferred rack only counted among executors with room, and otherwise the task ran elsewhere at once, 1.5 to 3 times as long. Steps that prefer one rack were spread like all others.

core/locality_wait compares the expected wait for the rack plus the local run time with the remote run that is possible now. Run times are learned by queue, from the new setting bounds.spread_factor (empty: placement as before); waits are corrected by how long recent ones of that rack took. An order that waits at a supervisor of the rack expires when the wait no longer pays, and before a remote run would be late; the job is then placed anywhere, first in the queue, and is not refused for lack of room. same_rack is decoded into JobStep::prefers_one_rack.

--- a/bench/overload/main.cc
+++ b/bench/overload/main.cc
@@ -8,6 +8,7 @@
 #include <exception>
 #include <iostream>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -43,8 +44,34 @@
   double burst = 1;
   Duration length = seconds(10);
   double slowness = 1;
+  // Share of the jobs whose data is in a rack, of these the share in one hot rack, and of the
+  // others the share whose tasks run faster in one rack.
+  std::size_t racks = 0;
+  double data_share = 0;
+  double hot_share = 0;
+  double group_share = 0;
+  double spread_factor = 1;
+  // Whether dispatchers know the factor.
+  bool decides_waits = true;
 };
 
+// Gives jobs the racks of their data.
+void AddRacks(const Scenario& scenario, std::vector<SimulatedJob>& jobs) {
+  if (scenario.racks == 0) return;
+  constexpr std::uint64_t kSeedOffset = 5000;
+  std::mt19937_64 random(scenario.seed + kSeedOffset);
+  std::uniform_real_distribution<> share(0, 1);
+  for (SimulatedJob& job : jobs) {
+    auto& step = job.request.steps.front();
+    if (share(random) < scenario.data_share) {
+      const std::size_t rack = share(random) < scenario.hot_share ? 0 : random() % scenario.racks;
+      step.preferred_rack = LeaseWorld::RackLabel(rack);
+    } else {
+      step.prefers_one_rack = share(random) < scenario.group_share;
+    }
+  }
+}
+
 // Arrivals at `load` of the executors' room; for the middle third, `burst` times as many.
 std::vector<SimulatedJob> DrawJobs(const Scenario& scenario) {
   const double room =
@@ -71,10 +98,16 @@
 
 void Play(const Scenario& scenario) {
   const std::vector<std::int64_t> executors(scenario.executors, kExecutorCpuMilli);
+  zinniamux::core::JobScheduler::Options scheduler;
+  if (scenario.decides_waits) scheduler.locality.spread_factor = scenario.spread_factor;
   LeaseWorld world({.seed = scenario.seed,
                     .dispatchers = scenario.dispatchers,
-                    .executor_cpu_milli = executors});
-  const std::vector<SimulatedJob> jobs = DrawJobs(scenario);
+                    .executor_cpu_milli = executors,
+                    .racks = scenario.racks,
+                    .spread_factor = scenario.spread_factor,
+                    .scheduler = scheduler});
+  std::vector<SimulatedJob> jobs = DrawJobs(scenario);
+  AddRacks(scenario, jobs);
   for (const SimulatedJob& job : jobs) world.Add(job);
   if (scenario.slowness > 1) {
     world.SlowExecutor(0, scenario.slowness, kWarmUp + scenario.length / 4, scenario.length / 2);
@@ -90,6 +123,13 @@
     std::printf("  %s %.3f of %.3f refused %.3f", kind.c_str(), count.in_time_share(),
                 best.in_time_share(), static_cast<double>(count.refused) / asked);
   }
+  const auto waits = world.locality_waits();
+  if (scenario.racks > 0) {
+    std::printf("  waits paid %llu unpaid %llu mean %.1f ms",
+                static_cast<unsigned long long>(waits.paid),
+                static_cast<unsigned long long>(waits.unpaid),
+                std::chrono::duration<double, std::milli>(waits.mean_wait()).count());
+  }
   std::printf("  not started %llu violations %zu\n",
               static_cast<unsigned long long>(world.refused_starts()), world.violations().size());
 }
@@ -121,6 +161,17 @@
                                            command);
     TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of the arrivals", false, 1, "N", command);
     TCLAP::ValueArg<int> length("", "seconds", "length of the load", false, 10, "N", command);
+    TCLAP::ValueArg<std::size_t> racks("", "racks", "number of racks; 0 for none", false, 0, "N",
+                                       command);
+    TCLAP::ValueArg<double> data("", "data", "share of the jobs whose data is in a rack", false, 0,
+                                 "SHARE", command);
+    TCLAP::ValueArg<double> hot("", "hot", "share of these jobs whose data is in rack 0", false, 0,
+                                "SHARE", command);
+    TCLAP::ValueArg<double> group("", "group", "share of the others whose tasks prefer one rack",
+                                  false, 0, "SHARE", command);
+    TCLAP::ValueArg<double> spread("", "spread-factor", "run time away from the rack", false, 1,
+                                   "FACTOR", command);
+    TCLAP::SwitchArg no_waits("", "no-waits", "dispatchers don't know the factor", command);
     command.parse(argc, argv);
     for (const double load : ParseNumbers(loads.getValue())) {
       Play({.seed = seed.getValue(),
@@ -129,7 +180,13 @@
             .load = load,
             .burst = burst.getValue(),
             .length = seconds(length.getValue()),
-            .slowness = slowness.getValue()});
+            .slowness = slowness.getValue(),
+            .racks = racks.getValue(),
+            .data_share = data.getValue(),
+            .hot_share = hot.getValue(),
+            .group_share = group.getValue(),
+            .spread_factor = spread.getValue(),
+            .decides_waits = !no_waits.getValue()});
     }
   } catch (const TCLAP::ArgException& error) {
     std::cerr << "overload_tool: " << error.error() << " for argument " << error.argId() << '\n';
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,7 +9,7 @@
 shift
 
 # Names of the users' platform stand in platform/ only.
-platform_names='"[^"]*(/zinniamux/|X-Deadline-Ms|X-Expect-Instance|X-Lease-Holder|X-Fence-Token|rows-tx|rows-get|rows-feed|blob-put|blob-get|run-start|run-stop)|"(until_ms|last_seen|clock_ms|mem_mb|data_rack|required_label|max_per_server|best_effort|slo_ms|heartbeat_addr|upserts|has_more)"'
+platform_names='"[^"]*(/zinniamux/|X-Deadline-Ms|X-Expect-Instance|X-Lease-Holder|X-Fence-Token|rows-tx|rows-get|rows-feed|blob-put|blob-get|run-start|run-stop)|"(until_ms|last_seen|clock_ms|mem_mb|data_rack|same_rack|required_label|max_per_server|best_effort|slo_ms|heartbeat_addr|upserts|has_more)"'
 if grep -rnE "$platform_names" src --include='*.cc' --include='*.h' --exclude-dir=generated; then
   echo "lint: names of the platform outside of platform/"
   exit 1
--- a/src/adapters/checked_object.cc
+++ b/src/adapters/checked_object.cc
@@ -106,6 +106,13 @@
   return lowest;
 }
 
+std::optional<double> CheckedObject::OptionalNumber(std::string_view key, double lowest,
+                                                    double highest) {
+  const json* value = Find(key, /*optional=*/true, "a number");
+  if (value == nullptr || value->is_null()) return std::nullopt;
+  return Number(key, lowest, highest, lowest);
+}
+
 bool CheckedObject::Bool(std::string_view key, std::optional<bool> fallback) {
   const json* value = Find(key, fallback.has_value(), "true or false");
   if (value == nullptr) return fallback.value_or(false);
--- a/src/adapters/checked_object.h
+++ b/src/adapters/checked_object.h
@@ -54,6 +54,8 @@
                        std::optional<std::int64_t> fallback = std::nullopt);
   double Number(std::string_view key, double lowest, double highest,
                 std::optional<double> fallback = std::nullopt);
+  // Nothing if the member is missing or empty.
+  std::optional<double> OptionalNumber(std::string_view key, double lowest, double highest);
   bool Bool(std::string_view key, std::optional<bool> fallback = std::nullopt);
   std::string Text(std::string_view key, std::size_t max_bytes,
                    std::optional<std::string> fallback = std::nullopt);
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -143,6 +143,8 @@
   } else {
     object.Reject("retransmit_ms", "times that fit together: " + run_ends.error().message);
   }
+  constexpr double kMaxSpreadFactor = 100;
+  bounds.spread_factor = object.OptionalNumber("spread_factor", 1, kMaxSpreadFactor).value_or(0);
   constexpr double kMaxGraceSeconds = 600;
   const double grace = object.Number("grace_s", 0, kMaxGraceSeconds,
                                      std::chrono::duration<double>(bounds.grace).count());
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -73,6 +73,9 @@
   std::chrono::milliseconds stop_time{50};
   // A caller without an answer repeats its job after this time.
   std::chrono::milliseconds retransmit{1300};
+  // Run time of a task away from the rack of its data, or of a step's tasks in several racks,
+  // divided by the one in the rack. 0: not stated, and no task waits for a rack.
+  double spread_factor = 0;
   // A process is killed this long after SIGTERM.
   std::chrono::milliseconds grace{6000};
   // Derived from the times above.
--- a/src/core/job_request.h
+++ b/src/core/job_request.h
@@ -26,6 +26,8 @@
   std::string required_label;
   // A label of executors that run the tasks faster; empty if there is none.
   std::string preferred_rack;
+  // The tasks run faster if all of them run in one rack.
+  bool prefers_one_rack = false;
   // Tasks of the step that may run on one executor at a time; 0 if there is no limit.
   std::uint32_t max_per_executor = 0;
 };
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -17,6 +17,7 @@
       wait_policy_(options.wait),
       placement_({.availability_zone = options.availability_zone}),
       placement_random_(options.placement_seed),
+      locality_(options.locality),
       last_input_(started_) {}
 
 // --- Admission
@@ -235,7 +236,7 @@
 }
 
 StartRank JobScheduler::RankOf(const Job& job) const {
-  if (MayHaveRun(job)) return StartRank::kStarted;
+  if (MayHaveRun(job) || job.has_waited_for_rack) return StartRank::kStarted;
   return job.request.urgent ? StartRank::kUrgent : StartRank::kNormal;
 }
 
@@ -281,7 +282,7 @@
       continue;
     }
     AddWaitingJob(job);
-    if (MayHaveRun(job) || InStartupGrace()) continue;
+    if (MayHaveRun(job) || job.has_waited_for_rack || InStartupGrace()) continue;
     const Duration wait =
         unmet != nullptr ? unmet->wait : ExpectedWait(job).value_or(Duration::max());
     if (found_none && unmet == nullptr) AddUnmetNeed(job, wait);
@@ -377,6 +378,63 @@
   return {.view = placement_.ChooseShortestWait(views_, query, limit, placement_random_)};
 }
 
+void JobScheduler::ChooseGroupRack(const Job& job, Step& step, const RoomPlacement::Query& query) {
+  if (step.ready < step.tasks.size()) return;
+  step.group_rack = locality_.ChooseRack(views_, query, step.ready,
+                                         {.queue = job.request.queue,
+                                          .declared = query.step->estimate,
+                                          .remote_wait = placement_.ShortestWait(views_, query),
+                                          .objective = job.objective,
+                                          .now = clock_.now()});
+}
+
+void JobScheduler::NoteGroupPlacement(Step& step, Choice& choice) {
+  if (!choice.locality && locality_.knows_racks()) {
+    choice.locality = std::make_unique<LocalityWait::Placement>();
+  }
+  if (!choice.locality || choice.locality->is_local || step.group_rack.empty()) return;
+  // The tasks of the step run in several racks now.
+  step.group_rack.clear();
+  for (Task& task : step.tasks) {
+    if (task.locality) task.locality->is_local = false;
+  }
+}
+
+JobScheduler::Choice JobScheduler::ChooseNear(const Job& job, const Task& task,
+                                              const RoomPlacement::Query& query,
+                                              const std::string& rack) {
+  const TimePoint now = clock_.now();
+  if (query.rank != StartRank::kStarted && now >= job.latest_start) return {};
+  auto placement = std::make_unique<LocalityWait::Placement>();
+  placement->rack = rack;
+  placement->ordered_at = now;
+  RoomPlacement::Query near = query;
+  near.filter = [&](const ExecutorView& view) {
+    return LocalityWait::IsInRack(view, rack) && query.filter(view);
+  };
+  const bool may_be_refused = task.room_refusals < options_.max_room_refusals;
+  near.include_close = close_trust_.is_trusted(now);
+  near.include_others = may_be_refused && others_trust_.is_trusted(now);
+  Choice choice{.view = placement_.ChooseWithRoom(views_, near, placement_random_),
+                .at_once = may_be_refused};
+  if (choice.view == nullptr) choice = ChooseExecutor(job, task, query);
+  if (choice.view == nullptr) return choice;
+  placement->is_local = LocalityWait::IsInRack(*choice.view, rack);
+  if (!placement->is_local && !task.has_waited_for_rack) {
+    ExecutorView* waits_at = locality_.ChooseWait(
+        placement_, views_, near,
+        {.queue = job.request.queue,
+         .declared = query.step->estimate,
+         .remote_wait = choice.view->ExpectedWait(query.step->need, query.rank),
+         .objective = job.objective,
+         .now = now},
+        placement_random_, *placement);
+    if (waits_at != nullptr) choice = {.view = waits_at};
+  }
+  choice.locality = std::move(placement);
+  return choice;
+}
+
 bool JobScheduler::PlaceJob(Job& job) {
   ++placements_tried_;
   const StartRank rank = RankOf(job);
@@ -408,6 +466,8 @@
       if (task.state == TaskState::kOrdered) ++tasks_per_supervisor[task.supervisor_id];
     }
   }
+  const bool depends_on_rack = locality_.DependsOnRack(requested_step);
+  const bool is_group = requested_step.preferred_rack.empty();
   for (std::uint32_t index = 0; index < step.tasks.size() && step.ready > 0; ++index) {
     Task& task = step.tasks[index];
     if (task.state != TaskState::kReady) continue;
@@ -417,18 +477,23 @@
       return requested_step.max_per_executor == 0 ||
              tasks_per_supervisor[view.agent_id()] < requested_step.max_per_executor;
     };
-    const Choice choice = ChooseExecutor(job, task,
-                                         {.service = job.request.service,
-                                          .step = &requested_step,
-                                          .rank = rank,
-                                          .median_pace = median_pace_,
-                                          .filter = filter});
+    const RoomPlacement::Query query{.service = job.request.service,
+                                     .step = &requested_step,
+                                     .rank = rank,
+                                     .median_pace = median_pace_,
+                                     .filter = filter};
+    if (depends_on_rack && is_group) ChooseGroupRack(job, step, query);
+    Choice choice = depends_on_rack && !(is_group && step.group_rack.empty())
+                        ? ChooseNear(job, task, query,
+                                     is_group ? step.group_rack : requested_step.preferred_rack)
+                        : ChooseExecutor(job, task, query);
     // Tasks of a step are identical, so the others cannot be placed either, unless this one avoids
     // an executor.
     if (choice.view == nullptr && task.last_failed_on.empty()) break;
     if (choice.view == nullptr) continue;
     if (requested_step.max_per_executor > 0) ++tasks_per_supervisor[choice.view->agent_id()];
-    OrderStart(job, step_index, index, rank, choice);
+    if (depends_on_rack && is_group) NoteGroupPlacement(step, choice);
+    OrderStart(job, step_index, index, rank, std::move(choice));
   }
   return step.ready == 0;
 }
@@ -452,7 +517,7 @@
 }
 
 void JobScheduler::OrderStart(Job& job, std::uint32_t step_index, std::uint32_t index,
-                              StartRank rank, const Choice& choice) {
+                              StartRank rank, Choice choice) {
   Supervisor& supervisor = supervisors_.at(choice.view->agent_id());
   Step& step = job.steps[step_index];
   Task& task = step.tasks[index];
@@ -460,22 +525,28 @@
   const JobStep& requested_step = job.request.steps[step_index];
   TimePoint expires = std::min(now + options_.budget.order_expiry(), job.request.deadline);
   if (rank != StartRank::kStarted) expires = std::min(expires, job.latest_start);
+  const LocalityWait::Placement* locality = choice.locality.get();
+  if (locality != nullptr && locality->wait) expires = std::min(expires, locality->wait->until);
   // The supervisor refuses an order that is late on its way.
   expires = std::min(expires, LatestOrder(job));
   StartTasks& start = unsent_starts_[{step_index, supervisor.view.agent_id(), choice.at_once}];
   if (start.starts.empty()) {
-    start = StartTasks{.agent_id = supervisor.view.agent_id(),
-                       .order = next_order_++,
-                       .job_id = job.request.id,
-                       .step = step_index,
-                       .spec = job.request.spec,
-                       .need = requested_step.need,
-                       .estimate = std::chrono::duration_cast<milliseconds>(step.estimate),
-                       .expires = expires,
-                       .at_once = choice.at_once,
-                       .rank = rank,
-                       .urgent = job.request.urgent,
-                       .job_received = job.received};
+    start = StartTasks{
+        .agent_id = supervisor.view.agent_id(),
+        .order = next_order_++,
+        .job_id = job.request.id,
+        .step = step_index,
+        .spec = job.request.spec,
+        .need = requested_step.need,
+        .estimate = std::chrono::duration_cast<milliseconds>(
+            locality == nullptr ? step.estimate
+                                : locality_.Estimate(job.request.queue, requested_step.estimate,
+                                                     step.estimate, *locality)),
+        .expires = expires,
+        .at_once = choice.at_once,
+        .rank = rank,
+        .urgent = job.request.urgent,
+        .job_received = job.received};
   }
   RunId id{.task = {.job_id = job.request.id, .step = step_index, .index = index},
            .run = ++task.run};
@@ -486,7 +557,9 @@
   task.state = TaskState::kOrdered;
   task.ordered_at = now;
   task.at_once = choice.at_once;
-  task.may_wait = !choice.at_once && rank == StartRank::kNormal;
+  task.locality = std::move(choice.locality);
+  task.may_wait =
+      !choice.at_once && rank == StartRank::kNormal && (locality == nullptr || !locality->wait);
   task.supervisor_id = supervisor.view.agent_id();
   --step.ready;
   --job.ready;
@@ -525,9 +598,16 @@
                                        outcome != RunOutcome::kDone, clock_.now());
     if (change) actions_.emplace_back(ExecutorJudged{*change});
   }
-  if (outcome == RunOutcome::kDone) {
-    estimator_.Observe(queue, job.request.steps[id.task.step].estimate, elapsed);
+  Task& task = job.steps[id.task.step].tasks[id.task.index];
+  const Duration declared = job.request.steps[id.task.step].estimate;
+  Duration local = elapsed;
+  if (task.locality) {
+    local = locality_.LocalTime(queue, declared, *task.locality, elapsed);
+    if (!locality_.OnRunEnded(queue, declared, *task.locality, outcome, elapsed, clock_.now())) {
+      task.has_waited_for_rack = job.has_waited_for_rack = true;
+    }
   }
+  if (outcome == RunOutcome::kDone) estimator_.Observe(queue, declared, local);
   RecordOrderWait(job, id, outcome, elapsed);
   if (HasStarted(outcome)) {
     const bool is_named = is_reported && HasNamed(supervisor, job, id);
@@ -797,7 +877,7 @@
   SettleIsolation();
   std::vector<std::string> late;
   for (const auto& [id, job] : jobs_) {
-    const bool is_waiting = !MayHaveRun(job);
+    const bool is_waiting = !MayHaveRun(job) && !job.has_waited_for_rack;
     if (job.request.deadline <= now || (is_waiting && job.start_by <= now)) late.push_back(id);
   }
   for (const std::string& id : late) {
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -22,6 +23,7 @@
 #include "core/executor_health.h"
 #include "core/executor_view.h"
 #include "core/job_request.h"
+#include "core/locality_wait.h"
 #include "core/order_wait_limit.h"
 #include "core/room_placement.h"
 #include "core/run.h"
@@ -120,6 +122,7 @@
     // Differs between dispatchers; see RoomPlacement::ChooseShortestWait.
     std::uint32_t placement_seed = 1;
     WaitPolicy::Options wait;
+    LocalityWait::Options locality;
     // Gives the time after which a disconnected supervisor has ended every run, and the longest
     // wait of an order for room on an executor, before it is placed again.
     RunEndBudget budget;
@@ -196,6 +199,7 @@
   bool trusts_other_views() const { return others_trust_.is_trusted(clock_.now()); }
   // Longest expected wait of an order at an executor, as a share of the job's objective.
   double order_wait_share() const { return order_wait_limit_.share(); }
+  const LocalityWait::Counts& locality_waits() const { return locality_.counts(); }
   std::vector<const ExecutorView*> executors() const;
   // How often executors were looked for, for all tasks of a job that are ready. The processor time
   // of placement grows with it.
@@ -224,6 +228,10 @@
     std::string last_failed_on;
     // Its run was stopped on a slow executor, to be repeated elsewhere.
     bool moved = false;
+    // Of its last order; null if its run time does not depend on the rack.
+    std::unique_ptr<LocalityWait::Placement> locality;
+    // An order that waited for its rack did not start; it does not wait for one again.
+    bool has_waited_for_rack = false;
   };
 
   struct Step {
@@ -231,6 +239,8 @@
     std::uint32_t done = 0;
     std::uint32_t ready = 0;
     Duration estimate{0};
+    // The rack chosen for a step that prefers one rack; empty if its tasks run in several.
+    std::string group_rack;
   };
 
   struct Job {
@@ -259,6 +269,9 @@
     TimePoint named_until;
     // Its caller has left another dispatcher, whose runs of the job have not ended.
     bool awaits_earlier_copy = false;
+    // An order of it has waited for a rack in vain. It comes before other jobs then, and is not
+    // refused for lack of room: without the wait it might have started.
+    bool has_waited_for_rack = false;
   };
 
   // Sorts by rank, then by when the job must start; started jobs by their arrival.
@@ -374,6 +387,8 @@
   struct Choice {
     ExecutorView* view = nullptr;
     bool at_once = false;
+    // Null if the task does not depend on the rack.
+    std::unique_ptr<LocalityWait::Placement> locality;
   };
   ViewTrust& ViewTrustFor(const ExecutorView& view) {
     return view.report().is_close ? close_trust_ : others_trust_;
@@ -385,8 +400,14 @@
                                        : MaxOrderWait(job);
   }
   Choice ChooseExecutor(const Job& job, const Task& task, RoomPlacement::Query query);
-  void OrderStart(Job& job, std::uint32_t step, std::uint32_t index, StartRank rank,
-                  const Choice& choice);
+  // As ChooseExecutor, for a task that runs faster in `rack`.
+  Choice ChooseNear(const Job& job, const Task& task, const RoomPlacement::Query& query,
+                    const std::string& rack);
+  // Chooses the rack of a step that prefers one, if none of its tasks has been placed.
+  void ChooseGroupRack(const Job& job, Step& step, const RoomPlacement::Query& query);
+  // The task is placed next; the step may prefer no rack any more then.
+  void NoteGroupPlacement(Step& step, Choice& choice);
+  void OrderStart(Job& job, std::uint32_t step, std::uint32_t index, StartRank rank, Choice choice);
   // `is_reported`: the supervisor has told it. Otherwise the run is over by its lease, or was lost
   // on its way to the supervisor.
   void OnRunEnded(const Supervisor& supervisor, const RunId& id, RunOutcome outcome,
@@ -423,6 +444,7 @@
   ViewTrust close_trust_;
   ViewTrust others_trust_;
   OrderWaitLimit order_wait_limit_;
+  LocalityWait locality_;
   RunTimeEstimator estimator_;
   ExecutorHealth health_;
   std::unordered_map<std::string, Job> jobs_;
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -54,6 +54,7 @@
   options.availability_zone = settings.availability_zone;
   options.placement_seed = static_cast<std::uint32_t>(std::hash<std::string>()(settings.id));
   options.budget = settings.bounds.run_ends;
+  options.locality.spread_factor = settings.bounds.spread_factor;
   return options;
 }
 
@@ -407,6 +408,9 @@
               {"trusts_close_views", scheduler_.trusts_close_views()},
               {"trusts_other_views", scheduler_.trusts_other_views()},
               {"order_wait_share", scheduler_.order_wait_share()},
+              {"locality_waits_paid", scheduler_.locality_waits().paid},
+              {"locality_waits_unpaid", scheduler_.locality_waits().unpaid},
+              {"mean_locality_wait_ms", ToMilliseconds(scheduler_.locality_waits().mean_wait())},
               {"ready", IsReady()},
               {"placements_tried", placements - logged_placements_},
               {"messages", delays.messages},
@@ -424,6 +428,10 @@
   metrics_.Set("executors_accepting", static_cast<double>(scheduler_.agents_accepting()));
   metrics_.Set("config_version", static_cast<double>(gateway_.config_version()));
   metrics_.Set("order_wait_share", scheduler_.order_wait_share());
+  const core::LocalityWait::Counts& waits = scheduler_.locality_waits();
+  metrics_.Set("locality_waits_paid_total", static_cast<double>(waits.paid));
+  metrics_.Set("locality_waits_unpaid_total", static_cast<double>(waits.unpaid));
+  metrics_.Set("mean_locality_wait_ms", ToMilliseconds(waits.mean_wait()));
   metrics_.Set("report_pause_ms", static_cast<double>(registry_.report_pause().count()));
   metrics_.Set("backlog_ms", ToMilliseconds(backlog_.delay(clock_.now())));
   metrics_.Set("placements_tried_total", static_cast<double>(scheduler_.placements_tried()));
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -155,11 +155,15 @@
     executors_.push_back(std::make_unique<SimulatedExecutor>(
         SimulatedExecutor::Options{
             .id = "executor-" + std::to_string(i),
-            .capacity = {.cpu_milli = options_.executor_cpu_milli[i], .memory_mb = 65'536}},
+            .capacity = {.cpu_milli = options_.executor_cpu_milli[i], .memory_mb = 65'536},
+            .labels = options_.racks == 0
+                          ? std::vector<std::string>()
+                          : std::vector<std::string>{RackLabel(i % options_.racks)}},
         SimulatedExecutor::Hooks{
             .run_time =
-                [this](const core::TaskId& task) {
-                  return work_.at(task.job_id).run_times.at(task.index);
+                [this, i](const core::TaskId& task) {
+                  return std::chrono::duration_cast<Duration>(
+                      work_.at(task.job_id).run_times.at(task.index) * SpreadFactorOf(task, i));
                 },
             .need =
                 [this](const core::TaskId& task) {
@@ -377,6 +381,7 @@
     report.executor_id = core.executor()->id;
     report.service = core.executor()->service;
     report.capacity = core.executor()->capacity;
+    report.labels = core.executor()->labels;
   }
   report.accepting = core.accepting();
   report.free = core.free_room();
@@ -1154,6 +1159,33 @@
   if (outcome == core::RunOutcome::kDone) done_.insert(id.task);
 }
 
+double LeaseWorld::SpreadFactorOf(const core::TaskId& task, std::size_t executor) const {
+  if (options_.racks == 0) return 1;
+  const std::size_t rack = executor % options_.racks;
+  const core::JobStep& step = work_.at(task.job_id).request.steps.at(task.step);
+  if (!step.preferred_rack.empty()) {
+    return step.preferred_rack == RackLabel(rack) ? 1 : options_.spread_factor;
+  }
+  if (!step.prefers_one_rack) return 1;
+  const bool is_spread = std::any_of(running_.begin(), running_.end(), [&](const auto& other) {
+    return other.first.job_id == task.job_id && other.first.step == task.step &&
+           other.second % options_.racks != rack;
+  });
+  return is_spread ? options_.spread_factor : 1;
+}
+
+core::LocalityWait::Counts LeaseWorld::locality_waits() const {
+  core::LocalityWait::Counts sum;
+  for (const auto& dispatcher : dispatchers_) {
+    if (!dispatcher->scheduler) continue;
+    const core::LocalityWait::Counts& counts = dispatcher->scheduler->locality_waits();
+    sum.paid += counts.paid;
+    sum.unpaid += counts.unpaid;
+    sum.total_wait += counts.total_wait;
+  }
+  return sum;
+}
+
 void LeaseWorld::NoteReply(const std::string& id, std::size_t copy, const core::JobReply& reply) {
   Caller& caller = callers_.at(id);
   if (caller.copy != copy || !caller.is_waiting) return;
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -62,6 +62,11 @@
     std::size_t dispatchers = 3;
     std::size_t zones = 3;
     std::vector<std::int64_t> executor_cpu_milli = std::vector<std::int64_t>(11, 32'000);
+    // Executor i is in rack i % racks, whose label is RackLabel. 0: executors have no labels. Tasks
+    // away from their preferred rack, or beside tasks of their step in another rack if the step
+    // prefers one rack, take `spread_factor` times as long.
+    std::size_t racks = 0;
+    double spread_factor = 1;
     core::Duration link_delay = std::chrono::microseconds(600);
     core::Duration executor_delay = std::chrono::microseconds(200);
     // Which dispatchers get a report of every change, and how often.
@@ -94,6 +99,7 @@
   LeaseWorld& operator=(const LeaseWorld&) = delete;
 
   void Add(SimulatedJob job);
+  static std::string RackLabel(std::size_t rack) { return "rack-" + std::to_string(rack); }
   // Faults; times are from the start of the world.
   void CutLink(std::size_t dispatcher, std::size_t supervisor, core::Duration at,
                core::Duration length);
@@ -149,6 +155,8 @@
   std::size_t running_tasks() const { return running_.size(); }
   // What happened to the traced job, with times.
   const std::vector<std::string>& trace() const { return trace_; }
+  // Waits for racks of all dispatchers.
+  core::LocalityWait::Counts locality_waits() const;
   std::uint64_t refused_starts() const { return refused_starts_; }
   // Start calls that executors refused because they had seen a higher fencing token.
   std::uint64_t fenced_starts() const { return fenced_starts_; }
@@ -260,6 +268,7 @@
   void CarryOutLate(std::size_t executor, core::CallHold call);
   // When a call without an answer is carried out.
   core::Duration DelayOfLostCall(std::size_t executor);
+  double SpreadFactorOf(const core::TaskId& task, std::size_t executor) const;
   void NoteStart(std::size_t executor, const core::RunId& id);
   void NoteEnd(const core::RunId& id, core::RunOutcome outcome);
   void NoteReply(const std::string& id, std::size_t copy, const core::JobReply& reply);
--- a/tests/support/simulated_executor.cc
+++ b/tests/support/simulated_executor.cc
@@ -138,6 +138,7 @@
           .born_ms = born_ms_,
           .service = "service",
           .capacity = options_.capacity,
+          .labels = options_.labels,
           .draining = draining_,
           .sequence = ++sequence_,
           .clock = clock()};
--- a/tests/support/simulated_executor.h
+++ b/tests/support/simulated_executor.h
@@ -20,6 +20,7 @@
   struct Options {
     std::string id;
     core::Resources capacity;
+    std::vector<std::string> labels;
     // Run times are multiplied by this.
     double slowness = 1;
     // Its clock runs slower than the world's by this part.
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -235,7 +235,8 @@
 Test(job_codec, reads_a_job) {
   const auto job = zinniamux::platform::ParseJob(
       R"({"spec":"s","best_effort":true,"steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,)"
-      R"("data_rack":"r1-3"},{"cpu":2000,"after":[0],"required_label":"b","max_per_server":2}]})");
+      R"("data_rack":"r1-3"},{"cpu":2000,"after":[0],"required_label":"b","max_per_server":2,)"
+      R"("same_rack":true}]})");
   cr_assert(job.has_value());
   cr_assert_not(job->features.durable);
   cr_assert_not(job->features.special_scheduling);
@@ -248,6 +249,8 @@
   cr_assert_eq(steps.at(1).after.at(0), 0);
   cr_assert_eq(steps.at(1).required_label, "b");
   cr_assert_eq(steps.at(1).max_per_executor, 2);
+  cr_assert(steps.at(1).prefers_one_rack);
+  cr_assert_not(steps.at(0).prefers_one_rack);
 }
 
 // Guards against durable jobs, which would not be stored, and jobs with special scheduling being
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -137,3 +137,25 @@
   AssertReports(message, "1150 ms");
   AssertReports(message, "less than the 800 ms");
 }
+
+// Guards against a deployment without a spread factor in which the dispatcher does not start, or in
+// which tasks wait for racks.
+Test(settings, takes_an_empty_spread_factor_for_none) {
+  constexpr const char* kDispatcher = R"(version: 1
+dispatcher:
+  id: dispatcher-1
+  availability_zone: oslo
+  caller: 127.0.0.1:34001
+  readiness: 127.0.0.1:34002
+  rpc: 127.0.0.1:34003
+  metrics: 127.0.0.1:34004
+  store: http://127.0.0.1:34090
+  bounds:
+    spread_factor: )";
+  const TemporaryFolder folder("settings");
+  const std::string empty = folder.Write("empty.yaml", std::string(kDispatcher) + "\n");
+  const std::string set = folder.Write("set.yaml", std::string(kDispatcher) + "1.5\n");
+  cr_assert_eq(LoadSettings(empty)->dispatcher->bounds.spread_factor, 0);
+  cr_assert_eq(LoadSettings(set)->dispatcher->bounds.spread_factor, 1.5);
+  AssertReports(MessageFor(std::string(kDispatcher) + "0.5\n"), "spread_factor");
+}
