zinniamuxctl: placement explains where a job would be placed

Operators could see why a job was refused only from log lines afterwards, and could not ask before they submit it. The dispatcher answers GET /v1/placement on its metrics address with a dry run (core/placement_explanation): for each executor the filter that excludes it or its score and expected wait, whether the job would start, wait for its rack, wait at an executor, be queued or be refused, and what a refused job would need. It is const over the scheduler's views and draws nothing. zinniamuxctl placement prints it as text or JSON; without an answer it exits with 4.

Steps that prefer one rack are shown without that preference.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -934,6 +934,33 @@
       views_.begin(), views_.end(), [](const ExecutorView* view) { return view->takes_work(); }));
 }
 
+PlacementExplanation JobScheduler::Explain(const JobRequest& request) const {
+  const Duration critical_path = CriticalPath(request);
+  Job job;
+  job.request = request;
+  job.received = clock_.now();
+  job.start_by = wait_policy_.StartBy(request, critical_path, job.received);
+  job.objective = job.received + wait_policy_.Objective(request, critical_path);
+  return ExplainPlacement({.placement = placement_,
+                           .locality = locality_,
+                           .executors = views_,
+                           .query = {.service = request.service,
+                                     .step = &request.steps.front(),
+                                     .rank = RankOf(job),
+                                     .median_pace = RoomPlacement::MedianPace(views_)},
+                           .is_ejected =
+                               [this](const ExecutorView& view) {
+                                 return health_.standing(view.agent_id()) ==
+                                        ExecutorHealth::Standing::kEjected;
+                               },
+                           .refusal = ReasonToRefuse(request),
+                           .queue = request.queue,
+                           .now = job.received,
+                           .objective = job.objective,
+                           .start_limit = job.start_by - job.received,
+                           .order_wait_limit = MaxOrderWait(job)});
+}
+
 std::vector<const ExecutorView*> JobScheduler::executors() const {
   return {views_.begin(), views_.end()};
 }
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -25,6 +25,7 @@
 #include "core/job_request.h"
 #include "core/locality_wait.h"
 #include "core/order_wait_limit.h"
+#include "core/placement_explanation.h"
 #include "core/room_placement.h"
 #include "core/run.h"
 #include "core/run_end_budget.h"
@@ -199,6 +200,8 @@
   bool trusts_other_views() const { return others_trust_.is_trusted(clock_.now()); }
   // Longest expected wait of an order at an executor, as a share of the job's objective.
   double order_wait_share() const { return order_wait_limit_.share(); }
+  // Where the first step of the job would be placed now.
+  PlacementExplanation Explain(const JobRequest& request) const;
   const LocalityWait::Counts& locality_waits() const { return locality_.counts(); }
   std::vector<const ExecutorView*> executors() const;
   // How often executors were looked for, for all tasks of a job that are ready. The processor time
--- a/src/core/room_placement.h
+++ b/src/core/room_placement.h
@@ -75,15 +75,16 @@
   // The median of the known paces; 1 if none is known.
   static double MedianPace(std::span<ExecutorView* const> executors);
 
- private:
   // False if the executor is slow, or slower than normal and already filled up to its limit.
   bool HasAcceptablePace(const ExecutorView& executor, double median_pace) const;
+  double Score(const ExecutorView& executor, const Query& query) const;
+
+ private:
   // True for executors that come before the others: close ones, and those in the preferred rack.
   static bool IsPreferred(const ExecutorView& executor, const Query& query);
   // True if a close executor can run the task, now or later.
   bool HasCloseCandidate(std::span<ExecutorView* const> executors, const Query& query) const;
   bool IsCandidate(const ExecutorView& executor, const Query& query) const;
-  double Score(const ExecutorView& executor, const Query& query) const;
 
   const Options options_;
 };
--- a/src/zinniamuxctl/make_commands.cc
+++ b/src/zinniamuxctl/make_commands.cc
@@ -5,6 +5,7 @@
 #include "zinniamuxctl/drain_command.h"
 #include "zinniamuxctl/executors_command.h"
 #include "zinniamuxctl/explain_command.h"
+#include "zinniamuxctl/placement_command.h"
 #include "zinniamuxctl/publish_command.h"
 #include "zinniamuxctl/status_command.h"
 #include "zinniamuxctl/submit_command.h"
@@ -18,6 +19,7 @@
   commands.push_back(std::make_unique<StatusCommand>());
   commands.push_back(std::make_unique<CancelCommand>());
   commands.push_back(std::make_unique<ExplainCommand>());
+  commands.push_back(std::make_unique<PlacementCommand>());
   commands.push_back(std::make_unique<ValidateCommand>());
   commands.push_back(std::make_unique<PublishCommand>());
   commands.push_back(std::make_unique<ConfigCommand>());
--- a/src/zinniamuxd/caller_gateway.h
+++ b/src/zinniamuxd/caller_gateway.h
@@ -32,6 +32,10 @@
   // Applies the configuration and returns true if its version is higher than the current one. The
   // first configuration also releases the requests that wait for it.
   bool SetConfiguration(core::QueueConfiguration configuration);
+  // Null while there is none.
+  const core::QueueConfiguration* configuration() const {
+    return configuration_ ? &*configuration_ : nullptr;
+  }
   std::uint64_t config_version() const { return configuration_ ? configuration_->version : 0; }
 
   // `arrived` may be before now: requests wait in socket buffers while the process is behind.
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -13,6 +13,7 @@
 #include "platform/configuration_codec.h"
 #include "platform/names.h"
 #include "zinniamuxd/incarnation.h"
+#include "zinniamuxd/placement_api.h"
 
 namespace zinniamux::daemon {
 namespace {
@@ -181,8 +182,12 @@
   readiness_server_ = *std::move(readiness);
   auto metrics = LoopHttpServer::Start(
       loop_, {.address = settings_.metrics,
-              .handler = [this](LoopHttpServer::ConnectionId, const HttpRequest& /*request*/,
+              .handler = [this](LoopHttpServer::ConnectionId, const HttpRequest& request,
                                 const HttpResponder& responder) {
+                if (request.path == kPlacementPath) {
+                  return responder(
+                      AnswerPlacement(request, scheduler_, gateway_.configuration(), clock_.now()));
+                }
                 UpdateGauges();
                 responder({.body = metrics_.Text(), .content_type = "text/plain; version=0.0.4"});
               }});
