--- a/bench/overload/main.cc
+++ b/bench/overload/main.cc
@@ -8,6 +8,7 @@
 #include <exception>
 #include <iostream>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -60,8 +61,34 @@
   bool by_zone = false;
   zinniamux::core::LateAdmission::Options late;
   zinniamux::core::DisplacementAdmission::Options displacement;
+  // Share of the jobs whose data is in a rack, of these the share in one hot rack, and of the
+  // others the share whose tasks run faster in one rack.
+  std::size_t racks = 0;
+  double data_share = 0;
+  double hot_share = 0;
+  double group_share = 0;
+  double spread_factor = 1;
+  // Whether dispatchers know the factor.
+  bool decides_waits = true;
 };
 
+// Gives jobs the racks of their data.
+void AddRacks(const Scenario& scenario, std::vector<SimulatedJob>& jobs) {
+  if (scenario.racks == 0) return;
+  constexpr std::uint64_t kSeedOffset = 5000;
+  std::mt19937_64 random(scenario.seed + kSeedOffset);
+  std::uniform_real_distribution<> share(0, 1);
+  for (SimulatedJob& job : jobs) {
+    auto& step = job.request.steps.front();
+    if (share(random) < scenario.data_share) {
+      const std::size_t rack = share(random) < scenario.hot_share ? 0 : random() % scenario.racks;
+      step.preferred_rack = LeaseWorld::RackLabel(rack);
+    } else {
+      step.prefers_one_rack = share(random) < scenario.group_share;
+    }
+  }
+}
+
 double SpeedOf(const Scenario& scenario, std::size_t executor) {
   if (!scenario.uneven) return 1;
   return executor % kSlowEvery == kSlowEvery - 1 ? kSlowSpeed : kFastSpeed;
@@ -138,17 +165,21 @@
   zinniamux::core::JobScheduler::Options scheduler;
   scheduler.late = scenario.late;
   scheduler.displacement = scenario.displacement;
+  if (scenario.decides_waits) scheduler.locality.spread_factor = scenario.spread_factor;
   RefusalCauses causes(scenario.executors);
   LeaseWorld* noted = nullptr;
   LeaseWorld world({.seed = scenario.seed,
                     .dispatchers = scenario.dispatchers,
                     .executor_cpu_milli = sizes,
+                    .racks = scenario.racks,
+                    .spread_factor = scenario.spread_factor,
                     .scheduler = scheduler,
                     .on_refusal = [&](std::size_t dispatcher, const auto& refusal) {
                       causes.Note(*noted, dispatcher, refusal);
                     }});
   noted = &world;
-  const std::vector<SimulatedJob> jobs = JobsOf(scenario);
+  std::vector<SimulatedJob> jobs = JobsOf(scenario);
+  AddRacks(scenario, jobs);
   for (const SimulatedJob& job : jobs) world.Add(job);
   const Duration whole = kWarmUp + scenario.length + kCoolDown;
   for (std::size_t i = 0; i < executors.size(); ++i) {
@@ -163,6 +194,13 @@
               static_cast<unsigned long long>(scenario.seed));
   const std::map<std::string, KindCount> bound = ServeFromSharedQueue(jobs, executors);
   PrintCounts(world, bound);
+  const auto waits = world.locality_waits();
+  if (scenario.racks > 0) {
+    std::printf("  waits paid %llu unpaid %llu mean %.1f ms",
+                static_cast<unsigned long long>(waits.paid),
+                static_cast<unsigned long long>(waits.unpaid),
+                std::chrono::duration<double, std::milli>(waits.mean_wait()).count());
+  }
   std::printf("  not started %llu violations %zu\n",
               static_cast<unsigned long long>(world.refused_starts()), world.violations().size());
   for (const auto& [kind, by_cause] : causes.counts()) {
@@ -225,6 +263,17 @@
     TCLAP::ValueArg<double> floor("", "floor", "share of its arrivals that a queue keeps", false,
                                   DisplacementAdmission::Options().queue_floor, "SHARE", command);
     TCLAP::SwitchArg by_zone("", "by-zone", "print the counts of each zone of callers", command);
+    TCLAP::ValueArg<std::size_t> racks("", "racks", "number of racks; 0 for none", false, 0, "N",
+                                       command);
+    TCLAP::ValueArg<double> data("", "data", "share of the jobs whose data is in a rack", false, 0,
+                                 "SHARE", command);
+    TCLAP::ValueArg<double> hot("", "hot", "share of these jobs whose data is in rack 0", false, 0,
+                                "SHARE", command);
+    TCLAP::ValueArg<double> group("", "group", "share of the others whose tasks prefer one rack",
+                                  false, 0, "SHARE", command);
+    TCLAP::ValueArg<double> spread("", "spread-factor", "run time away from the rack", false, 1,
+                                   "FACTOR", command);
+    TCLAP::SwitchArg no_waits("", "no-waits", "dispatchers don't know the factor", command);
     command.parse(argc, argv);
     for (const double load : ParseNumbers(loads.getValue())) {
       Play({.seed = seed.getValue(),
@@ -242,7 +291,13 @@
                      .max_miss_share = max_miss.getValue()},
             .displacement = {.enabled = displacement.getValue(),
                              .short_share = short_share.getValue(),
-                             .queue_floor = floor.getValue()}});
+                             .queue_floor = floor.getValue()},
+            .racks = racks.getValue(),
+            .data_share = data.getValue(),
+            .hot_share = hot.getValue(),
+            .group_share = group.getValue(),
+            .spread_factor = spread.getValue(),
+            .decides_waits = !no_waits.getValue()});
     }
   } catch (const TCLAP::ArgException& error) {
     std::cerr << "overload_tool: " << error.error() << " for argument " << error.argId() << '\n';
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -20,6 +20,7 @@
       displacement_(options.displacement),
       placement_({.availability_zone = options.availability_zone}),
       placement_random_(options.placement_seed),
+      locality_(options.locality),
       last_input_(started_) {}
 
 // --- Admission
@@ -244,7 +245,7 @@
 
 StartRank JobScheduler::RankOf(const Job& job) const {
   if (job.is_late) return StartRank::kLate;
-  if (MayHaveRun(job)) return StartRank::kStarted;
+  if (MayHaveRun(job) || job.has_waited_for_rack) return StartRank::kStarted;
   return job.request.urgent ? StartRank::kUrgent : StartRank::kNormal;
 }
 
@@ -378,7 +379,7 @@
       continue;
     }
     AddWaitingJob(job);
-    if (MayHaveRun(job) || InStartupGrace()) continue;
+    if (MayHaveRun(job) || job.has_waited_for_rack || InStartupGrace()) continue;
     const Duration wait =
         unmet != nullptr ? unmet->wait : ExpectedWait(job).value_or(Duration::max());
     if (found_none && unmet == nullptr) AddUnmetNeed(job, wait);
@@ -487,6 +488,63 @@
   return {.view = placement_.ChooseShortestWait(views_, query, limit, placement_random_)};
 }
 
+void JobScheduler::ChooseGroupRack(const Job& job, Step& step, const RoomPlacement::Query& query) {
+  if (step.ready < step.tasks.size()) return;
+  step.group_rack = locality_.ChooseRack(views_, query, step.ready,
+                                         {.queue = job.request.queue,
+                                          .declared = query.step->estimate,
+                                          .remote_wait = placement_.ShortestWait(views_, query),
+                                          .objective = job.objective,
+                                          .now = clock_.now()});
+}
+
+void JobScheduler::NoteGroupPlacement(Step& step, Choice& choice) {
+  if (!choice.locality && locality_.knows_racks()) {
+    choice.locality = std::make_unique<LocalityWait::Placement>();
+  }
+  if (!choice.locality || choice.locality->is_local || step.group_rack.empty()) return;
+  // The tasks of the step run in several racks now.
+  step.group_rack.clear();
+  for (Task& task : step.tasks) {
+    if (task.locality) task.locality->is_local = false;
+  }
+}
+
+JobScheduler::Choice JobScheduler::ChooseNear(const Job& job, const Task& task,
+                                              const RoomPlacement::Query& query,
+                                              const std::string& rack) {
+  const TimePoint now = clock_.now();
+  if (query.rank != StartRank::kStarted && now >= job.latest_start) return {};
+  auto placement = std::make_unique<LocalityWait::Placement>();
+  placement->rack = rack;
+  placement->ordered_at = now;
+  RoomPlacement::Query near = query;
+  near.filter = [&](const ExecutorView& view) {
+    return LocalityWait::IsInRack(view, rack) && query.filter(view);
+  };
+  const bool may_be_refused = task.room_refusals < options_.max_room_refusals;
+  near.include_close = close_trust_.is_trusted(now);
+  near.include_others = may_be_refused && others_trust_.is_trusted(now);
+  Choice choice{.view = placement_.ChooseWithRoom(views_, near, placement_random_),
+                .at_once = may_be_refused};
+  if (choice.view == nullptr) choice = ChooseExecutor(job, task, query);
+  if (choice.view == nullptr) return choice;
+  placement->is_local = LocalityWait::IsInRack(*choice.view, rack);
+  if (!placement->is_local && !task.has_waited_for_rack) {
+    ExecutorView* waits_at = locality_.ChooseWait(
+        placement_, views_, near,
+        {.queue = job.request.queue,
+         .declared = query.step->estimate,
+         .remote_wait = choice.view->ExpectedWait(query.step->need, query.rank),
+         .objective = job.objective,
+         .now = now},
+        placement_random_, *placement);
+    if (waits_at != nullptr) choice = {.view = waits_at};
+  }
+  choice.locality = std::move(placement);
+  return choice;
+}
+
 bool JobScheduler::PlaceJob(Job& job) {
   ++placements_tried_;
   const StartRank rank = RankOf(job);
@@ -520,6 +578,8 @@
       if (task.state == TaskState::kOrdered) ++tasks_per_supervisor[task.supervisor_id];
     }
   }
+  const bool depends_on_rack = locality_.DependsOnRack(requested_step);
+  const bool is_group = requested_step.preferred_rack.empty();
   for (std::uint32_t index = 0; index < step.tasks.size() && step.ready > 0; ++index) {
     Task& task = step.tasks[index];
     if (task.state != TaskState::kReady) continue;
@@ -535,13 +595,18 @@
                                .median_pace = median_pace_,
                                .filter = filter};
     AddSpeeds(job, step, query);
-    const Choice choice = ChooseExecutor(job, task, std::move(query));
+    if (depends_on_rack && is_group) ChooseGroupRack(job, step, query);
+    Choice choice = depends_on_rack && !(is_group && step.group_rack.empty())
+                        ? ChooseNear(job, task, query,
+                                     is_group ? step.group_rack : requested_step.preferred_rack)
+                        : ChooseExecutor(job, task, query);
     // Tasks of a step are identical, so the others cannot be placed either, unless this one avoids
     // an executor.
     if (choice.view == nullptr && task.last_failed_on.empty()) break;
     if (choice.view == nullptr) continue;
     if (requested_step.max_per_executor > 0) ++tasks_per_supervisor[choice.view->agent_id()];
-    OrderStart(job, step_index, index, rank, choice);
+    if (depends_on_rack && is_group) NoteGroupPlacement(step, choice);
+    OrderStart(job, step_index, index, rank, std::move(choice));
   }
   return step.ready == 0;
 }
@@ -565,7 +630,7 @@
 }
 
 void JobScheduler::OrderStart(Job& job, std::uint32_t step_index, std::uint32_t index,
-                              StartRank rank, const Choice& choice) {
+                              StartRank rank, Choice choice) {
   Supervisor& supervisor = supervisors_.at(choice.view->agent_id());
   Step& step = job.steps[step_index];
   Task& task = step.tasks[index];
@@ -574,22 +639,28 @@
   TimePoint expires = std::min(now + options_.budget.order_expiry(), job.request.deadline);
   const bool has_run = rank == StartRank::kStarted || (job.is_late && job.any_run_started);
   if (!has_run) expires = std::min(expires, job.latest_start);
+  const LocalityWait::Placement* locality = choice.locality.get();
+  if (locality != nullptr && locality->wait) expires = std::min(expires, locality->wait->until);
   // The supervisor refuses an order that is late on its way.
   expires = std::min(expires, LatestOrder(job));
   StartTasks& start = unsent_starts_[{step_index, supervisor.view.agent_id(), choice.at_once}];
   if (start.starts.empty()) {
-    start = StartTasks{.agent_id = supervisor.view.agent_id(),
-                       .order = next_order_++,
-                       .job_id = job.request.id,
-                       .step = step_index,
-                       .spec = job.request.spec,
-                       .need = requested_step.need,
-                       .estimate = std::chrono::duration_cast<milliseconds>(step.estimate),
-                       .expires = expires,
-                       .at_once = choice.at_once,
-                       .rank = rank,
-                       .urgent = job.request.urgent && !job.is_late,
-                       .job_received = job.received};
+    start = StartTasks{
+        .agent_id = supervisor.view.agent_id(),
+        .order = next_order_++,
+        .job_id = job.request.id,
+        .step = step_index,
+        .spec = job.request.spec,
+        .need = requested_step.need,
+        .estimate = std::chrono::duration_cast<milliseconds>(
+            locality == nullptr ? step.estimate
+                                : locality_.Estimate(job.request.queue, requested_step.estimate,
+                                                     step.estimate, *locality)),
+        .expires = expires,
+        .at_once = choice.at_once,
+        .rank = rank,
+        .urgent = job.request.urgent && !job.is_late,
+        .job_received = job.received};
   }
   RunId id{.task = {.job_id = job.request.id, .step = step_index, .index = index},
            .run = ++task.run};
@@ -600,7 +671,9 @@
   task.state = TaskState::kOrdered;
   task.ordered_at = now;
   task.at_once = choice.at_once;
-  task.may_wait = !choice.at_once && rank == StartRank::kNormal;
+  task.locality = std::move(choice.locality);
+  task.may_wait =
+      !choice.at_once && rank == StartRank::kNormal && (locality == nullptr || !locality->wait);
   task.supervisor_id = supervisor.view.agent_id();
   --step.ready;
   --job.ready;
@@ -641,9 +714,17 @@
                                        outcome != RunOutcome::kDone, clock_.now());
     if (change) actions_.emplace_back(ExecutorJudged{*change});
   }
+  Task& task = job.steps[id.task.step].tasks[id.task.index];
+  const Duration declared = job.request.steps[id.task.step].estimate;
+  Duration local = elapsed;
+  if (task.locality) {
+    local = locality_.LocalTime(queue, declared, *task.locality, elapsed);
+    if (!locality_.OnRunEnded(queue, declared, *task.locality, outcome, elapsed, clock_.now())) {
+      task.has_waited_for_rack = job.has_waited_for_rack = true;
+    }
+  }
   if (outcome == RunOutcome::kDone) {
-    estimator_.Observe(queue, job.request.steps[id.task.step].estimate,
-                       speeds_.AtMedianPace(elapsed, supervisor.view));
+    estimator_.Observe(queue, declared, speeds_.AtMedianPace(local, supervisor.view));
   }
   RecordOrderWait(job, id, outcome, elapsed);
   if (HasStarted(outcome)) {
@@ -927,7 +1008,7 @@
   ObserveRoom();
   std::vector<std::string> late;
   for (const auto& [id, job] : jobs_) {
-    const bool is_waiting = !MayHaveRun(job);
+    const bool is_waiting = !MayHaveRun(job) && !job.has_waited_for_rack;
     if (job.request.deadline <= now || (is_waiting && job.start_by <= now)) late.push_back(id);
   }
   for (const std::string& id : late) {
@@ -989,6 +1070,36 @@
   });
 }
 
+PlacementExplanation JobScheduler::Explain(const JobRequest& request) const {
+  const Duration critical_path = CriticalPath(request);
+  Job job;
+  job.request = request;
+  job.received = clock_.now();
+  job.start_by = wait_policy_.StartBy(request, critical_path, job.received);
+  job.objective = job.received + wait_policy_.Objective(request, critical_path);
+  const JobStep& requested_step = request.steps.front();
+  RoomPlacement::Query query{.service = request.service,
+                             .step = &requested_step,
+                             .rank = RankOf(job),
+                             .median_pace = RoomPlacement::MedianPace(views_)};
+  AddSpeeds(job, {.estimate = EstimatedRunTime(request, requested_step)}, query);
+  return ExplainPlacement({.placement = placement_,
+                           .locality = locality_,
+                           .executors = views_,
+                           .query = std::move(query),
+                           .is_ejected =
+                               [this](const ExecutorView& view) {
+                                 return health_.standing(view.agent_id()) ==
+                                        ExecutorHealth::Standing::kEjected;
+                               },
+                           .refusal = ReasonToRefuse(request),
+                           .queue = request.queue,
+                           .now = job.received,
+                           .objective = job.objective,
+                           .start_limit = job.start_by - job.received,
+                           .order_wait_limit = MaxOrderWait(job)});
+}
+
 std::vector<const ExecutorView*> JobScheduler::executors() const {
   return {views_.begin(), views_.end()};
 }
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -24,7 +25,9 @@
 #include "core/executor_view.h"
 #include "core/job_request.h"
 #include "core/late_admission.h"
+#include "core/locality_wait.h"
 #include "core/order_wait_limit.h"
+#include "core/placement_explanation.h"
 #include "core/room_placement.h"
 #include "core/run.h"
 #include "core/run_end_budget.h"
@@ -129,6 +132,7 @@
     WaitPolicy::Options wait;
     LateAdmission::Options late;
     DisplacementAdmission::Options displacement;
+    LocalityWait::Options locality;
     // Gives the time after which a disconnected supervisor has ended every run, and the longest
     // wait of an order for room on an executor, before it is placed again.
     RunEndBudget budget;
@@ -211,6 +215,9 @@
   bool trusts_other_views() const { return others_trust_.is_trusted(clock_.now()); }
   // Longest expected wait of an order at an executor, as a share of the job's objective.
   double order_wait_share() const { return order_wait_limit_.share(); }
+  // Where the first step of the job would be placed now.
+  PlacementExplanation Explain(const JobRequest& request) const;
+  const LocalityWait::Counts& locality_waits() const { return locality_.counts(); }
   std::vector<const ExecutorView*> executors() const;
   // How often executors were looked for, for all tasks of a job that are ready. The processor time
   // of placement grows with it.
@@ -239,6 +246,10 @@
     std::string last_failed_on;
     // Its run was stopped on a slow executor, to be repeated elsewhere.
     bool moved = false;
+    // Of its last order; null if its run time does not depend on the rack.
+    std::unique_ptr<LocalityWait::Placement> locality;
+    // An order that waited for its rack did not start; it does not wait for one again.
+    bool has_waited_for_rack = false;
   };
 
   struct Step {
@@ -246,6 +257,8 @@
     std::uint32_t done = 0;
     std::uint32_t ready = 0;
     Duration estimate{0};
+    // The rack chosen for a step that prefers one rack; empty if its tasks run in several.
+    std::string group_rack;
   };
 
   struct Job {
@@ -277,6 +290,9 @@
     // It cannot be in time any more and is held for a late answer. Then `start_by` and
     // `latest_start` are the limits of LateAdmission.
     bool is_late = false;
+    // An order of it has waited for a rack in vain. It comes before other jobs then, and is not
+    // refused for lack of room: without the wait it might have started.
+    bool has_waited_for_rack = false;
   };
 
   // Sorts by rank, then by when the job must start; started jobs by their arrival.
@@ -399,6 +415,8 @@
   struct Choice {
     ExecutorView* view = nullptr;
     bool at_once = false;
+    // Null if the task does not depend on the rack.
+    std::unique_ptr<LocalityWait::Placement> locality;
   };
   // Adds what the placement needs to know of run times where executors differ in speed.
   void AddSpeeds(const Job& job, const Step& step, RoomPlacement::Query& query) const;
@@ -415,8 +433,14 @@
                                        : MaxOrderWait(job);
   }
   Choice ChooseExecutor(const Job& job, const Task& task, RoomPlacement::Query query);
-  void OrderStart(Job& job, std::uint32_t step, std::uint32_t index, StartRank rank,
-                  const Choice& choice);
+  // As ChooseExecutor, for a task that runs faster in `rack`.
+  Choice ChooseNear(const Job& job, const Task& task, const RoomPlacement::Query& query,
+                    const std::string& rack);
+  // Chooses the rack of a step that prefers one, if none of its tasks has been placed.
+  void ChooseGroupRack(const Job& job, Step& step, const RoomPlacement::Query& query);
+  // The task is placed next; the step may prefer no rack any more then.
+  void NoteGroupPlacement(Step& step, Choice& choice);
+  void OrderStart(Job& job, std::uint32_t step, std::uint32_t index, StartRank rank, Choice choice);
   // `is_reported`: the supervisor has told it. Otherwise the run is over by its lease, or was lost
   // on its way to the supervisor.
   void OnRunEnded(const Supervisor& supervisor, const RunId& id, RunOutcome outcome,
@@ -458,6 +482,7 @@
   ViewTrust others_trust_;
   OrderWaitLimit order_wait_limit_;
   SpeedMatching speeds_;
+  LocalityWait locality_;
   RunTimeEstimator estimator_;
   ExecutorHealth health_;
   std::unordered_map<std::string, Job> jobs_;
--- a/src/core/room_placement.h
+++ b/src/core/room_placement.h
@@ -90,6 +90,7 @@
   // is known to be slow steadily, it is acceptable for a task that ends in time after `wait`.
   bool HasAcceptablePace(const ExecutorView& executor, const Query& query,
                          Duration wait = Duration(0)) const;
+  double Score(const ExecutorView& executor, const Query& query) const;
 
  private:
   // ChooseWithRoom among the executors that are cold, or among the others. Sets `has_skipped` if it
@@ -102,7 +103,6 @@
   bool HasCloseCandidate(std::span<ExecutorView* const> executors, const Query& query) const;
   bool IsCandidate(const ExecutorView& executor, const Query& query,
                    Duration wait = Duration(0)) const;
-  double Score(const ExecutorView& executor, const Query& query) const;
 
   const Options options_;
 };
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -15,6 +15,7 @@
 #include "platform/names.h"
 #include "zinniamuxd/evacuation_log.h"
 #include "zinniamuxd/incarnation.h"
+#include "zinniamuxd/placement_api.h"
 
 namespace zinniamux::daemon {
 namespace {
@@ -58,6 +59,7 @@
   options.budget = settings.bounds.run_ends;
   options.late = settings.admission.late;
   options.displacement = settings.admission.displacement;
+  options.locality.spread_factor = settings.bounds.spread_factor;
   return options;
 }
 
@@ -195,8 +197,12 @@
       loop_, {.address = settings_.metrics,
               .input_guard = &input_guard_,
               .name = "metrics",
-              .handler = [this](LoopHttpServer::ConnectionId, const HttpRequest& /*request*/,
+              .handler = [this](LoopHttpServer::ConnectionId, const HttpRequest& request,
                                 const HttpResponder& responder) {
+                if (request.path == kPlacementPath) {
+                  return responder(
+                      AnswerPlacement(request, scheduler_, gateway_.configuration(), clock_.now()));
+                }
                 UpdateGauges();
                 responder({.body = metrics_.Text(), .content_type = "text/plain; version=0.0.4"});
               }});
@@ -454,6 +460,9 @@
               {"trusts_close_views", scheduler_.trusts_close_views()},
               {"trusts_other_views", scheduler_.trusts_other_views()},
               {"order_wait_share", scheduler_.order_wait_share()},
+              {"locality_waits_paid", scheduler_.locality_waits().paid},
+              {"locality_waits_unpaid", scheduler_.locality_waits().unpaid},
+              {"mean_locality_wait_ms", ToMilliseconds(scheduler_.locality_waits().mean_wait())},
               {"ready", IsReady()},
               {"placements_tried", placements - logged_placements_},
               {"messages", delays.messages},
@@ -474,6 +483,10 @@
   metrics_.Set("executors_fast", static_cast<double>(scheduler_.speeds().fast()));
   metrics_.Set("config_version", static_cast<double>(gateway_.config_version()));
   metrics_.Set("order_wait_share", scheduler_.order_wait_share());
+  const core::LocalityWait::Counts& waits = scheduler_.locality_waits();
+  metrics_.Set("locality_waits_paid_total", static_cast<double>(waits.paid));
+  metrics_.Set("locality_waits_unpaid_total", static_cast<double>(waits.unpaid));
+  metrics_.Set("mean_locality_wait_ms", ToMilliseconds(waits.mean_wait()));
   metrics_.Set("report_pause_ms", static_cast<double>(registry_.report_pause().count()));
   metrics_.Set("backlog_ms", ToMilliseconds(backlog_.delay(clock_.now())));
   metrics_.Set("placements_tried_total", static_cast<double>(scheduler_.placements_tried()));
