job scheduler: late jobs are held in the first second of a dispatcher, too

Cause: late admission asked for spare room in the mean of three seconds, which a new process does not have, and counted jobs that missed their objective for lack of views as a sign of overload.

Change: the mean starts with the first reports, and misses do not count in the startup grace.

Evidence: late_admission/holds_a_job_when_the_first_reports_show_spare_room fails with the mean that starts at 0.

--- a/src/core/decaying_mean.h
+++ b/src/core/decaying_mean.h
@@ -21,6 +21,12 @@
     changed_at_ = now;
   }
 
+  // The value has been `value` for long.
+  void Start(double value, TimePoint now) {
+    mean_ = current_ = value;
+    changed_at_ = now;
+  }
+
   double At(TimePoint now) const {
     const std::chrono::duration<double> age = std::max(now - changed_at_, Duration(0));
     const double weight = std::exp(-age / std::chrono::duration<double>(time_constant_));
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -315,7 +315,8 @@
     }
     return core_time;
   };
-  late_admission_.OnMiss(clock_.now());
+  // A dispatcher that has just started misses objectives for lack of views, not of room.
+  if (!InStartupGrace()) late_admission_.OnMiss(clock_.now());
   double held_core_time = core_time_of(job);
   for (auto late = queue_.lower_bound({StartRank::kLate, TimePoint::min(), 0});
        late != queue_.end(); ++late) {
--- a/src/core/late_admission.cc
+++ b/src/core/late_admission.cc
@@ -6,9 +6,12 @@
 namespace zinniamux::core {
 
 void LateAdmission::Observe(const std::string& service, const Room& room, TimePoint now) {
-  State& state = services_.try_emplace(service, options_.horizon).first->second;
+  const auto [found, is_new] = services_.try_emplace(service, options_.horizon);
+  State& state = found->second;
+  const auto spare = static_cast<double>(room.spare_cpu_milli);
   state.room = room;
-  state.spare.Update(static_cast<double>(room.spare_cpu_milli), now);
+  if (is_new) state.spare.Start(spare, now);
+  state.spare.Update(spare, now);
 }
 
 std::optional<LateAdmission::Limits> LateAdmission::Admit(const std::string& service,
--- a/tests/unit/late_admission_test.cc
+++ b/tests/unit/late_admission_test.cc
@@ -51,6 +51,16 @@
   cr_assert(limits->start_by == limits->latest_start);
 }
 
+// Guards against jobs that are refused beside idle executors after the loss of all VMs: a
+// dispatcher that has just started has seen no room for most of its averaging time.
+Test(late_admission, holds_a_job_when_the_first_reports_show_spare_room) {
+  Fixture fixture;
+  fixture.admission.OnArrival(fixture.now);
+  fixture.admission.Observe("service", {.capacity_cpu_milli = 100'000, .spare_cpu_milli = 90'000},
+                            fixture.now);
+  cr_assert(fixture.Admit().has_value());
+}
+
 // Guards against late jobs that take the room of jobs in time at steady overload.
 Test(late_admission, holds_nothing_without_spare_room) {
   Fixture fixture;
