--- a/tests/unit/placement_explanation_test.cc
+++ b/tests/unit/placement_explanation_test.cc
@@ -91,6 +91,17 @@
   cr_assert(body["executors"][0]["agent"] == "free");
 }
 
+// Guards against operators who look for a fault at executors that are left empty on purpose.
+Test(placement_explanation, shows_executors_in_evacuated_zones) {
+  Cluster cluster;
+  cluster.scheduler.OnEvacuation({.version = 1, .zones = {"zone"}});
+  const json body = json::parse(cluster.Ask("cpu_milli=1000").body);
+  cr_assert(body["decision"] == "refused");
+  for (const json& executor : body["executors"]) {
+    if (executor["agent"] == "free") cr_assert_eq(executor["verdict"], "zone_evacuated");
+  }
+}
+
 // Guards against a refusal without the limit that applied.
 Test(placement_explanation, says_what_a_refused_job_would_need) {
   Cluster cluster;
