supervisor: reports cold executors only where zones are evacuated

The report made placement prefer other executors in every deployment whose executors announce that they are cold. Deployments without evacuate_ms are placed as before.

--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -541,7 +541,8 @@
   report.lesser_release_rate = run_supervisor_.lesser_release_rate();
   report.jobs_of_others = run_supervisor_.JobsOfOthers(link.owner());
   report.executor_answered = run_supervisor_.executor_answered();
-  report.cold_left = run_supervisor_.cold_left();
+  // Part of the evacuation of zones: other deployments are placed as before.
+  if (settings_.bounds.evacuate) report.cold_left = run_supervisor_.cold_left();
   const auto seen = orders_seen_.find(link.owner());
   if (seen != orders_seen_.end()) report.orders_seen = seen->second;
   ToMessage(report, message);
