--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -600,7 +600,7 @@
     Choice choice = depends_on_rack && !(is_group && step.group_rack.empty())
                         ? ChooseNear(job, task, query,
                                      is_group ? step.group_rack : requested_step.preferred_rack)
-                        : ChooseExecutor(job, task, query);
+                        : ChooseExecutor(job, task, std::move(query));
     // Tasks of a step are identical, so the others cannot be placed either, unless this one avoids
     // an executor.
     if (choice.view == nullptr && task.last_failed_on.empty()) break;
