--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <utility>
 
 #include "adapters/checked_object.h"
@@ -327,12 +328,41 @@
   return settings;
 }
 
+// Bounds that not every deployment has may come from the environment instead of the file. A value
+// in the file comes first; an empty variable counts as unset.
+void AddBoundsFromEnvironment(json& document) {
+  struct Variable {
+    const char* name;
+    const char* role;
+    const char* bound;
+  };
+  constexpr std::array kVariables{
+      Variable{"ZINNIAMUX_EVACUATE_MS", "dispatcher", "evacuate_ms"},
+      Variable{"ZINNIAMUX_EVACUATE_MS", "supervisor", "evacuate_ms"},
+      Variable{"ZINNIAMUX_SPREAD_FACTOR", "dispatcher", "spread_factor"},
+  };
+  for (const auto& [name, role, bound] : kVariables) {
+    const char* text = std::getenv(name);
+    if (text == nullptr || *text == '\0' || !document.is_object()) continue;
+    const auto section = document.find(role);
+    if (section == document.end() || !section->is_object()) continue;
+    json& bounds = (*section)["bounds"];
+    if (!bounds.is_null() && !bounds.is_object()) continue;
+    json& value = bounds[bound];
+    if (!value.is_null()) continue;
+    value = json::parse(text, nullptr, /*allow_exceptions=*/false);
+    // Reported as a value of the wrong type.
+    if (value.is_discarded()) value = text;
+  }
+}
+
 }  // namespace
 
 core::Result<Settings> LoadSettings(const std::string& path) {
   ProblemList problems;
   DocumentContext context{.problems = problems};
-  const json document = LoadYamlFile(path, context);
+  json document = LoadYamlFile(path, context);
+  AddBoundsFromEnvironment(document);
   Settings settings;
   if (problems.empty()) {
     settings = ReadSettings(CheckedObject(document, "", context), context);
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -169,6 +169,31 @@
   }
 }
 
+// Guards against a deployment whose bounds come from the environment and are ignored, and against
+// an empty variable that counts as a value.
+Test(settings, takes_bounds_from_the_environment) {
+  const TemporaryFolder folder("settings");
+  const std::string file = folder.Write("settings.yaml", R"(version: 1
+dispatcher:
+  id: dispatcher-1
+  availability_zone: oslo
+  caller: 127.0.0.1:34001
+  readiness: 127.0.0.1:34002
+  rpc: 127.0.0.1:34003
+  metrics: 127.0.0.1:34004
+  store: http://127.0.0.1:34090
+)");
+  setenv("ZINNIAMUX_EVACUATE_MS", "", 1);
+  cr_assert_not(LoadSettings(file)->dispatcher->bounds.evacuate.has_value());
+  setenv("ZINNIAMUX_EVACUATE_MS", "5000", 1);
+  setenv("ZINNIAMUX_SPREAD_FACTOR", "1.5", 1);
+  const auto settings = LoadSettings(file);
+  cr_assert_eq(settings->dispatcher->bounds.evacuate->count(), 5000);
+  cr_assert_eq(settings->dispatcher->bounds.spread_factor, 1.5);
+  setenv("ZINNIAMUX_EVACUATE_MS", "soon", 1);
+  cr_assert_not(LoadSettings(file).has_value());
+}
+
 // Guards against limits of late admission that are ignored or out of range, and against jobs that
 // are held in deployments that do not ask for it.
 Test(settings, reads_the_admission_of_a_dispatcher) {
