--- a/review/rig-2/deployment.cc
+++ b/review/rig-2/deployment.cc
@@ -222,15 +222,14 @@
   for (int i = 1; i <= options_.sides; ++i) {
     add(sides_, "supervisor", i, 100 + i);
     Machine& machine = sides_.back();
-    machine.executor = std::make_unique<Executor>(
-        Executor::Options{.ip = machine.ip,
-                          .port = kAppPort,
-                          .control_ip = machine.ip,
-                          .control_port = kControlPort,
-                          .service = kService,
-                          .zone = "zone-a",
-                          .id = "i-" + std::to_string(i)},
-        runs_, record_);
+    machine.executor = std::make_unique<Executor>(Executor::Options{.ip = machine.ip,
+                                                                    .port = kAppPort,
+                                                                    .control_ip = machine.ip,
+                                                                    .control_port = kControlPort,
+                                                                    .service = kService,
+                                                                    .zone = "zone-a",
+                                                                    .id = "i-" + std::to_string(i)},
+                                                  runs_, record_);
   }
   for (int i = 0; i < options_.sides; ++i) {
     const std::size_t kind = std::min<std::size_t>(i, options_.kinds.size() - 1);
--- a/review/rig-2/executor.cc
+++ b/review/rig-2/executor.cc
@@ -232,8 +232,8 @@
   for (const auto& [id, run] : running_) {
     const Ms started = runs_.All()[run.entry].started;
     const Ms work = std::max<Ms>(1, run.done_at - started);
-    running.push_back({id.first, id.second, "", std::min<Ms>(99, 100 * (NowMs() - started) / work),
-                       run.cpu});
+    running.push_back(
+        {id.first, id.second, "", std::min<Ms>(99, 100 * (NowMs() - started) / work), run.cpu});
   }
   json ended = json::array();
   for (const Ended& end : ended_) {
--- a/review/rig-2/http.cc
+++ b/review/rig-2/http.cc
@@ -194,10 +194,11 @@
 }
 
 bool Channel::Send(const std::string& method, const std::string& path, const std::string& host,
-                   const std::string& body, Ms deadline) {
+                   const std::string& body, Ms deadline, const std::string& header) {
   if (fd_ < 0) return false;
   std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n";
   if (deadline > 0) text += "X-Deadline-Ms: " + std::to_string(deadline) + "\r\n";
+  if (!header.empty()) text += header + "\r\n";
   if (!body.empty()) text += "Content-Type: application/json\r\n";
   text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   return SendAll(fd_, text);
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -92,7 +92,7 @@
   Channel(const Channel&) = delete;
   Channel& operator=(const Channel&) = delete;
   bool Send(const std::string& method, const std::string& path, const std::string& host,
-            const std::string& body, Ms deadline = 0);
+            const std::string& body, Ms deadline = 0, const std::string& header = "");
   // Status 0: no complete answer within the limit, or the connection ended.
   Response Receive(Ms limit);
 
--- a/review/rig-2/store.cc
+++ b/review/rig-2/store.cc
@@ -143,8 +143,7 @@
   const std::uint64_t after = std::stoull(request.query.at("after"));
   const Ms wait = std::min<Ms>(30'000, std::stoll(request.query.at("wait_ms")));
   std::unique_lock lock(mutex_);
-  changed_.wait_for(lock, std::chrono::milliseconds(wait),
-                    [&] { return NewestOf(table) > after; });
+  changed_.wait_for(lock, std::chrono::milliseconds(wait), [&] { return NewestOf(table) > after; });
   json rows = json::array();
   for (const auto& [key, row] : rows_) {
     if (std::get<0>(key) == table && row.version > after) rows.push_back(RowJson(key, row));
