--- a/review/rig-2/deployment.cc
+++ b/review/rig-2/deployment.cc
@@ -86,7 +86,7 @@
 
 // --- Processes
 
-Node::Node(std::string name, std::string command, std::string settings,
+Node::Node(std::string name, const std::string& command, const std::string& settings,
            std::map<std::string, std::string> environment, const std::string& directory,
            Record& record)
     : name_(std::move(name)),
@@ -105,11 +105,14 @@
 
 void Node::Start() {
   std::vector<std::string> variables{"PATH=/usr/bin:/bin"};
+  variables.reserve(environment_.size() + 1);
   for (const auto& [name, value] : environment_) variables.push_back(name + "=" + value);
   std::vector<char*> arguments;
+  arguments.reserve(command_.size() + 1);
   for (std::string& word : command_) arguments.push_back(word.data());
   arguments.push_back(nullptr);
   std::vector<char*> environment;
+  environment.reserve(variables.size() + 1);
   for (std::string& variable : variables) environment.push_back(variable.data());
   environment.push_back(nullptr);
   pid_ = fork();
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -277,7 +277,7 @@
 
 class Node {
  public:
-  Node(std::string name, std::string command, std::string settings,
+  Node(std::string name, const std::string& command, const std::string& settings,
        std::map<std::string, std::string> environment, const std::string& directory,
        Record& record);
   ~Node();
