core: decide on a job's memory before its state is allocated

Callers of a dispatcher lost their connections: one POST of 17 kB, within all limits on input, asked for 3,000,000 tasks, took the process over the memory of its VM within 0.1 s, and ended the next dispatcher when it was sent again.

Cause: JobScheduler::Accept allocated 128 bytes of state for each task, and nothing compared a job with the memory of the VM. A limit on one job would not do: 200 jobs of one step with 10,000 tasks took 276 MB.

Change: WorkBudget knows the cost of a job from its request. One without room now is answered 503 with Retry-After and no_memory; the total is the setting max_work_bytes, an eighth of the VM's memory. Runs of answered jobs count until their ends are reported. Counter, gauge and log line.

--- a/src/adapters/input_limits.cc
+++ b/src/adapters/input_limits.cc
@@ -42,6 +42,12 @@
   return std::clamp(memory_bytes / kPart, 8 * kMebibyte, 64 * kMebibyte);
 }
 
+std::size_t MaxWorkBytes(std::size_t memory_bytes) {
+  // Beside an eighth for input. The lower bound holds the largest job.
+  constexpr std::size_t kPart = 8;
+  return std::clamp(memory_bytes / kPart, 8 * kMebibyte, 64 * kMebibyte);
+}
+
 std::size_t MaxConnections(std::size_t descriptors) {
   // For links to at most 200 processes, the store, executors, logs, and connections that are closed
   // in a later event.
@@ -58,4 +64,8 @@
       .stall_limit = limits.stall_limit};
 }
 
+core::WorkBudget::Options WorkOptions(const InputLimits& limits) {
+  return {.max_bytes = limits.max_work_bytes.value_or(MaxWorkBytes(MemoryOfVm()))};
+}
+
 }  // namespace zinniamux::adapters
--- a/src/adapters/input_limits.h
+++ b/src/adapters/input_limits.h
@@ -1,5 +1,5 @@
-// Limits on what clients make a process hold, and their defaults from the VM's memory and
-// descriptors.
+// Limits on what clients make a process hold, as input and as accepted work, and their defaults
+// from the VM's memory and descriptors.
 #ifndef ZINNIAMUX_ADAPTERS_INPUT_LIMITS_H_
 #define ZINNIAMUX_ADAPTERS_INPUT_LIMITS_H_
 
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "core/input_budget.h"
+#include "core/work_budget.h"
 
 namespace zinniamux::adapters {
 
@@ -25,6 +26,8 @@
 struct InputLimits {
   // Held for unfinished requests and answers that are not read; unset for MaxInputBytes().
   std::optional<std::size_t> max_input_bytes;
+  // Held for accepted work; unset for MaxWorkBytes().
+  std::optional<std::size_t> max_work_bytes;
   // Unset for MaxConnections().
   std::optional<std::size_t> max_connections;
   // An unfinished request without a new byte for this time is given up.
@@ -32,13 +35,15 @@
   ConnectionLimits connection;
 };
 
-// The default for a VM with this memory.
+// The defaults for a VM with this memory.
 std::size_t MaxInputBytes(std::size_t memory_bytes);
+std::size_t MaxWorkBytes(std::size_t memory_bytes);
 // The default for a process that may open this many descriptors.
 std::size_t MaxConnections(std::size_t descriptors);
 
 // Fills in the defaults of this VM and process.
 core::InputBudget::Options BudgetOptions(const InputLimits& limits);
+core::WorkBudget::Options WorkOptions(const InputLimits& limits);
 
 }  // namespace zinniamux::adapters
 
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -212,6 +212,9 @@
   // One announcement of 4 MiB beside ordinary requests.
   constexpr std::int64_t kMinInputBytes = 6LL << 20U;
   constexpr std::int64_t kMaxInputBytes = 1LL << 30U;
+  // The largest job, and the part that is kept for small ones.
+  constexpr std::int64_t kMinWorkBytes = 8LL << 20U;
+  constexpr std::int64_t kMaxWorkBytes = 1LL << 30U;
   constexpr std::int64_t kMinConnections = 16;
   constexpr std::int64_t kMaxConnections = 1'000'000;
   // Heads of 8 KiB are always served; the parser itself takes at most 80 KiB.
@@ -232,6 +235,9 @@
   if (object.Has("max_input_bytes")) {
     limits.max_input_bytes = read_size("max_input_bytes", kMinInputBytes, kMaxInputBytes, 0);
   }
+  if (object.Has("max_work_bytes")) {
+    limits.max_work_bytes = read_size("max_work_bytes", kMinWorkBytes, kMaxWorkBytes, 0);
+  }
   if (object.Has("max_connections")) {
     limits.max_connections = read_size("max_connections", kMinConnections, kMaxConnections, 0);
   }
--- a/src/core/job_request.cc
+++ b/src/core/job_request.cc
@@ -25,6 +25,8 @@
       return "attempts_used_up";
     case JobReason::kOverloaded:
       return "overloaded";
+    case JobReason::kNoMemory:
+      return "no_memory";
     case JobReason::kNeverRunnable:
       return "never_runnable";
     case JobReason::kNoExecutors:
--- a/src/core/job_request.h
+++ b/src/core/job_request.h
@@ -68,6 +68,8 @@
   kAttemptsUsedUp,
   // It could not start in time.
   kOverloaded,
+  // The dispatcher has no memory left for it; see WorkBudget.
+  kNoMemory,
   // No executor could run one of its tasks.
   kNeverRunnable,
   // No executor of its service is known.
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -21,6 +21,7 @@
       placement_({.availability_zone = options.availability_zone}),
       placement_random_(options.placement_seed),
       locality_(options.locality),
+      work_(options.work),
       last_input_(started_) {}
 
 // --- Admission
@@ -67,6 +68,9 @@
     return JobReason::kShuttingDown;
   }
   if (jobs_.size() >= options_.max_jobs) return JobReason::kOverloaded;
+  if (!work_.HasRoomFor(WorkBudget::CostOf(request), UnreportedRuns())) {
+    return JobReason::kNoMemory;
+  }
   // Estimates are off by tens of percent, but half the estimated time is too short.
   constexpr int kReachableDivisor = 2;
   if (request.deadline < clock_.now() + CriticalPath(request) / kReachableDivisor) {
@@ -78,6 +82,18 @@
   return std::nullopt;
 }
 
+std::size_t JobScheduler::UnreportedRuns() const {
+  std::size_t runs = 0;
+  for (const auto& [id, supervisor] : supervisors_) {
+    runs += supervisor.runs.size() + supervisor.orphaned_runs.size();
+  }
+  return runs - std::min(runs, ordered_tasks_);
+}
+
+std::size_t JobScheduler::work_bytes() const {
+  return work_.job_bytes() + UnreportedRuns() * WorkBudget::kRunBytes;
+}
+
 void JobScheduler::NoteInput() {
   const TimePoint now = clock_.now();
   // Until the first supervisor has come, nothing was ordered.
@@ -113,6 +129,8 @@
   const std::string id = request.id;
   if (late_admission_.enabled()) late_admission_.OnArrival(clock_.now());
   Job& job = jobs_[id];
+  job.work_bytes = WorkBudget::CostOf(request);
+  work_.Add(job.work_bytes);
   job.arrived_after = input_handled_.value_or(clock_.now());
   job.received = request.arrived == TimePoint() ? clock_.now() : request.arrived;
   const Duration critical_path = CriticalPath(request);
@@ -623,6 +641,7 @@
            .run = each.run});
       --step.tasks[each.index].run;
       --job.ordered;
+      --ordered_tasks_;
       MakeReady(job, step, step.tasks[each.index]);
     }
   }
@@ -679,6 +698,7 @@
   --step.ready;
   --job.ready;
   ++job.ordered;
+  ++ordered_tasks_;
   if (job.first_ordered == TimePoint()) job.first_ordered = now;
   start.starts.push_back({.index = index, .run = task.run});
   supervisor.view.OnOrder(start.order, requested_step.need);
@@ -752,6 +772,7 @@
   Step& step = job.steps[id.task.step];
   Task& task = step.tasks[id.task.index];
   --job.ordered;
+  --ordered_tasks_;
   if (HasStarted(outcome)) job.any_run_started = true;
   if (outcome == RunOutcome::kDone) {
     task.state = TaskState::kDone;
@@ -812,6 +833,8 @@
   }
   const std::string id = job.request.id;
   actions_.emplace_back(std::move(action));
+  work_.Remove(job.work_bytes);
+  ordered_tasks_ -= job.ordered;
   jobs_.erase(id);
 }
 
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -34,6 +34,7 @@
 #include "core/run_time_estimator.h"
 #include "core/view_trust.h"
 #include "core/wait_policy.h"
+#include "core/work_budget.h"
 #include "core/zone_evacuation.h"
 
 namespace zinniamux::core {
@@ -141,6 +142,7 @@
     std::size_t max_retained_answers = 20'000;
     // Limit on accepted jobs without an answer.
     std::size_t max_jobs = 20'000;
+    WorkBudget::Options work;
     // The job is refused or abandoned after this many refused orders of one task.
     std::uint32_t max_refused_starts = 30;
     // After this many orders of one task were refused for lack of room, the next order waits for
@@ -201,6 +203,9 @@
   TimePoint InputHandled() const;
   bool Knows(const std::string& job_id) const { return jobs_.contains(job_id); }
   std::size_t job_count() const { return jobs_.size(); }
+  // Memory of the accepted jobs, and of runs of answered ones that may not have ended.
+  std::size_t work_bytes() const;
+  std::size_t max_work_bytes() const { return work_.max_bytes(); }
   // Jobs with ready tasks that are not ordered.
   std::size_t queued_jobs() const { return queue_.size(); }
   // Jobs of the queue without any ordered task.
@@ -264,6 +269,8 @@
   struct Job {
     JobRequest request;
     std::vector<Step> steps;
+    // Its part of work_.
+    std::size_t work_bytes = 0;
     TimePoint received;
     // The dispatcher received the job after this time; see OnInputHandled.
     TimePoint arrived_after;
@@ -378,6 +385,8 @@
   void SettleIsolation();
   void Accept(JobRequest request);
   std::optional<JobReason> ReasonToRefuse(const JobRequest& request) const;
+  // Runs in the lists of supervisors whose jobs are answered.
+  std::size_t UnreportedRuns() const;
   void RefuseOrAbandon(Job& job, JobReason reason);
   void Refuse(const JobRequest& request, JobReason reason, Duration expected_wait);
   std::chrono::milliseconds RetryAfter(const std::string& job_id, Duration expected_wait) const;
@@ -486,6 +495,10 @@
   RunTimeEstimator estimator_;
   ExecutorHealth health_;
   std::unordered_map<std::string, Job> jobs_;
+  // Invariant: the sum of Job::work_bytes over jobs_.
+  WorkBudget work_;
+  // Invariant: the sum of Job::ordered over jobs_.
+  std::size_t ordered_tasks_ = 0;
   std::map<QueueKey, QueuedJob> queue_;
   std::unordered_map<std::string, QueueKey> queue_keys_;
   std::map<std::string, Supervisor> supervisors_;
--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -24,6 +24,11 @@
 // milliseconds, so a process without a configuration after this time is unlikely to get one soon.
 constexpr milliseconds kEarlyRequestTimeout{300};
 constexpr std::size_t kMaxEarlyRequests = 500;
+// Least time between two lines on jobs that were refused for their memory.
+constexpr std::chrono::seconds kRefusalLogPeriod{10};
+
+// Cause of a refusal that sending the job again does not help against.
+constexpr std::string_view kTooLarge = "too_large";
 
 double ToMilliseconds(core::Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
@@ -80,6 +85,20 @@
     RefuseEarlyRequest(early_requests_.front().request, early_requests_.front().responder);
     early_requests_.pop_front();
   }
+  if (!memory_refusals_.empty() && clock_.now() >= next_refusal_log_at_) LogMemoryRefusals();
+}
+
+void CallerGateway::NoteMemoryRefusal(std::string_view cause) {
+  metrics_.Add("work_refused_total", 1, {{"cause", cause}});
+  ++memory_refusals_[std::string(cause)];
+}
+
+void CallerGateway::LogMemoryRefusals() {
+  next_refusal_log_at_ = clock_.now() + kRefusalLogPeriod;
+  log_.Write(LogLevel::kWarning, "work_refused",
+             {{"refusals", nlohmann::json(std::exchange(memory_refusals_, {}))},
+              {"work_bytes", scheduler_.work_bytes()},
+              {"max_work_bytes", scheduler_.max_work_bytes()}});
 }
 
 void CallerGateway::RefuseEarlyRequest(const adapters::HttpRequest& request,
@@ -130,6 +149,11 @@
   if (const auto earlier_reply = scheduler_.Remembered(id)) {
     return Reply(responder, platform::ComposeAnswer(*earlier_reply));
   }
+  if (const core::Result<void> size = core::WorkBudget::CheckSize(job->request); !size) {
+    NoteMemoryRefusal(kTooLarge);
+    return Reject(responder, platform::ComposeInvalid(size.error().message), "request_invalid", id,
+                  size.error().message);
+  }
   const milliseconds timeout =
       queue.timeout > milliseconds(0) ? queue.timeout : kDefaultCallerTimeout;
   const milliseconds caller_timeout = platform::ParseCallerTimeout(request).value_or(timeout);
@@ -205,6 +229,7 @@
               {"retry_after_ms", reply.retry_after.count()},
               {"held_late", answer.held_late},
               {"displaced", answer.displaced}});
+  if (reply.reason == core::JobReason::kNoMemory) NoteMemoryRefusal(NameOf(reply.reason));
   if (answer.displaced) metrics_.Add("jobs_displaced_total", 1, {{"queue", answer.queue}});
   if (answer.held_late) {
     metrics_.Add("late_jobs_total", 1, {{"queue", answer.queue}, {"result", NameOf(reply.result)}});
--- a/src/zinniamuxd/caller_gateway.h
+++ b/src/zinniamuxd/caller_gateway.h
@@ -4,9 +4,12 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -42,7 +45,8 @@
   void OnRequest(ConnectionId connection, const adapters::HttpRequest& request,
                  adapters::HttpResponder responder, core::TimePoint arrived);
   void OnClosed(ConnectionId connection);
-  // Refuses requests that have waited too long for a configuration.
+  // Refuses requests that have waited too long for a configuration, and logs refusals for lack of
+  // memory.
   void OnTimer();
   void OnJobAnswered(const core::AnswerJob& answer);
 
@@ -77,6 +81,8 @@
                           const adapters::HttpResponder& responder);
   void SubmitJob(const std::string& id, const core::QueueRule& queue,
                  const RequestContext& context);
+  void NoteMemoryRefusal(std::string_view cause);
+  void LogMemoryRefusals();
   adapters::HttpResponse FetchJob(const std::string& id) const;
   adapters::HttpResponse CancelJob(const std::string& id);
   void Reply(const adapters::HttpResponder& responder, adapters::HttpResponse response);
@@ -96,6 +102,9 @@
   // Number of callers in callers_by_job_.
   std::size_t job_caller_count_ = 0;
   bool shutting_down_ = false;
+  // Jobs refused for their size or for lack of memory since the last log line, by cause.
+  std::map<std::string, std::uint64_t, std::less<>> memory_refusals_;
+  core::TimePoint next_refusal_log_at_;
 };
 
 }  // namespace zinniamux::daemon
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -60,6 +60,7 @@
   options.late = settings.admission.late;
   options.displacement = settings.admission.displacement;
   options.locality.spread_factor = settings.bounds.spread_factor;
+  options.work = adapters::WorkOptions(settings.limits);
   return options;
 }
 
@@ -477,6 +478,7 @@
 void DispatcherDaemon::UpdateGauges() {
   input_guard_.UpdateGauges();
   metrics_.Set("jobs_open", static_cast<double>(scheduler_.job_count()));
+  metrics_.Set("work_bytes", static_cast<double>(scheduler_.work_bytes()));
   metrics_.Set("supervisors_attached", static_cast<double>(registry_.connection_count()));
   metrics_.Set("executors_accepting", static_cast<double>(scheduler_.agents_accepting()));
   metrics_.Set("executors_slow", static_cast<double>(scheduler_.speeds().slow()));
--- /dev/null
+++ b/tests/integration/accepted_work_test.cc
@@ -0,0 +1,149 @@
+// Callers whose jobs are within the limits on input and need far more memory than their bodies
+// have, against dispatchers and supervisors as real processes. The checks are independent of the
+// machine's speed: the processes live, their memory stays under a bound, refusals say that nothing
+// ran, and an ordinary job is answered beside the others.
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "adapters/http_client.h"
+#include "adapters/steady_clock.h"
+#include "support/child_process.h"
+#include "support/deployment.h"
+#include "support/leased_deployment.h"
+#include "support/leased_plan.h"
+#include "support/process_usage.h"
+#include "support/resending_caller.h"
+
+namespace {
+
+using nlohmann::json;
+using zinniamux::adapters::HttpResult;
+using zinniamux::testing::ChildProcess;
+using zinniamux::testing::LeasedDeployment;
+using zinniamux::testing::PeakKilobytes;
+using zinniamux::testing::WaitFor;
+
+// The least that the settings allow, so that a small set of jobs exceeds it.
+constexpr const char* kLimits =
+    "  limits:\n    max_input_bytes: 8388608\n    max_work_bytes: 8388608\n";
+// Peak resident memory. An idle process takes 22 to 24 MiB and each of the budgets is 8 MiB.
+constexpr std::size_t kMaxPeakKilobytes = 64U << 10U;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kServiceUnavailable = 503;
+
+// Tasks of the largest step. They do not fit into the room of the executor together, so they wait.
+constexpr int kManyTasks = 10'000;
+
+json Step(int count) {
+  return {{"count", count},
+          {"cpu", LeasedDeployment::kTaskNeed.cpu_milli},
+          {"mem_mb", LeasedDeployment::kTaskNeed.memory_mb},
+          {"estimate_ms", 50}};
+}
+
+std::string JobOf(int steps, const json& step, const std::string& spec = "50") {
+  return json{{"best_effort", true},
+              {"spec", spec},
+              {"steps", std::vector<json>(static_cast<std::size_t>(steps), step)}}
+      .dump();
+}
+
+class Fixture {
+ public:
+  Fixture() : deployment_({.dispatchers = 1, .supervisors = 1, .limits = kLimits}) {}
+
+  // Sends the bodies at the same time, each as a job of its own.
+  std::vector<HttpResult> SendAll(const std::vector<std::string>& bodies) {
+    std::vector<HttpResult> results(bodies.size());
+    std::atomic<std::size_t> answered = 0;
+    for (std::size_t i = 0; i < bodies.size(); ++i) {
+      client_.Send({.method = "POST",
+                    .url = "http://127.0.0.1:" + std::to_string(deployment_.caller_port(0)) +
+                           LeasedDeployment::kPrefix + std::to_string(next_job_++),
+                    .headers = {{"Host", LeasedDeployment::kHost}},
+                    .body = bodies[i],
+                    .timeout = std::chrono::seconds(60),
+                    .fresh_connection = true},
+                   [&results, &answered, i](HttpResult result) {
+                     results[i] = std::move(result);
+                     ++answered;
+                   });
+    }
+    cr_expect(WaitFor([&] { return answered == bodies.size(); }), "every job is answered");
+    return results;
+  }
+
+  bool RunOrdinaryJob() {
+    zinniamux::testing::ResendingCaller caller({deployment_.caller_port(0)}, clock_);
+    caller.Submit({.id = std::to_string(next_job_++),
+                   .at = std::chrono::milliseconds(0),
+                   .task_length = std::chrono::milliseconds(10),
+                   .tasks = 1,
+                   .dispatcher = 0});
+    return caller.Finish().front().attempts.back().status == kOk;
+  }
+
+  void CheckProcesses() {
+    cr_expect(WaitFor([this] { return RunOrdinaryJob(); }), "an ordinary job is answered");
+    for (ChildProcess* process : {&deployment_.dispatcher(0), &deployment_.supervisor(0)}) {
+      cr_assert(process->running());
+      const std::size_t peak = PeakKilobytes(*process);
+      cr_log_info("peak %zu KiB", peak);
+      cr_expect_gt(peak, 0);
+      cr_expect_lt(peak, kMaxPeakKilobytes, "peak %zu KiB", peak);
+    }
+  }
+
+  LeasedDeployment& deployment() { return deployment_; }
+
+ private:
+  zinniamux::adapters::SteadyClock clock_;
+  LeasedDeployment deployment_;
+  zinniamux::adapters::HttpClient client_{{.max_connections_per_host = 512}};
+  std::uint64_t next_job_ = 3'000'000'000'000'000;
+};
+
+}  // namespace
+
+TestSuite(accepted_work, .timeout = 300);
+
+// Guards against state that is allocated for every task before it is known whether the job can be
+// served: 17 KB ask for 3,000,000 tasks.
+Test(accepted_work, one_job_of_millions_of_tasks) {
+  Fixture fixture;
+  const std::vector<HttpResult> results =
+      fixture.SendAll({JobOf(300, Step(kManyTasks)), JobOf(300, Step(kManyTasks))});
+  for (const HttpResult& result : results) {
+    cr_expect_eq(result.status, kBadRequest, "status %d", result.status);
+    cr_expect(result.body.find("too large") != std::string::npos, "%s", result.body.c_str());
+  }
+  fixture.CheckProcesses();
+}
+
+// Guards against a limit on single jobs alone: many of a permitted size reach the same memory.
+Test(accepted_work, many_jobs_of_a_permitted_size) {
+  constexpr std::size_t kJobs = 200;
+  Fixture fixture;
+  const std::vector<HttpResult> results =
+      fixture.SendAll(std::vector<std::string>(kJobs, JobOf(1, Step(kManyTasks))));
+  const auto without_room = std::count_if(results.begin(), results.end(), [](const auto& result) {
+    return result.status == kServiceUnavailable &&
+           result.body.find("no_memory") != std::string::npos;
+  });
+  cr_expect_gt(without_room, 0);
+  for (const HttpResult& result : results) {
+    cr_expect_eq(result.status, kServiceUnavailable, "status %d", result.status);
+  }
+  fixture.CheckProcesses();
+}
--- a/tests/integration/input_limits_test.cc
+++ b/tests/integration/input_limits_test.cc
@@ -7,8 +7,6 @@
 #include <asio.hpp>
 #include <chrono>
 #include <cstdint>
-#include <filesystem>
-#include <fstream>
 #include <functional>
 #include <string>
 #include <utility>
@@ -21,12 +19,15 @@
 #include "support/deployment.h"
 #include "support/leased_deployment.h"
 #include "support/leased_plan.h"
+#include "support/process_usage.h"
 #include "support/resending_caller.h"
 
 namespace {
 
 using zinniamux::testing::ChildProcess;
+using zinniamux::testing::Descriptors;
 using zinniamux::testing::LeasedDeployment;
+using zinniamux::testing::PeakKilobytes;
 using zinniamux::testing::WaitFor;
 
 // Lowered, so that a small set of clients exceeds them.
@@ -81,20 +82,6 @@
   std::vector<asio::ip::tcp::socket> sockets_;
 };
 
-std::size_t PeakKilobytes(const ChildProcess& process) {
-  std::ifstream status("/proc/" + std::to_string(process.id()) + "/status");
-  for (std::string line; std::getline(status, line);) {
-    if (!line.starts_with("VmHWM:")) continue;
-    return std::stoul(line.substr(line.find_first_of("0123456789")));
-  }
-  return 0;
-}
-
-std::size_t Descriptors(const ChildProcess& process) {
-  const std::filesystem::directory_iterator open("/proc/" + std::to_string(process.id()) + "/fd");
-  return static_cast<std::size_t>(std::distance(begin(open), end(open)));
-}
-
 void CheckBounds(ChildProcess& process) {
   cr_assert(process.running());
   const std::size_t peak = PeakKilobytes(process);
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -246,14 +246,17 @@
   const auto defaults = LoadSettings(folder.Write("defaults.yaml", dispatcher));
   cr_assert(defaults.has_value());
   cr_assert(!defaults->dispatcher->limits.max_input_bytes.has_value());
+  cr_assert(!defaults->dispatcher->limits.max_work_bytes.has_value());
   cr_assert_geq(defaults->dispatcher->limits.connection.max_head_bytes, 8192U);
   const auto set = LoadSettings(folder.Write(
       "set.yaml", dispatcher + "  limits:\n    max_input_bytes: 8388608\n    max_connections: 100\n"
+                               "    max_work_bytes: 9000000\n"
                                "    max_head_bytes: 16384\n    max_fields: 64\n"
                                "    max_chunk_overhead_bytes: 65536\n    stall_ms: 2000\n"));
   cr_assert(set.has_value());
   const auto& limits = set->dispatcher->limits;
   cr_assert_eq(limits.max_input_bytes.value(), 8'388'608U);
+  cr_assert_eq(limits.max_work_bytes.value(), 9'000'000U);
   cr_assert_eq(limits.max_connections.value(), 100U);
   cr_assert_eq(limits.connection.max_head_bytes, 16'384U);
   cr_assert_eq(limits.connection.max_fields, 64U);
@@ -261,6 +264,8 @@
   cr_assert_eq(limits.stall_limit.count(), 2000);
   AssertReports(MessageFor(dispatcher + "  limits:\n    max_input_bytes: 1000\n"),
                 "max_input_bytes");
+  AssertReports(MessageFor(dispatcher + "  limits:\n    max_work_bytes: 8388607\n"),
+                "max_work_bytes");
   AssertReports(MessageFor(dispatcher + "  limits:\n    max_inputs: 1000\n"), "max_inputs");
 }
 
@@ -268,8 +273,12 @@
 Test(settings, default_limits_follow_memory_and_descriptors) {
   using zinniamux::adapters::MaxConnections;
   using zinniamux::adapters::MaxInputBytes;
+  using zinniamux::adapters::MaxWorkBytes;
   cr_assert_eq(MaxInputBytes(120'000'000), 15'000'000U);
   cr_assert_eq(MaxInputBytes(0), 8U << 20U);
+  cr_assert_eq(MaxWorkBytes(120'000'000), 15'000'000U);
+  cr_assert_eq(MaxWorkBytes(0), 8U << 20U);
+  cr_assert_eq(MaxWorkBytes(32'000'000'000), 64U << 20U);
   cr_assert_eq(MaxInputBytes(32'000'000'000), 64U << 20U);
   cr_assert_eq(MaxConnections(3075), 2563U);
   cr_assert_eq(MaxConnections(256), 128U);
