supervisor: bound the memory of orders and runs

A job of tasks that need no processor and no memory fits into any room. A supervisor took all its orders at once: with jobs of 700 and 10,000 such tasks one rose to 86,868 KiB and stood still for over 0.5 s, so that its dispatcher answered the jobs as isolated.

Cause: only orders that wait for room were limited. Each run has a copy of the spec and a call to the executor, 5.9 KB and more.

Change: RunBudget charges each order until its run has ended, within max_work_bytes of the supervisor; an order without memory is refused as one without room, before anything of it starts. A dispatcher gives one supervisor at most 1,024 runs. Gauge, counter and log line.

--- a/src/adapters/input_limits.cc
+++ b/src/adapters/input_limits.cc
@@ -68,4 +68,8 @@
   return {.max_bytes = limits.max_work_bytes.value_or(MaxWorkBytes(MemoryOfVm()))};
 }
 
+core::RunBudget::Options RunOptions(const InputLimits& limits) {
+  return {.max_bytes = limits.max_work_bytes.value_or(MaxWorkBytes(MemoryOfVm()))};
+}
+
 }  // namespace zinniamux::adapters
--- a/src/adapters/input_limits.h
+++ b/src/adapters/input_limits.h
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "core/input_budget.h"
+#include "core/run_budget.h"
 #include "core/work_budget.h"
 
 namespace zinniamux::adapters {
@@ -44,6 +45,7 @@
 // Fills in the defaults of this VM and process.
 core::InputBudget::Options BudgetOptions(const InputLimits& limits);
 core::WorkBudget::Options WorkOptions(const InputLimits& limits);
+core::RunBudget::Options RunOptions(const InputLimits& limits);
 
 }  // namespace zinniamux::adapters
 
--- a/src/core/executor_view.h
+++ b/src/core/executor_view.h
@@ -112,6 +112,9 @@
   // with each report.
   bool may_take_last_room() const { return may_take_last_room_; }
   void set_may_take_last_room(bool may_take) { may_take_last_room_ = may_take; }
+  // This dispatcher has as many runs there as it may have.
+  bool is_at_run_limit() const { return is_at_run_limit_; }
+  void set_is_at_run_limit(bool is_at_limit) { is_at_run_limit_ = is_at_limit; }
   bool takes_work() const { return attached_ && report_.accepting && !in_evacuated_zone_; }
   // The zone of the executor, as far as it has announced another one than its supervisor's.
   const std::string& executor_zone() const {
@@ -131,6 +134,7 @@
   bool attached_ = false;
   bool may_take_last_room_ = false;
   bool in_evacuated_zone_ = false;
+  bool is_at_run_limit_ = false;
   ExecutorReport report_;
   // Invariant: the free room of the report minus all pending needs.
   Resources free_;
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -165,6 +165,11 @@
   supervisor.heard_at = now;
 }
 
+void JobScheduler::NoteRuns(Supervisor& supervisor) const {
+  supervisor.view.set_is_at_run_limit(supervisor.runs.size() + supervisor.orphaned_runs.size() >=
+                                      options_.max_runs_per_supervisor);
+}
+
 bool JobScheduler::HasNamed(const Supervisor& supervisor, const Job& job, const RunId& id) const {
   const TimePoint ordered_at = job.steps[id.task.step].tasks[id.task.index].ordered_at;
   return supervisor.heard_since <=
@@ -607,7 +612,7 @@
     Task& task = step.tasks[index];
     if (task.state != TaskState::kReady) continue;
     const auto filter = [&](const ExecutorView& view) {
-      if (view.agent_id() == task.last_failed_on) return false;
+      if (view.is_at_run_limit() || view.agent_id() == task.last_failed_on) return false;
       if (health_.standing(view.agent_id()) == ExecutorHealth::Standing::kEjected) return false;
       return requested_step.max_per_executor == 0 ||
              tasks_per_supervisor[view.agent_id()] < requested_step.max_per_executor;
@@ -648,6 +653,7 @@
       --ordered_tasks_;
       MakeReady(job, step, step.tasks[each.index]);
     }
+    NoteRuns(supervisor);
   }
   job.first_ordered = {};
   unsent_starts_.clear();
@@ -707,6 +713,7 @@
   start.starts.push_back({.index = index, .run = task.run});
   supervisor.view.OnOrder(start.order, requested_step.need);
   supervisor.runs.insert(std::move(id));
+  NoteRuns(supervisor);
 }
 
 // --- Runs
@@ -716,6 +723,7 @@
   NoteInput();
   const auto supervisor = supervisors_.find(supervisor_id);
   if (supervisor == supervisors_.end() || supervisor->second.runs.erase(id) == 0) return;
+  NoteRuns(supervisor->second);
   const auto job = jobs_.find(id.task.job_id);
   const bool is_late = job != jobs_.end() && job->second.is_late;
   if (outcome == RunOutcome::kNoRoom && !is_late) {
@@ -955,6 +963,7 @@
     actions_.emplace_back(StopTask{.agent_id = supervisor_id, .id = id});
   }
   if (supervisor.orphaned_runs.empty()) supervisor.runs_over_at = {};
+  NoteRuns(supervisor);
 }
 
 bool JobScheduler::IsCurrentRun(const std::string& supervisor_id, const RunId& id) const {
@@ -1052,9 +1061,11 @@
     if (MayStartLate(supervisor)) continue;
     supervisor.runs_over_at = {};
     EndLostRuns(supervisor, std::exchange(supervisor.orphaned_runs, {}), RunOutcome::kLapsed);
+    NoteRuns(supervisor);
     if (supervisor.view.attached()) continue;
     SetJobsOfOthers(supervisor, {});
     EndLostRuns(supervisor, std::exchange(supervisor.runs, {}), RunOutcome::kLapsed);
+    NoteRuns(supervisor);
   }
   ForgetExpiredAnswers();
   MoveStragglers();
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -143,6 +143,9 @@
     // Limit on accepted jobs without an answer.
     std::size_t max_jobs = 20'000;
     WorkBudget::Options work;
+    // Limit on the runs of this dispatcher at one supervisor that may not have ended. Bounds what
+    // tasks without needs, which fit into any room, take there.
+    std::size_t max_runs_per_supervisor = 1024;
     // The job is refused or abandoned after this many refused orders of one task.
     std::uint32_t max_refused_starts = 30;
     // After this many orders of one task were refused for lack of room, the next order waits for
@@ -365,6 +368,8 @@
   // Called with everything that callers and supervisors send.
   void NoteInput();
   void NoteHeard(Supervisor& supervisor);
+  // Called with every change of the supervisor's runs.
+  void NoteRuns(Supervisor& supervisor) const;
   // Whether a supervisor that has had this run has named the job to the other dispatchers: it was
   // heard without a long silence since the job reached its notice age or the run was ordered.
   bool HasNamed(const Supervisor& supervisor, const Job& job, const RunId& id) const;
--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -14,6 +14,7 @@
       clock_(clock),
       executor_pace_(executor_pace),
       fencing_token_(options.fencing_token),
+      run_budget_(options.run_budget),
       queue_(options.max_waiting),
       superseded_jobs_(options.budget) {}
 
@@ -239,18 +240,20 @@
 void RunSupervisor::OnOrder(const std::string& owner, const RunOrder& order) {
   owner_input_handled_.try_emplace(owner, clock_.now());
   if (const std::optional<RunOutcome> reason = ReasonToRefuse(owner, order)) {
-    actions_.emplace_back(RunUpdate{.owner = owner, .id = order.id, .outcome = *reason});
-    return;
+    return RefuseOrder(owner, order.id, *reason);
   }
   StartQueue::WaitingOrder waiting{.owner = owner, .order = order};
   if (order.job_received == TimePoint()) waiting.order.job_received = clock_.now();
   if (superseded_jobs_.IsSuperseded(owner, order.id.task.job_id, waiting.order.job_received)) {
-    return RefuseOrders({waiting}, RunOutcome::kWithdrawn);
+    return RefuseOrder(owner, order.id, RunOutcome::kWithdrawn);
+  }
+  if (!run_budget_.Add(order)) {
+    ++orders_without_memory_;
+    return RefuseOrder(owner, order.id, RunOutcome::kNoRoom);
   }
   if (!queue_.Add(std::move(waiting))) {
-    actions_.emplace_back(
-        RunUpdate{.owner = owner, .id = order.id, .outcome = RunOutcome::kNoRoom});
-    return;
+    run_budget_.Remove(order);
+    return RefuseOrder(owner, order.id, RunOutcome::kNoRoom);
   }
   StartWaitingOrders();
   if (!order.at_once) return;
@@ -299,10 +302,15 @@
 void RunSupervisor::RefuseOrders(const std::vector<StartQueue::WaitingOrder>& orders,
                                  RunOutcome outcome) {
   for (const StartQueue::WaitingOrder& each : orders) {
-    actions_.emplace_back(RunUpdate{.owner = each.owner, .id = each.order.id, .outcome = outcome});
+    run_budget_.Remove(each.order);
+    RefuseOrder(each.owner, each.order.id, outcome);
   }
 }
 
+void RunSupervisor::RefuseOrder(const std::string& owner, const RunId& id, RunOutcome outcome) {
+  actions_.emplace_back(RunUpdate{.owner = owner, .id = id, .outcome = outcome});
+}
+
 void RunSupervisor::SendStart(Run& run) {
   run.state = State::kStarting;
   run.state_since = clock_.now();
@@ -453,6 +461,7 @@
   }
   const RunOrder& order = run->second.order;
   used_ -= order.need;
+  run_budget_.Remove(order);
   if (order.urgent) urgent_used_milli_ -= order.need.cpu_milli;
   const Duration elapsed = clock_.now() - run->second.started_at;
   const double estimate = std::chrono::duration<double>(run->second.order.estimate).count();
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -17,6 +17,7 @@
 #include "core/decaying_mean.h"
 #include "core/pace_meter.h"
 #include "core/run.h"
+#include "core/run_budget.h"
 #include "core/run_end_budget.h"
 #include "core/start_queue.h"
 #include "core/superseded_jobs.h"
@@ -220,6 +221,8 @@
     // Nothing starts while only shorter leases can be granted: an executor under load takes a part
     // of it to answer.
     std::chrono::milliseconds min_start_lease{200};
+    // Memory of all orders and runs.
+    RunBudget::Options run_budget;
     // Limit on orders that wait for room. Dispatchers order only what can start within a share of
     // the objective, which is tens of tasks.
     std::size_t max_waiting = 512;
@@ -285,6 +288,10 @@
   // processes of this supervisor from then on.
   bool executor_answered() const { return executor_answered_; }
   Resources free_room() const;
+  // Memory that orders and runs are charged for.
+  std::size_t run_bytes() const { return run_budget_.bytes(); }
+  // Orders refused for lack of it, since the start.
+  std::uint64_t orders_without_memory() const { return orders_without_memory_; }
   std::size_t run_count() const { return runs_.size(); }
   std::size_t waiting_count() const { return queue_.size(); }
   WaitingNeeds waiting_room() const { return queue_.waiting_needs(); }
@@ -373,7 +380,10 @@
   void UpdateUrgentUse();
   double RunReleaseRate(bool with_urgent) const;
   void BeginRun(StartQueue::WaitingOrder waiting);
+  // The orders were accepted.
   void RefuseOrders(const std::vector<StartQueue::WaitingOrder>& orders, RunOutcome outcome);
+  // The order was not accepted.
+  void RefuseOrder(const std::string& owner, const RunId& id, RunOutcome outcome);
   void SendStart(Run& run);
   void LoseOwner(const std::string& owner, StopReason reason);
   void BeginStop(const RunId& id, Run& run, StopReason reason, RunOutcome outcome_if_not_started);
@@ -449,6 +459,9 @@
   Runs runs_;
   // Invariant: the sum of the needs of runs_.
   Resources used_;
+  // Invariant: charged for runs_ and queue_.
+  RunBudget run_budget_;
+  std::uint64_t orders_without_memory_ = 0;
   // Invariant at the end of each call: empty unless accepting().
   StartQueue queue_;
   // Processor need of the urgent runs in runs_.
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -40,11 +40,14 @@
 // Starts and stops share these connections with hold calls.
 constexpr long kMaxExecutorConnections = 12;
 constexpr long kMaxStoreConnections = 2;
+// Least time between two lines on orders that were refused for lack of memory.
+constexpr std::chrono::seconds kRefusalLogPeriod{10};
 constexpr std::size_t kMaxAnnouncementBytes = 4U << 20U;
 
 core::RunSupervisor::Options SupervisorOptions(const adapters::SupervisorSettings& settings,
                                                std::uint64_t fencing_token) {
   return {.budget = settings.bounds.run_ends,
+          .run_budget = adapters::RunOptions(settings.limits),
           .fencing_token = fencing_token,
           .availability_zone = settings.availability_zone};
 }
@@ -602,8 +605,20 @@
   });
 }
 
+void SupervisorDaemon::NoteMemoryRefusals() {
+  const std::uint64_t total = run_supervisor_.orders_without_memory();
+  const TimePoint now = clock_.now();
+  if (total == noted_memory_refusals_ || now < next_refusal_log_at_) return;
+  const std::uint64_t refusals = total - std::exchange(noted_memory_refusals_, total);
+  next_refusal_log_at_ = now + kRefusalLogPeriod;
+  log_.Write(
+      LogLevel::kWarning, "work_refused",
+      {{"refusals", {{"no_memory", refusals}}}, {"work_bytes", run_supervisor_.run_bytes()}});
+}
+
 void SupervisorDaemon::OnTimer() {
   input_guard_.OnTimer();
+  NoteMemoryRefusals();
   run_supervisor_.OnTimer();
   RunActions();
   for (auto& [id, link] : links_) link->OnTimer();
@@ -646,6 +661,9 @@
 
 void SupervisorDaemon::UpdateGauges() {
   input_guard_.UpdateGauges();
+  metrics_.Set("work_refused_total", static_cast<double>(run_supervisor_.orders_without_memory()),
+               {{"cause", "no_memory"}});
+  metrics_.Set("work_bytes", static_cast<double>(run_supervisor_.run_bytes()));
   metrics_.Set("runs", static_cast<double>(run_supervisor_.run_count()));
   metrics_.Set("waiting_orders", static_cast<double>(run_supervisor_.waiting_count()));
   metrics_.Set("free_cpu_milli", static_cast<double>(run_supervisor_.free_room().cpu_milli));
--- a/src/zinniamuxd/supervisor_daemon.h
+++ b/src/zinniamuxd/supervisor_daemon.h
@@ -89,6 +89,8 @@
   void OnSignal(int signal);
   bool CanExit() const;
   void UpdateGauges();
+  // Logs the orders that were refused for lack of memory.
+  void NoteMemoryRefusals();
 
   const adapters::SupervisorSettings settings_;
   const std::string settings_file_;
@@ -126,6 +128,9 @@
   std::map<std::string, std::uint64_t> evacuation_known_;
   // Unset until a shutdown is requested.
   core::TimePoint shutdown_started_at_;
+  // Orders without memory that have been logged.
+  std::uint64_t noted_memory_refusals_ = 0;
+  core::TimePoint next_refusal_log_at_;
 };
 
 }  // namespace zinniamux::daemon
--- a/tests/integration/accepted_work_test.cc
+++ b/tests/integration/accepted_work_test.cc
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -81,6 +82,11 @@
                    });
     }
     cr_expect(WaitFor([&] { return answered == bodies.size(); }), "every job is answered");
+    std::map<std::string, std::size_t> answers;
+    for (const HttpResult& result : results) {
+      ++answers[std::to_string(result.status) + " " + result.body + result.failure];
+    }
+    for (const auto& [answer, count] : answers) cr_log_info("%zu x %s", count, answer.c_str());
     return results;
   }
 
@@ -147,3 +153,19 @@
   }
   fixture.CheckProcesses();
 }
+
+// Guards against tasks without needs, which fit into any room: a supervisor took all of them at
+// once, each with its own copy of the spec and a call to the executor, and stood still meanwhile.
+Test(accepted_work, tasks_that_need_no_room) {
+  constexpr std::size_t kSpecBytes = 4000;
+  const json step{{"count", 700}, {"estimate_ms", 50}};
+  const std::string spec = "50" + std::string(kSpecBytes - 2, 'x');
+  Fixture fixture;
+  fixture.SendAll({JobOf(1, step, spec), JobOf(1, step, spec), JobOf(1, step, spec)});
+  fixture.CheckProcesses();
+  const json wide_step{{"count", kManyTasks}, {"estimate_ms", 50}};
+  for (const HttpResult& result : fixture.SendAll({JobOf(1, wide_step), JobOf(1, wide_step)})) {
+    cr_expect_eq(result.status, kServiceUnavailable, "status %d", result.status);
+  }
+  fixture.CheckProcesses();
+}
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -1193,3 +1193,23 @@
   // One to choose the executor, one for the order, and those of the whole job.
   cr_assert_lt(reads, 2 * kTasks + 50, "%zu reads", reads);
 }
+
+// Guards against all tasks of a job without needs at one supervisor, and against a limit that stays
+// when they have ended.
+Test(job_scheduler, limits_the_runs_at_one_supervisor) {
+  constexpr std::uint32_t kLimit = 1024;
+  Fixture fixture({"a"});
+  JobRequest wide = fixture.MakeJob("wide", kLimit + 1);
+  wide.steps[0].need = {};
+  fixture.Submit(std::move(wide));
+  cr_assert(fixture.starts.empty());
+  JobRequest job = fixture.MakeJob("job", kLimit);
+  job.steps[0].need = {};
+  fixture.Submit(std::move(job));
+  cr_assert_eq(fixture.starts.size(), 1);
+  cr_assert_eq(fixture.starts[0].starts.size(), kLimit);
+  fixture.EndAllRuns(RunOutcome::kDone);
+  fixture.PlaceAndTakeActions();
+  fixture.Submit(fixture.MakeJob("next", 1));
+  cr_assert_eq(fixture.starts.size(), 1);
+}
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -21,6 +21,7 @@
 using zinniamux::core::LeasedExecutor;
 using zinniamux::core::ManualClock;
 using zinniamux::core::RunId;
+using zinniamux::core::RunOrder;
 using zinniamux::core::RunOutcome;
 using zinniamux::core::RunStopping;
 using zinniamux::core::RunSupervisor;
@@ -36,7 +37,15 @@
 }
 
 struct Fixture {
-  Fixture() { Announce(1); }
+  explicit Fixture(RunSupervisor::Options options = {})
+      : supervisor(WithToken(std::move(options)), clock) {
+    Announce(1);
+  }
+
+  static RunSupervisor::Options WithToken(RunSupervisor::Options options) {
+    options.fencing_token = 7;
+    return options;
+  }
 
   LeasedExecutor Status(std::uint64_t sequence) {
     return {.id = "executor",
@@ -118,7 +127,7 @@
 
   ManualClock clock;
   const zinniamux::core::TimePoint started_at = clock.now();
-  RunSupervisor supervisor{{.fencing_token = 7}, clock};
+  RunSupervisor supervisor;
   std::vector<zinniamux::core::SupervisorAction> actions;
   CallHold last_hold;
 };
@@ -1248,3 +1257,57 @@
   cr_assert_gt(fixture.supervisor.pace(), 0);
   cr_assert_lt(fixture.supervisor.pace(), 1.1, "%f", fixture.supervisor.pace());
 }
+
+// Guards against orders without needs, which fit into any room: 10,700 of them took a supervisor
+// over 64 MB. Refused ones are free again.
+Test(run_supervisor, refuses_orders_beyond_its_memory) {
+  const RunOrder order{.id = MakeRunId(0),
+                       .spec = std::string(4000, 'x'),
+                       .estimate = milliseconds(100),
+                       .expires = zinniamux::core::TimePoint::max()};
+  const std::size_t cost = zinniamux::core::RunBudget::CostOf(order);
+  constexpr std::size_t kFit = 10;
+  Fixture fixture({.run_budget = {.max_bytes = kFit * cost}});
+  const auto order_tasks = [&](std::uint32_t first, std::uint32_t count) {
+    std::size_t refused = 0;
+    for (std::uint32_t index = first; index < first + count; ++index) {
+      RunOrder each = order;
+      each.id = MakeRunId(index);
+      fixture.supervisor.OnOrder(kOwner, each);
+      fixture.TakeActions();
+      for (const RunUpdate& update : fixture.ActionsOf<RunUpdate>()) {
+        cr_expect_eq(update.outcome, RunOutcome::kNoRoom);
+        ++refused;
+      }
+    }
+    return refused;
+  };
+  cr_expect_eq(order_tasks(0, kFit), 0);
+  cr_expect_eq(order_tasks(kFit, 5), 5);
+  cr_expect_eq(fixture.supervisor.run_count(), kFit);
+  cr_expect_eq(fixture.supervisor.orders_without_memory(), 5);
+  cr_expect_eq(fixture.supervisor.run_bytes(), kFit * cost);
+  for (std::uint32_t index = 0; index < kFit; ++index) {
+    fixture.supervisor.OnStartAnswer(MakeRunId(index), StartAnswer::kNoRoom,
+                                     fixture.ExecutorClock());
+  }
+  fixture.TakeActions();
+  cr_expect_eq(fixture.supervisor.run_bytes(), 0);
+  cr_expect_eq(order_tasks(100, kFit), 0);
+}
+
+// Guards against memory that stays charged for orders that wait, expire, and never start.
+Test(run_supervisor, returns_the_memory_of_orders_that_do_not_start) {
+  Fixture fixture;
+  const std::size_t before = fixture.supervisor.run_bytes();
+  // More than the executor has room for.
+  for (std::uint32_t index = 0; index < 20; ++index) fixture.OrderRun(index);
+  cr_expect_gt(fixture.supervisor.waiting_count(), 0);
+  cr_expect_gt(fixture.supervisor.run_bytes(), before);
+  fixture.supervisor.OnOwnerLost(kOwner);
+  fixture.TakeActions();
+  const std::size_t runs = fixture.supervisor.run_count();
+  const std::size_t cost = zinniamux::core::RunBudget::CostOf(RunOrder());
+  cr_expect_eq(fixture.supervisor.waiting_count(), 0);
+  cr_expect_eq(fixture.supervisor.run_bytes(), runs * cost);
+}
--- a/tests/unit/work_budget_test.cc
+++ b/tests/unit/work_budget_test.cc
@@ -57,7 +57,11 @@
 
 struct Fixture {
   explicit Fixture(const WorkBudget::Options& work, std::int64_t cpu_milli = 1'000'000)
-      : scheduler({.availability_zone = "zone", .work = work}, clock) {
+      : scheduler({.availability_zone = "zone",
+                   .work = work,
+                   // More than the memory allows.
+                   .max_runs_per_supervisor = 1'000'000},
+                  clock) {
     // Skip the startup grace, during which jobs wait for executors.
     clock.Advance(seconds(2));
     scheduler.OnAgentAttached(kLongName, "zone", 1, {});
