adapters: free a request when its handler has returned

Callers of a dispatcher lost their connections when some 560 jobs in bodies of 262,144 bytes were running: the process exceeded the memory of its VM.

Cause: the function that answers a request held RESTinio's request, with its body and fields, until the job had ended. The input budget counts a complete request as no memory any more.

Change: PendingResponse takes the connection at arrival, and the request is freed when the handler has returned.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -49,9 +49,9 @@
                                               .max_body_size(options.max_body_bytes))
                 .request_handler(
                     [handler = std::move(handler)](const restinio::request_handle_t& request) {
-                      handler(FromRestinio(*request), [request](HttpResponse response) {
-                        Respond(request, std::move(response));
-                      });
+                      handler(FromRestinio(*request),
+                              [answer = std::make_shared<PendingResponse>(*request)](
+                                  HttpResponse response) { answer->Send(std::move(response)); });
                       return restinio::request_accepted();
                     }),
             options.threads)) {}
--- a/src/adapters/loop_http_server.cc
+++ b/src/adapters/loop_http_server.cc
@@ -2,6 +2,7 @@
 #include "adapters/loop_http_server.h"
 
 #include <exception>
+#include <memory>
 #include <restinio/all.hpp>
 #include <string>
 #include <unordered_map>
@@ -88,15 +89,16 @@
                                             .max_body_size(options.max_body_bytes))
               .connection_state_listener(listener_)
               .request_handler([this, handler = std::move(options.handler)](auto request) {
-                handler(request->connection_id(), FromRestinio(*request),
-                        [request, input = listener_->InputOf(request->connection_id())](
-                            HttpResponse response) {
-                          if (input == nullptr) return Respond(request, std::move(response));
-                          input->OnAnswered();
-                          // The next request may have arrived already.
-                          const InputScope scope(*input);
-                          Respond(request, std::move(response));
-                        });
+                handler(
+                    request->connection_id(), FromRestinio(*request),
+                    [answer = std::make_shared<PendingResponse>(*request),
+                     input = listener_->InputOf(request->connection_id())](HttpResponse response) {
+                      if (input == nullptr) return answer->Send(std::move(response));
+                      input->OnAnswered();
+                      // The next request may have arrived already.
+                      const InputScope scope(*input);
+                      answer->Send(std::move(response));
+                    });
                 return restinio::request_accepted();
               });
         }) {
--- a/src/adapters/restinio_messages.h
+++ b/src/adapters/restinio_messages.h
@@ -24,27 +24,36 @@
   return result;
 }
 
-template <typename Handle>
-void CutOff(const Handle& request) {
-  // A response that ends before its announced length is an error to every client.
-  constexpr std::size_t kAnnouncedBytes = 1000;
-  request->template create_response<restinio::user_controlled_output_t>()
-      .connection_close()
-      .set_content_length(kAnnouncedBytes)
-      .done();
-}
-
-template <typename Handle>
-void Respond(const Handle& request, HttpResponse response) {
-  if (response.cut_off) return CutOff(request);
-  auto builder = request->create_response(restinio::http_status_line_t{
-      restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)}, ""});
-  builder.append_header(restinio::http_field::content_type, response.content_type);
-  for (auto& [name, value] : response.headers) builder.append_header(name, value);
-  if (response.close_connection) builder.connection_close();
-  builder.set_body(std::move(response.body));
-  builder.done();
-}
+// The answer to one request. Does not keep the request: its body and fields are freed when the
+// handler has returned, however long the answer takes.
+class PendingResponse {
+ public:
+  template <typename Request>
+  explicit PendingResponse(Request& request)
+      : builder_(request.template create_response<restinio::user_controlled_output_t>()) {}
+
+  // Called at most once.
+  void Send(HttpResponse response) {
+    if (response.cut_off) return CutOff();
+    builder_.header().status_line(restinio::http_status_line_t{
+        restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)}, ""});
+    builder_.append_header(restinio::http_field::content_type, response.content_type);
+    for (auto& [name, value] : response.headers) builder_.append_header(name, value);
+    if (response.close_connection) builder_.connection_close();
+    builder_.set_content_length(response.body.size());
+    builder_.set_body(std::move(response.body));
+    builder_.done();
+  }
+
+ private:
+  void CutOff() {
+    // A response that ends before its announced length is an error to every client.
+    constexpr std::size_t kAnnouncedBytes = 1000;
+    builder_.connection_close().set_content_length(kAnnouncedBytes).done();
+  }
+
+  restinio::response_builder_t<restinio::user_controlled_output_t> builder_;
+};
 
 }  // namespace zinniamux::adapters
 
--- a/tests/integration/accepted_work_test.cc
+++ b/tests/integration/accepted_work_test.cc
@@ -64,11 +64,16 @@
  public:
   Fixture() : deployment_({.dispatchers = 1, .supervisors = 1, .limits = kLimits}) {}
 
-  // Sends the bodies at the same time, each as a job of its own.
-  std::vector<HttpResult> SendAll(const std::vector<std::string>& bodies) {
+  // Sends the bodies, each as a job of its own, without waiting for answers. At most
+  // `max_unread` of them are on their way to the dispatcher.
+  std::vector<HttpResult> SendAll(const std::vector<std::string>& bodies,
+                                  std::size_t max_unread = 1000) {
     std::vector<HttpResult> results(bodies.size());
     std::atomic<std::size_t> answered = 0;
+    const std::size_t received = JobsReceived();
     for (std::size_t i = 0; i < bodies.size(); ++i) {
+      const auto is_read = [&] { return JobsReceived() + max_unread > received + i; };
+      if (i >= max_unread) cr_assert(WaitFor(is_read), "the bodies are read");
       client_.Send({.method = "POST",
                     .url = "http://127.0.0.1:" + std::to_string(deployment_.caller_port(0)) +
                            LeasedDeployment::kPrefix + std::to_string(next_job_++),
@@ -114,6 +119,16 @@
   LeasedDeployment& deployment() { return deployment_; }
 
  private:
+  // Since the start of the dispatcher.
+  std::size_t JobsReceived() {
+    const HttpResult page = client_.SendAndWait(
+        {.url = "http://127.0.0.1:" + std::to_string(deployment_.metrics_port(0)) + "/metrics"});
+    const std::string name = "jobs_submitted_total{";
+    const std::size_t line = page.body.find(name);
+    if (line == std::string::npos) return 0;
+    return std::stoul(page.body.substr(page.body.find("} ", line) + 2));
+  }
+
   zinniamux::adapters::SteadyClock clock_;
   LeasedDeployment deployment_;
   zinniamux::adapters::HttpClient client_{{.max_connections_per_host = 512}};
@@ -169,3 +184,23 @@
   }
   fixture.CheckProcesses();
 }
+
+// Guards against bodies that are kept until their jobs are answered.
+Test(accepted_work, long_bodies_of_waiting_jobs) {
+  constexpr std::size_t kJobs = 300;
+  constexpr std::size_t kBodyBytes = 262'144;
+  // Half of the budget for input.
+  constexpr std::size_t kMaxUnread = 16;
+  // More tasks than the executor has room for, so that the jobs wait.
+  json job = json::parse(JobOf(1, Step(20)));
+  job["note"] = "";
+  job["note"] = std::string(kBodyBytes - job.dump().size(), 'x');
+  Fixture fixture;
+  const std::vector<HttpResult> results =
+      fixture.SendAll(std::vector<std::string>(kJobs, job.dump()), kMaxUnread);
+  for (const HttpResult& result : results) {
+    cr_expect_eq(result.status, kServiceUnavailable, "status %d", result.status);
+    cr_expect_eq(result.body, R"({"error":"overloaded"})", "%s", result.body.c_str());
+  }
+  fixture.CheckProcesses();
+}
