caller gateway: limit the bytes of requests before the configuration

Callers could take a dispatcher over its memory while it had no configuration: it kept up to 500 complete requests for 300 ms, with bodies of up to 1 MiB.

Cause: the requests were counted, not their bytes. Found by reading.

Change: they take at most max_work_bytes, as there are no jobs yet; others are refused at once with 503 and Retry-After. Each is freed before the next becomes a job.

Evidence: caller_gateway/refuses_early_requests_beyond_the_memory_for_work kept 62 requests of 1 MiB before (32 MiB allowed) and passes now. Not run with real processes.

--- a/src/adapters/http_message.cc
+++ b/src/adapters/http_message.cc
@@ -17,6 +17,18 @@
 
 }  // namespace
 
+std::size_t MemoryOf(const HttpRequest& request) {
+  constexpr std::size_t kRequestBytes = 512;
+  // Two strings.
+  constexpr std::size_t kHeaderBytes = 128;
+  std::size_t bytes =
+      kRequestBytes + request.path.size() + request.query.size() + request.body.size();
+  for (const auto& [name, value] : request.headers) {
+    bytes += kHeaderBytes + name.size() + value.size();
+  }
+  return bytes;
+}
+
 std::string QueryValue(const std::string& query, const std::string& name) {
   std::string_view rest = query;
   while (!rest.empty()) {
--- a/src/adapters/http_message.h
+++ b/src/adapters/http_message.h
@@ -3,6 +3,7 @@
 #ifndef ZINNIAMUX_ADAPTERS_HTTP_MESSAGE_H_
 #define ZINNIAMUX_ADAPTERS_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <utility>
@@ -37,6 +38,9 @@
 using HttpResponder = std::function<void(HttpResponse)>;
 using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
 
+// What the request takes, with the overhead of the allocator.
+std::size_t MemoryOf(const HttpRequest& request);
+
 // The value of a query parameter, or an empty string.
 std::string QueryValue(const std::string& query, const std::string& name);
 // The value of a header, or an empty string. Names are compared without case.
--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -39,8 +39,9 @@
 bool CallerGateway::SetConfiguration(core::QueueConfiguration configuration) {
   if (configuration_ && configuration.version <= configuration_->version) return false;
   configuration_ = std::move(configuration);
-  const std::deque<EarlyRequest> requests = std::exchange(early_requests_, {});
-  for (const EarlyRequest& early : requests) {
+  // Each is freed before the next one becomes a job.
+  while (!early_requests_.empty()) {
+    const EarlyRequest early = TakeEarlyRequest();
     HandleRequest({.connection = early.connection,
                    .request = early.request,
                    .responder = early.responder,
@@ -72,7 +73,12 @@
     return HandleRequest(
         {.connection = connection, .request = request, .responder = responder, .arrived = arrived});
   }
-  if (early_requests_.size() >= kMaxEarlyRequests) return RefuseEarlyRequest(request, responder);
+  const std::size_t bytes = adapters::MemoryOf(request);
+  if (early_requests_.size() >= kMaxEarlyRequests ||
+      early_bytes_ + bytes > scheduler_.max_work_bytes()) {
+    return RefuseEarlyRequest(request, responder);
+  }
+  early_bytes_ += bytes;
   early_requests_.push_back({.connection = connection,
                              .request = request,
                              .responder = std::move(responder),
@@ -82,12 +88,19 @@
 void CallerGateway::OnTimer() {
   while (!early_requests_.empty() &&
          early_requests_.front().arrived + kEarlyRequestTimeout <= clock_.now()) {
-    RefuseEarlyRequest(early_requests_.front().request, early_requests_.front().responder);
-    early_requests_.pop_front();
+    const EarlyRequest early = TakeEarlyRequest();
+    RefuseEarlyRequest(early.request, early.responder);
   }
   if (!memory_refusals_.empty() && clock_.now() >= next_refusal_log_at_) LogMemoryRefusals();
 }
 
+CallerGateway::EarlyRequest CallerGateway::TakeEarlyRequest() {
+  EarlyRequest early = std::move(early_requests_.front());
+  early_requests_.pop_front();
+  early_bytes_ -= adapters::MemoryOf(early.request);
+  return early;
+}
+
 void CallerGateway::NoteMemoryRefusal(std::string_view cause) {
   metrics_.Add("work_refused_total", 1, {{"cause", cause}});
   ++memory_refusals_[std::string(cause)];
@@ -197,8 +210,10 @@
 }
 
 void CallerGateway::OnClosed(ConnectionId connection) {
-  std::erase_if(early_requests_, [connection](const EarlyRequest& request) {
-    return request.connection == connection;
+  std::erase_if(early_requests_, [this, connection](const EarlyRequest& early) {
+    if (early.connection != connection) return false;
+    early_bytes_ -= adapters::MemoryOf(early.request);
+    return true;
   });
   const auto found = jobs_by_connection_.find(connection);
   if (found == jobs_by_connection_.end()) return;
--- a/src/zinniamuxd/caller_gateway.h
+++ b/src/zinniamuxd/caller_gateway.h
@@ -77,6 +77,7 @@
   };
 
   void HandleRequest(const RequestContext& context);
+  EarlyRequest TakeEarlyRequest();
   void RefuseEarlyRequest(const adapters::HttpRequest& request,
                           const adapters::HttpResponder& responder);
   void SubmitJob(const std::string& id, const core::QueueRule& queue,
@@ -96,6 +97,9 @@
   std::optional<core::QueueConfiguration> configuration_;
   // Requests that wait for the first configuration. Invariant: empty once there is one.
   std::deque<EarlyRequest> early_requests_;
+  // Invariant: the memory of early_requests_. There are no jobs yet, so they may take the memory
+  // for jobs.
+  std::size_t early_bytes_ = 0;
   std::unordered_map<std::string, std::vector<WaitingCaller>> callers_by_job_;
   // The jobs that each connection waits for. Invariant: the same pairs as in callers_by_job_.
   std::unordered_map<ConnectionId, std::set<std::string>> jobs_by_connection_;
--- a/tests/unit/caller_gateway_test.cc
+++ b/tests/unit/caller_gateway_test.cc
@@ -107,6 +107,35 @@
   cr_assert_eq(fixture.statuses.size(), 2);
 }
 
+// Guards against 500 bodies of 1 MiB that wait for the first configuration.
+Test(caller_gateway, refuses_early_requests_beyond_the_memory_for_work) {
+  constexpr std::size_t kBodyBytes = 1U << 20U;
+  Fixture fixture;
+  const std::size_t fitting = fixture.scheduler.max_work_bytes() / kBodyBytes;
+  const auto send = [&fixture](CallerGateway::ConnectionId connection) {
+    fixture.gateway.OnRequest(
+        connection,
+        {.method = "POST",
+         .path = "/a/0000000000000001",
+         .headers = {{"Host", "h"}},
+         .body = std::string(kBodyBytes, 'x')},
+        [&fixture](const HttpResponse& response) { fixture.statuses.push_back(response.status); },
+        fixture.clock.now());
+  };
+  for (std::size_t i = 0; i < 2 * fitting; ++i) send(i);
+  cr_assert_lt(fixture.gateway.waiting_caller_count(), fitting);
+  cr_assert_geq(fixture.statuses.size(), fitting);
+  for (const int status : fixture.statuses) cr_assert_eq(status, 503);
+  // A closed connection makes room for one.
+  const std::size_t refused = fixture.statuses.size();
+  fixture.gateway.OnClosed(0);
+  send(2 * fitting);
+  cr_assert_eq(fixture.statuses.size(), refused);
+  // The configuration frees all of them.
+  fixture.gateway.SetConfiguration(Configuration());
+  cr_assert_eq(fixture.gateway.waiting_caller_count(), 0);
+}
+
 // Guards against runs for callers who get their answer too late: the process was behind, and
 // counted the time that a job may take from when it read the request.
 Test(caller_gateway, refuses_at_once_a_job_that_was_read_too_late) {
