platform: keep errors about malformed input short

A client could put 1 MiB of its input into an answer and into each log line that waits, of which there may be 8,192, by a body that is not JSON; and 16 KB by a path.

Cause: messages of the JSON library end in the last token, and errors and paths were passed on as they were.

Not run with real processes.

--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "adapters/short_text.h"
 #include "platform/job_codec.h"
 
 namespace zinniamux::daemon {
@@ -59,8 +60,8 @@
                            std::string_view decision, const std::string& id,
                            const std::string& reason) {
   log_.Write(LogLevel::kInfo, decision,
-             {{"job", id},
-              {"reason", reason},
+             {{"job", adapters::ShortText(id)},
+              {"reason", adapters::ShortText(reason)},
               {"status", response.status},
               {"config_version", config_version()}});
   metrics_.Add("requests_rejected_total", 1, {{"decision", decision}});
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -358,3 +358,16 @@
     cr_assert_not(zinniamux::platform::ParseConfiguration(body).has_value(), "%s", body);
   }
 }
+
+// Guards against errors that repeat the client's input: a text of 1 MiB in the answer and in each
+// of the log lines that wait for the log's thread.
+Test(job_codec, keeps_errors_short) {
+  constexpr std::size_t kMaxMessageBytes = 256;
+  const std::string long_text(1U << 20U, 'x');
+  for (const std::string& body :
+       {'"' + long_text, "{\"" + long_text + "\":\"\\q\"}", "{\"steps\":[" + long_text + "]}"}) {
+    const auto job = zinniamux::platform::ParseJob(body);
+    cr_assert(!job.has_value());
+    cr_expect_lt(job.error().message.size(), kMaxMessageBytes, "%zu", job.error().message.size());
+  }
+}
