job scheduler: make no more orders than can be sent

A dispatcher on the smallest VM (120 MB) could exceed its memory, or lose the connection to a supervisor, by jobs that it had memory for: it ordered the tasks of all waiting jobs in one pass, and each order has a copy of its spec. 22 jobs of 700 steps with specs of 4,000 bytes have 67 MB of orders.

Cause: PlaceQueuedJobs went on while there was room, whatever was unsent.

Gauge unsent_bytes.

--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -386,6 +386,8 @@
   speeds_.Update(views_, clock_.now());
   unmet_needs_.clear();
   if (retry_waiting) waiting_needs_.clear();
+  const std::size_t unsent_bytes =
+      options_.unsent_order_bytes ? options_.unsent_order_bytes() : std::size_t{0};
   for (auto next = queue_.begin(); next != queue_.end();) {
     QueuedJob& queued = (next++)->second;
     if (queued.is_waiting && !retry_waiting) continue;
@@ -397,6 +399,10 @@
       RefuseOrAbandon(job, JobReason::kIsolated);
       continue;
     }
+    if (MustHoldOrders(job, unsent_bytes)) {
+      should_retry_waiting_ = true;
+      continue;
+    }
     const UnmetNeed* unmet = FindUnmetNeed(job);
     const bool found_none = unmet != nullptr || !PlaceJob(job);
     if (job.ready == 0) {
@@ -414,6 +420,12 @@
   }
 }
 
+bool JobScheduler::MustHoldOrders(const Job& job, std::size_t unsent_bytes) const {
+  const std::size_t earlier = unsent_bytes + new_order_bytes_;
+  return earlier > 0 &&
+         earlier + WorkBudget::OrderBytes(job.request, job.ready) > WorkBudget::kMaxOrderBytes;
+}
+
 double JobScheduler::MaxPace(const Job& job) const {
   RoomPlacement::Query query;
   AddSpeeds(job, job.steps.front(), query);
@@ -589,6 +601,7 @@
       ViewTrustFor(supervisors_.at(start.agent_id).view)
           .RecordOrders(start.starts.size(), clock_.now());
     }
+    new_order_bytes_ += WorkBudget::OrderBytes(job.request, start.starts.size());
     actions_.emplace_back(std::move(start));
   }
   unsent_starts_.clear();
@@ -1143,6 +1156,9 @@
   return {views_.begin(), views_.end()};
 }
 
-std::vector<SchedulerAction> JobScheduler::TakeActions() { return std::exchange(actions_, {}); }
+std::vector<SchedulerAction> JobScheduler::TakeActions() {
+  new_order_bytes_ = 0;
+  return std::exchange(actions_, {});
+}
 
 }  // namespace zinniamux::core
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -143,6 +143,8 @@
     // Limit on accepted jobs without an answer.
     std::size_t max_jobs = 20'000;
     WorkBudget::Options work;
+    // Bytes of earlier orders that are not sent yet; null for none.
+    std::function<std::size_t()> unsent_order_bytes;
     // Limit on the runs of this dispatcher at one supervisor that may not have ended. Bounds what
     // tasks without needs, which fit into any room, take there.
     std::size_t max_runs_per_supervisor = 1024;
@@ -415,6 +417,9 @@
   bool ShouldMove(const Job& job, const Step& step, const Task& task, double pace,
                   double median_pace);
   void PlaceQueuedJobs(bool retry_waiting);
+  // Whether the orders of the job have to wait until earlier ones are sent. A job whose orders are
+  // the only ones is never held, so that each is placed in the end.
+  bool MustHoldOrders(const Job& job, std::size_t unsent_bytes) const;
   // Whether the view satisfies the least need of the waiting jobs of a rank.
   bool MayHelpWaitingJobs(const ExecutorView& view) const;
   void AddWaitingJob(const Job& job);
@@ -530,6 +535,8 @@
     }
   };
   std::map<OrderKey, StartTasks> unsent_starts_;
+  // Of the orders in actions_.
+  std::size_t new_order_bytes_ = 0;
   // Set after a stall.
   std::optional<TimePoint> orders_paused_until_;
   // When callers or supervisors last sent something; before that, when the process started.
--- a/src/link/frame_connection.h
+++ b/src/link/frame_connection.h
@@ -43,6 +43,8 @@
 
   void Start(Handlers handlers);
   void Send(std::string_view frame);
+  // Of frames that are not handed to the system completely.
+  std::size_t unsent_bytes() const { return queued_.size() + writing_.size(); }
   // No handler is called afterwards.
   void Close();
   std::string peer_address() const;
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -52,7 +52,8 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-core::JobScheduler::Options SchedulerOptions(const adapters::DispatcherSettings& settings) {
+core::JobScheduler::Options SchedulerOptions(const adapters::DispatcherSettings& settings,
+                                             std::function<std::size_t()> unsent_order_bytes) {
   core::JobScheduler::Options options;
   options.availability_zone = settings.availability_zone;
   options.placement_seed = static_cast<std::uint32_t>(std::hash<std::string>()(settings.id));
@@ -61,6 +62,7 @@
   options.displacement = settings.admission.displacement;
   options.locality.spread_factor = settings.bounds.spread_factor;
   options.work = adapters::WorkOptions(settings.limits);
+  options.unsent_order_bytes = std::move(unsent_order_bytes);
   return options;
 }
 
@@ -82,7 +84,7 @@
       store_client_({.max_connections_per_host = kMaxStoreConnections}),
       store_({.url = settings.store_url, .deadline = milliseconds(1000)}, store_client_, clock,
              [this](const core::UnreadableRow& row) { unreadable_rows_.Write(row); }),
-      scheduler_(SchedulerOptions(settings), clock),
+      scheduler_(SchedulerOptions(settings, [this] { return registry_.unsent_bytes(); }), clock),
       gateway_(scheduler_, clock, log, metrics_),
       registry_(
           loop_, {.address = settings.rpc, .entry_id = settings.id, .incarnation = incarnation_},
@@ -479,6 +481,7 @@
   input_guard_.UpdateGauges();
   metrics_.Set("jobs_open", static_cast<double>(scheduler_.job_count()));
   metrics_.Set("work_bytes", static_cast<double>(scheduler_.work_bytes()));
+  metrics_.Set("unsent_bytes", static_cast<double>(registry_.unsent_bytes()));
   metrics_.Set("supervisors_attached", static_cast<double>(registry_.connection_count()));
   metrics_.Set("executors_accepting", static_cast<double>(scheduler_.agents_accepting()));
   metrics_.Set("executors_slow", static_cast<double>(scheduler_.speeds().slow()));
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -192,6 +192,12 @@
   handlers_.on_detached(peer->supervisor_id, reason);
 }
 
+std::size_t SupervisorRegistry::unsent_bytes() const {
+  std::size_t bytes = 0;
+  for (const auto& peer : peers_) bytes += peer->connection->unsent_bytes();
+  return bytes;
+}
+
 void SupervisorRegistry::QueueStart(const core::StartTasks& start) {
   const auto registered = peers_by_supervisor_.find(start.agent_id);
   if (registered == peers_by_supervisor_.end()) return;
--- a/src/zinniamuxd/supervisor_registry.h
+++ b/src/zinniamuxd/supervisor_registry.h
@@ -97,6 +97,8 @@
   void ShareEvacuation(const core::EvacuationState& state);
   void OnTimer();
   std::size_t connection_count() const { return peers_.size(); }
+  // Of the frames that supervisors have not taken yet.
+  std::size_t unsent_bytes() const;
   // The time that supervisors are asked to leave between two reports of changes.
   std::chrono::milliseconds report_pause() const { return report_pace_.pause(); }
 
--- a/tests/integration/accepted_work_test.cc
+++ b/tests/integration/accepted_work_test.cc
@@ -204,3 +204,19 @@
   }
   fixture.CheckProcesses();
 }
+
+// Guards against orders that are made faster than they are sent: each of these jobs has 700 orders
+// of 4 KB, and a frame holds 4 MiB.
+Test(accepted_work, orders_with_long_specs) {
+  constexpr std::size_t kJobs = 40;
+  constexpr std::size_t kSpecBytes = 4000;
+  const std::string spec = "50" + std::string(kSpecBytes - 2, 'x');
+  const json step{{"count", 1}, {"cpu", 1}, {"estimate_ms", 50}};
+  Fixture fixture;
+  const std::vector<HttpResult> results =
+      fixture.SendAll(std::vector<std::string>(kJobs, JobOf(700, step, spec)));
+  for (const HttpResult& result : results) {
+    cr_expect(result.body.find("isolated") == std::string::npos, "%s", result.body.c_str());
+  }
+  fixture.CheckProcesses();
+}
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -1213,3 +1213,46 @@
   fixture.Submit(fixture.MakeJob("next", 1));
   cr_assert_eq(fixture.starts.size(), 1);
 }
+
+// Guards against orders of many jobs that are made in one pass: 22 jobs within the memory of the
+// smallest VM have 67 MB of them. A frame holds 4 MiB.
+Test(job_scheduler, makes_no_more_orders_than_can_be_sent) {
+  ManualClock clock;
+  std::size_t unsent = 0;
+  JobScheduler scheduler(
+      {.availability_zone = "zone", .unsent_order_bytes = [&unsent] { return unsent; }}, clock);
+  clock.Advance(seconds(2));
+  scheduler.OnAgentAttached("a", "zone", 1, {});
+  scheduler.OnReport("a", {.executor_id = "executor",
+                           .service = "service",
+                           .accepting = true,
+                           .capacity = {.cpu_milli = 1000, .memory_mb = 1000},
+                           .free = {.cpu_milli = 1000, .memory_mb = 1000},
+                           .executor_answered = true});
+  const auto submit = [&](const std::string& id) {
+    scheduler.OnJob({.id = id,
+                     .queue = "queue",
+                     .service = "service",
+                     .spec = std::string(4000, 'x'),
+                     .steps = std::vector<zinniamux::core::JobStep>(400, {.count = 1}),
+                     .slack = seconds(10),
+                     .deadline = clock.now() + seconds(10)});
+  };
+  const auto started_jobs = [&scheduler] {
+    std::set<std::string> jobs;
+    scheduler.Place();
+    for (auto& action : scheduler.TakeActions()) {
+      if (const auto* start = std::get_if<StartTasks>(&action)) jobs.insert(start->job_id);
+    }
+    return jobs;
+  };
+  submit("first");
+  submit("second");
+  cr_assert_eq(started_jobs().size(), 1);
+  // The orders of the first one are not taken by its supervisor yet.
+  unsent = 2'000'000;
+  cr_assert_eq(started_jobs().size(), 0);
+  unsent = 0;
+  cr_assert_eq(started_jobs().size(), 1);
+  cr_assert_eq(scheduler.job_count(), 2);
+}
