link: free what large frames took

A dispatcher kept, for each supervisor, buffers of the size of the largest frame that it had ever sent there: 5.9 MB after one with 700 orders of 4,000 bytes. With 72 supervisors that is several times the memory of a VM, and any caller can cause it one job after the other.

Cause: a cleared protobuf message keeps the memory of its fields, and a cleared string its capacity; only the read buffer was released.

Change: messages and write buffers over 64 KiB are released after sending, on both sides of a link.

--- a/src/link/frame_connection.cc
+++ b/src/link/frame_connection.cc
@@ -102,6 +102,7 @@
   asio::async_write(socket_, asio::buffer(writing_),
                     [self = shared_from_this()](const asio::error_code& error, std::size_t) {
                       self->writing_.clear();
+                      if (self->writing_.capacity() > kKeptBytes) self->writing_.shrink_to_fit();
                       if (self->closed_) return;
                       if (error) return self->CloseWithError(error.message());
                       if (!self->queued_.empty()) self->WriteQueued();
--- a/src/link/frame_connection.h
+++ b/src/link/frame_connection.h
@@ -20,6 +20,8 @@
   // A frame is read in pieces, so that an announced length alone takes no memory. Most frames are
   // one piece.
   static constexpr std::size_t kFirstPieceBytes = 4096;
+  // What a longer frame took is released after it.
+  static constexpr std::size_t kKeptBytes = 65'536;
 
   struct Options {
     // A longer frame is a protocol error and closes the connection.
@@ -51,9 +53,6 @@
 
  private:
   static constexpr std::size_t kHeaderBytes = 4;
-  // The buffer of a longer frame is released after it.
-  static constexpr std::size_t kKeptBytes = 65'536;
-
   void SetSocketOptions();
   void ReadHeader();
   void ReadBody(std::size_t size);
--- a/src/zinniamuxd/dispatcher_link.cc
+++ b/src/zinniamuxd/dispatcher_link.cc
@@ -142,6 +142,8 @@
                             .updates = {outgoing_.updates().begin(), outgoing_.updates().end()}});
   }
   outgoing_.Clear();
+  // Cleared messages keep their memory for the next ones.
+  if (bytes.size() > link::FrameConnection::kKeptBytes) runs::AgentFrame().Swap(&outgoing_);
   has_outgoing_ = false;
   connection_->Send(bytes);
 }
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -257,6 +257,8 @@
   }
   const std::string bytes = peer.outgoing.SerializeAsString();
   peer.outgoing.Clear();
+  // Cleared messages keep their memory for the next ones.
+  if (bytes.size() > link::FrameConnection::kKeptBytes) runs::EntryFrame().Swap(&peer.outgoing);
   peer.connection->Send(bytes);
 }
 
--- a/tests/unit/supervisor_registry_test.cc
+++ b/tests/unit/supervisor_registry_test.cc
@@ -3,7 +3,9 @@
 #include "zinniamuxd/supervisor_registry.h"
 
 #include <criterion/criterion.h>
+#include <malloc.h>
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <chrono>
@@ -321,3 +323,34 @@
   cr_assert_eq(f.evacuations.size(), 1);
   cr_assert_eq(connection.received.front().stops_size(), 1);
 }
+
+// Guards against buffers that keep the size of the largest frame that a supervisor was ever sent:
+// one of 3 MiB for each of 200 supervisors would take several times the memory of a VM.
+Test(supervisor_registry, frees_the_memory_of_large_frames) {
+  constexpr std::uint32_t kOrders = 700;
+  constexpr std::size_t kMaxKeptBytes = 1U << 20U;
+  const auto heap_bytes = [] {
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+  };
+  Fixture fixture;
+  Connection& connection = fixture.Connect();
+  fixture.Greet(connection, 1, 1000);
+  const std::size_t before = heap_bytes();
+  for (std::uint32_t step = 0; step < kOrders; ++step) {
+    fixture.registry->QueueStart({.agent_id = "s-1",
+                                  .order = step + 1,
+                                  .job_id = "0000000000000001",
+                                  .step = step,
+                                  .spec = std::string(4000, 'x'),
+                                  .starts = {{.index = 0, .run = 1}}});
+  }
+  fixture.registry->Flush();
+  cr_assert(fixture.RunUntil(
+      [&] { return connection.received.back().starts_size() == static_cast<int>(kOrders); }));
+  connection.received.clear();
+  connection.received.shrink_to_fit();
+  cr_assert(fixture.RunUntil([&] { return fixture.registry->unsent_bytes() == 0; }));
+  const std::size_t kept = heap_bytes() - std::min(before, heap_bytes());
+  cr_assert_lt(kept, kMaxKeptBytes, "%zu bytes", kept);
+}
