platform: count the values of a job's body before it is parsed

A caller could make a dispatcher take 40 MiB for a moment by a body of 1 MiB of empty objects: a third of the smallest VM, beside all budgets.

Cause: the budgets count bytes, and a parsed object takes some 100 bytes for two of its text.

Evidence: job_codec/refuses_bodies_with_too_many_values_before_they_are_parsed fails before.

--- a/src/adapters/checked_json.cc
+++ b/src/adapters/checked_json.cc
@@ -71,6 +71,20 @@
   return deepest;
 }
 
+std::size_t JsonValues(std::string_view body) {
+  // A value is the first one of all or of its container, or follows a comma.
+  std::size_t values = 1;
+  for (std::size_t i = 0; i < body.size(); ++i) {
+    const char c = body[i];
+    if (c == '"') {
+      i = StringEnd(body, i);
+    } else if (c == '[' || c == '{' || c == ',') {
+      ++values;
+    }
+  }
+  return values;
+}
+
 core::Result<json> ParseJson(std::string_view body, const JsonLimits& limits) {
   if (body.size() > limits.max_bytes) {
     return tl::unexpected(core::Error{
--- a/src/adapters/checked_json.h
+++ b/src/adapters/checked_json.h
@@ -19,6 +19,10 @@
 // costs no memory.
 std::size_t JsonDepth(std::string_view body);
 
+// At least the number of values, found in the same way: an object of two bytes takes 100 when it is
+// parsed.
+std::size_t JsonValues(std::string_view body);
+
 // Parses a document. Fails with kTooLarge beyond `max_bytes`, and with kInvalidRequest if the text
 // is not JSON in UTF-8, is nested too deeply, or has an object with two members of one name.
 core::Result<nlohmann::json> ParseJson(std::string_view body, const JsonLimits& limits);
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -371,3 +371,34 @@
     cr_expect_lt(job.error().message.size(), kMaxMessageBytes, "%zu", job.error().message.size());
   }
 }
+
+// Guards against documents that take far more memory than their bytes: 1 MiB of empty objects took
+// 40 MiB while it was parsed, a third of the smallest VM.
+Test(job_codec, refuses_bodies_with_too_many_values_before_they_are_parsed) {
+  constexpr std::size_t kValues = 140'000;
+  std::string objects;
+  for (std::size_t i = 0; i < kValues; ++i) objects += "{},";
+  const auto job =
+      zinniamux::platform::ParseJob(R"({"steps":[{"count":1}],"note":[)" + objects + "0]}");
+  cr_assert(!job.has_value());
+  cr_expect_eq(job.error().message, "the body has too many values", "%s",
+               job.error().message.c_str());
+  // Commas in a text are no values.
+  cr_expect(zinniamux::platform::ParseJob(R"({"steps":[{"count":1}],"note":")" +
+                                          std::string(2 * kValues, ',') + "\"}")
+                .has_value());
+}
+
+// Guards against a limit on values that jobs within the limit on bodies meet: 500 steps, each after
+// as many others as fit.
+Test(job_codec, accepts_long_lists_of_earlier_steps) {
+  constexpr std::size_t kBodyBytes = 262'144;
+  constexpr std::size_t kSteps = 500;
+  const std::string tail = "]}]}";
+  std::string body = R"({"spec":"x","steps":[{"count":1})";
+  for (std::size_t i = 2; i < kSteps; ++i) body += R"(,{"count":1})";
+  body += R"(,{"count":1,"after":[0)";
+  while (body.size() + tail.size() + 2 <= kBodyBytes) body += ",0";
+  body += tail;
+  cr_expect(zinniamux::platform::ParseJob(body).has_value());
+}
