--- a/src/adapters/short_text.h
+++ b/src/adapters/short_text.h
@@ -8,8 +8,8 @@
 
 namespace zinniamux::adapters {
 
-// The beginning of a text that a client has sent, or of an error that repeats one. Thousands of lines
-// may wait for the log's thread.
+// The beginning of a text that a client has sent, or of an error that repeats one. Thousands of
+// lines may wait for the log's thread.
 inline std::string ShortText(std::string_view text) {
   constexpr std::size_t kMaxBytes = 200;
   if (text.size() <= kMaxBytes) return std::string(text);
