run budget: charge a spec as it is sent

A spec of control characters takes six times its bytes in the body of each start call, and calls wait for a connection with their bodies.

Comments say which memory is meant.

Evidence: run_supervisor/charges_specs_as_they_are_sent.

--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -380,9 +380,9 @@
   void UpdateUrgentUse();
   double RunReleaseRate(bool with_urgent) const;
   void BeginRun(StartQueue::WaitingOrder waiting);
-  // The orders were accepted.
+  // Refuses orders that were in the queue.
   void RefuseOrders(const std::vector<StartQueue::WaitingOrder>& orders, RunOutcome outcome);
-  // The order was not accepted.
+  // Refuses an order that no memory is charged for.
   void RefuseOrder(const std::string& owner, const RunId& id, RunOutcome outcome);
   void SendStart(Run& run);
   void LoseOwner(const std::string& owner, StopReason reason);
--- a/src/core/work_budget.h
+++ b/src/core/work_budget.h
@@ -17,7 +17,8 @@
 class WorkBudget {
  public:
   struct Options {
-    // At least kMaxJobBytes, so that every job that passes CheckSize fits when there are no others.
+    // At least 4/3 of kMaxJobBytes, so that every job that passes CheckSize fits when there are no
+    // others.
     std::size_t max_bytes = 32U << 20U;
   };
 
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -1311,3 +1311,13 @@
   cr_expect_eq(fixture.supervisor.waiting_count(), 0);
   cr_expect_eq(fixture.supervisor.run_bytes(), runs * cost);
 }
+
+// Guards against specs that are longer in the call to the executor than in the order: a control
+// character takes 6 bytes there, and thousands of calls may wait for a connection.
+Test(run_supervisor, charges_specs_as_they_are_sent) {
+  const auto cost = [](char c) {
+    return zinniamux::core::RunBudget::CostOf({.spec = std::string(1000, c)});
+  };
+  cr_expect_eq(cost('\1') - cost('x'), 2 * 5 * 1000);
+  cr_expect_eq(cost('"') - cost('x'), 2 * 1000);
+}
