--- a/tests/unit/work_budget_test.cc
+++ b/tests/unit/work_budget_test.cc
@@ -22,6 +22,7 @@
 using zinniamux::core::AnswerJob;
 using zinniamux::core::JobReason;
 using zinniamux::core::JobRequest;
+using zinniamux::core::JobResult;
 using zinniamux::core::JobScheduler;
 using zinniamux::core::JobStep;
 using zinniamux::core::ManualClock;
@@ -83,7 +84,11 @@
     scheduler.Place();
     for (auto& action : scheduler.TakeActions()) {
       const auto* answer = std::get_if<AnswerJob>(&action);
-      if (answer != nullptr && answer->answer.job_id == id) reason = answer->answer.reason;
+      if (answer != nullptr && answer->answer.job_id == id) {
+        reason = answer->answer.reason;
+        cr_expect_eq(answer->answer.result, JobResult::kRefused);
+        cr_expect_gt(answer->answer.retry_after.count(), 0);
+      }
       if (const auto* start = std::get_if<StartTasks>(&action)) starts.push_back(*start);
     }
     return reason;
