registry: count only orders as unsent

A dispatcher would have held back the orders of all jobs while 3 MiB of other frames were on their way, for example a configuration of 256 KiB for 12 supervisors on a narrow link.

Cause: the limit on unsent orders was compared with all bytes that connections had not sent.

Change: the bytes of orders are counted for each connection until it has nothing unsent. The gauge is unsent_order_bytes now.

Evidence: supervisor_registry/counts_only_orders_as_unsent fails before.

--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -84,7 +84,7 @@
       store_client_({.max_connections_per_host = kMaxStoreConnections}),
       store_({.url = settings.store_url, .deadline = milliseconds(1000)}, store_client_, clock,
              [this](const core::UnreadableRow& row) { unreadable_rows_.Write(row); }),
-      scheduler_(SchedulerOptions(settings, [this] { return registry_.unsent_bytes(); }), clock),
+      scheduler_(SchedulerOptions(settings, [this] { return registry_.unsent_order_bytes(); }), clock),
       gateway_(scheduler_, clock, log, metrics_),
       registry_(
           loop_, {.address = settings.rpc, .entry_id = settings.id, .incarnation = incarnation_},
@@ -481,7 +481,7 @@
   input_guard_.UpdateGauges();
   metrics_.Set("jobs_open", static_cast<double>(scheduler_.job_count()));
   metrics_.Set("work_bytes", static_cast<double>(scheduler_.work_bytes()));
-  metrics_.Set("unsent_bytes", static_cast<double>(registry_.unsent_bytes()));
+  metrics_.Set("unsent_order_bytes", static_cast<double>(registry_.unsent_order_bytes()));
   metrics_.Set("supervisors_attached", static_cast<double>(registry_.connection_count()));
   metrics_.Set("executors_accepting", static_cast<double>(scheduler_.agents_accepting()));
   metrics_.Set("executors_slow", static_cast<double>(scheduler_.speeds().slow()));
--- a/src/zinniamuxd/supervisor_registry.cc
+++ b/src/zinniamuxd/supervisor_registry.cc
@@ -192,9 +192,11 @@
   handlers_.on_detached(peer->supervisor_id, reason);
 }
 
-std::size_t SupervisorRegistry::unsent_bytes() const {
+std::size_t SupervisorRegistry::unsent_order_bytes() const {
   std::size_t bytes = 0;
-  for (const auto& peer : peers_) bytes += peer->connection->unsent_bytes();
+  for (const auto& peer : peers_) {
+    bytes += std::min(peer->order_bytes, peer->connection->unsent_bytes());
+  }
   return bytes;
 }
 
@@ -256,6 +258,10 @@
         ToClockMilliseconds(handlers_.input_handled() + peer.clock_offset.value()));
   }
   const std::string bytes = peer.outgoing.SerializeAsString();
+  if (peer.connection->unsent_bytes() == 0) peer.order_bytes = 0;
+  if (peer.outgoing.starts_size() > 0) {
+    peer.order_bytes += bytes.size() - peer.outgoing.config_body().size();
+  }
   peer.outgoing.Clear();
   // Cleared messages keep their memory for the next ones.
   if (bytes.size() > link::FrameConnection::kKeptBytes) runs::EntryFrame().Swap(&peer.outgoing);
--- a/src/zinniamuxd/supervisor_registry.h
+++ b/src/zinniamuxd/supervisor_registry.h
@@ -97,8 +97,9 @@
   void ShareEvacuation(const core::EvacuationState& state);
   void OnTimer();
   std::size_t connection_count() const { return peers_.size(); }
-  // Of the frames that supervisors have not taken yet.
-  std::size_t unsent_bytes() const;
+  // Of the orders in frames that are not handed to the system completely. At most the bytes of
+  // these frames: more than the orders only while a connection never runs empty.
+  std::size_t unsent_order_bytes() const;
   // The time that supervisors are asked to leave between two reports of changes.
   std::chrono::milliseconds report_pause() const { return report_pace_.pause(); }
 
@@ -117,6 +118,8 @@
     std::uint64_t evacuation_sent = 0;
     runs::EntryFrame outgoing;
     bool has_outgoing = false;
+    // Of the orders sent since `connection` last had nothing unsent.
+    std::size_t order_bytes = 0;
   };
   // When a hello was sent, by the clock of its supervisor.
   struct HelloTime {
--- a/tests/unit/supervisor_registry_test.cc
+++ b/tests/unit/supervisor_registry_test.cc
@@ -350,7 +350,26 @@
       [&] { return connection.received.back().starts_size() == static_cast<int>(kOrders); }));
   connection.received.clear();
   connection.received.shrink_to_fit();
-  cr_assert(fixture.RunUntil([&] { return fixture.registry->unsent_bytes() == 0; }));
+  cr_assert(fixture.RunUntil([&] { return fixture.registry->unsent_order_bytes() == 0; }));
   const std::size_t kept = heap_bytes() - std::min(before, heap_bytes());
   cr_assert_lt(kept, kMaxKeptBytes, "%zu bytes", kept);
 }
+
+// Guards against orders that are held back by other frames: a configuration for many supervisors
+// takes seconds on a narrow link.
+Test(supervisor_registry, counts_only_orders_as_unsent) {
+  Fixture fixture;
+  Connection& connection = fixture.Connect();
+  fixture.Greet(connection, 1, 1000);
+  cr_assert_eq(fixture.registry->unsent_order_bytes(), 0);
+  fixture.registry->ShareEvacuation({.version = 1, .zones = {std::string(1000, 'z')}});
+  // Not sent before the loop runs.
+  cr_assert_eq(fixture.registry->unsent_order_bytes(), 0);
+  const std::string spec(4000, 'x');
+  fixture.registry->QueueStart(
+      {.agent_id = "s-1", .order = 1, .job_id = "job", .spec = spec, .starts = {{0, 1}}});
+  fixture.registry->Flush();
+  cr_assert_gt(fixture.registry->unsent_order_bytes(), spec.size());
+  cr_assert(fixture.RunUntil([&] { return connection.received.back().starts_size() == 1; }));
+  cr_assert(fixture.RunUntil([&] { return fixture.registry->unsent_order_bytes() == 0; }));
+}
