caller gateway: count early requests that are refused for their memory

Operators could not see the limit on requests before the first configuration: it had no counter and no log line of its own.

Change: such a refusal counts as no_memory in work_refused_total and in the line work_refused. The answer is the same.

Evidence: caller_gateway/refuses_early_requests_beyond_the_memory_for_work checks the counter; that fails before.

--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -75,8 +75,9 @@
         {.connection = connection, .request = request, .responder = responder, .arrived = arrived});
   }
   const std::size_t bytes = adapters::MemoryOf(request);
-  if (early_requests_.size() >= kMaxEarlyRequests ||
-      early_bytes_ + bytes > scheduler_.max_work_bytes()) {
+  const bool has_memory = early_bytes_ + bytes <= scheduler_.max_work_bytes();
+  if (!has_memory) NoteMemoryRefusal(NameOf(core::JobReason::kNoMemory));
+  if (!has_memory || early_requests_.size() >= kMaxEarlyRequests) {
     return RefuseEarlyRequest(request, responder);
   }
   early_bytes_ += bytes;
--- a/tests/unit/caller_gateway_test.cc
+++ b/tests/unit/caller_gateway_test.cc
@@ -126,6 +126,9 @@
   cr_assert_lt(fixture.gateway.waiting_caller_count(), fitting);
   cr_assert_geq(fixture.statuses.size(), fitting);
   for (const int status : fixture.statuses) cr_assert_eq(status, 503);
+  const std::string counter = "work_refused_total{cause=\"no_memory\"} ";
+  cr_assert(fixture.metrics.Text().find(counter + std::to_string(fixture.statuses.size())) !=
+            std::string::npos);
   // A closed connection makes room for one.
   const std::size_t refused = fixture.statuses.size();
   fixture.gateway.OnClosed(0);
