dispatcher: gauge of executors at the run limit

The limit of 1,024 runs at one supervisor could not be seen from outside. Beside it, one place for the default of max_work_bytes and for the executor of two tests, and comments that stand on their own.

--- a/src/adapters/input_limits.cc
+++ b/src/adapters/input_limits.cc
@@ -57,6 +57,14 @@
   return std::clamp(descriptors - std::min(descriptors / 2, kReserve), std::size_t{64}, kMost);
 }
 
+namespace {
+
+std::size_t WorkBytes(const InputLimits& limits) {
+  return limits.max_work_bytes.value_or(MaxWorkBytes(MemoryOfVm()));
+}
+
+}  // namespace
+
 core::InputBudget::Options BudgetOptions(const InputLimits& limits) {
   return {
       .max_bytes = limits.max_input_bytes.value_or(MaxInputBytes(MemoryOfVm())),
@@ -65,11 +73,11 @@
 }
 
 core::WorkBudget::Options WorkOptions(const InputLimits& limits) {
-  return {.max_bytes = limits.max_work_bytes.value_or(MaxWorkBytes(MemoryOfVm()))};
+  return {.max_bytes = WorkBytes(limits)};
 }
 
 core::RunBudget::Options RunOptions(const InputLimits& limits) {
-  return {.max_bytes = limits.max_work_bytes.value_or(MaxWorkBytes(MemoryOfVm()))};
+  return {.max_bytes = WorkBytes(limits)};
 }
 
 }  // namespace zinniamux::adapters
--- a/src/core/work_budget.h
+++ b/src/core/work_budget.h
@@ -26,7 +26,7 @@
   static constexpr std::size_t kMaxJobBytes = 6U << 20U;
   // The largest total of the orders that start the tasks of one job. A frame holds 4 MiB.
   static constexpr std::size_t kMaxOrderBytes = 3U << 20U;
-  // Holds a job of 500 tasks with the longest spec.
+  // Holds a job of 500 tasks with a spec of 4,000 bytes.
   static constexpr std::size_t kSmallJobBytes = 256U << 10U;
   // A task that is ordered: its run in the list of the supervisor.
   static constexpr std::size_t kRunBytes = 128;
--- a/src/zinniamuxd/dispatcher_daemon.cc
+++ b/src/zinniamuxd/dispatcher_daemon.cc
@@ -84,7 +84,8 @@
       store_client_({.max_connections_per_host = kMaxStoreConnections}),
       store_({.url = settings.store_url, .deadline = milliseconds(1000)}, store_client_, clock,
              [this](const core::UnreadableRow& row) { unreadable_rows_.Write(row); }),
-      scheduler_(SchedulerOptions(settings, [this] { return registry_.unsent_order_bytes(); }), clock),
+      scheduler_(SchedulerOptions(settings, [this] { return registry_.unsent_order_bytes(); }),
+                 clock),
       gateway_(scheduler_, clock, log, metrics_),
       registry_(
           loop_, {.address = settings.rpc, .entry_id = settings.id, .incarnation = incarnation_},
@@ -484,6 +485,11 @@
   metrics_.Set("unsent_order_bytes", static_cast<double>(registry_.unsent_order_bytes()));
   metrics_.Set("supervisors_attached", static_cast<double>(registry_.connection_count()));
   metrics_.Set("executors_accepting", static_cast<double>(scheduler_.agents_accepting()));
+  const std::vector<const core::ExecutorView*> views = scheduler_.executors();
+  metrics_.Set("executors_at_run_limit",
+               static_cast<double>(std::count_if(
+                   views.begin(), views.end(),
+                   [](const core::ExecutorView* view) { return view->is_at_run_limit(); })));
   metrics_.Set("executors_slow", static_cast<double>(scheduler_.speeds().slow()));
   metrics_.Set("executors_fast", static_cast<double>(scheduler_.speeds().fast()));
   metrics_.Set("config_version", static_cast<double>(gateway_.config_version()));
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -1152,6 +1152,21 @@
   cr_assert(fixture.answers.at(0).answer.result == JobResult::kComplete);
 }
 
+namespace {
+
+// For schedulers with options or a clock of their own.
+void AttachIdleExecutor(JobScheduler& scheduler) {
+  scheduler.OnAgentAttached("a", "zone", 1, {});
+  scheduler.OnReport("a", {.executor_id = "executor",
+                           .service = "service",
+                           .accepting = true,
+                           .capacity = {.cpu_milli = 1000, .memory_mb = 1000},
+                           .free = {.cpu_milli = 1000, .memory_mb = 1000},
+                           .executor_answered = true});
+}
+
+}  // namespace
+
 // Guards against a search through all tasks of a job for each of its orders: 10,000 tasks took 2 to
 // 4 s, in which nothing else was handled. The search reads the clock, once for the whole job.
 Test(job_scheduler, looks_for_the_latest_order_once_for_all_tasks) {
@@ -1168,13 +1183,7 @@
   };
   CountingClock clock;
   JobScheduler scheduler({.availability_zone = "zone"}, clock);
-  scheduler.OnAgentAttached("a", "zone", 1, {});
-  scheduler.OnReport("a", {.executor_id = "executor",
-                           .service = "service",
-                           .accepting = true,
-                           .capacity = {.cpu_milli = 1000, .memory_mb = 1000},
-                           .free = {.cpu_milli = 1000, .memory_mb = 1000},
-                           .executor_answered = true});
+  AttachIdleExecutor(scheduler);
   constexpr std::uint32_t kTasks = 500;
   scheduler.OnJob({.id = "job",
                    .queue = "queue",
@@ -1222,13 +1231,7 @@
   JobScheduler scheduler(
       {.availability_zone = "zone", .unsent_order_bytes = [&unsent] { return unsent; }}, clock);
   clock.Advance(seconds(2));
-  scheduler.OnAgentAttached("a", "zone", 1, {});
-  scheduler.OnReport("a", {.executor_id = "executor",
-                           .service = "service",
-                           .accepting = true,
-                           .capacity = {.cpu_milli = 1000, .memory_mb = 1000},
-                           .free = {.cpu_milli = 1000, .memory_mb = 1000},
-                           .executor_answered = true});
+  AttachIdleExecutor(scheduler);
   const auto submit = [&](const std::string& id) {
     scheduler.OnJob({.id = id,
                      .queue = "queue",
--- a/tests/unit/work_budget_test.cc
+++ b/tests/unit/work_budget_test.cc
@@ -32,7 +32,7 @@
 
 // The least that the settings allow.
 constexpr WorkBudget::Options kLeast{.max_bytes = 8U << 20U};
-// The pages' limits on a job.
+// What docs/callers.md promises to accept.
 constexpr std::uint32_t kUsualTasks = 500;
 constexpr std::size_t kUsualSpecBytes = 4000;
 // Ids of processes and racks that do not fit into a string object.
