--- a/review/rig-3/cases.cc
+++ b/review/rig-3/cases.cc
@@ -38,7 +38,7 @@
   // On a channel that is open already, or on a new one.
   void Post(const std::string& id, const std::string& body, Milliseconds deadline,
             const Address& ingress, std::shared_ptr<Channel> channel = nullptr,
-            std::function<void(const Answer&)> on_answer = nullptr) {
+            const std::function<void(const Answer&)>& on_answer = nullptr) {
     if (channel == nullptr) channel = world_.OpenChannel(ingress);
     Answer sent{.sent_ms = world_.record.Elapsed(), .job = id};
     world_.record.Line("sent: POST " + id + " by " + ingress.text());
@@ -97,6 +97,7 @@
   constexpr Milliseconds kDeadline{1500};
   const std::string body = World::Job(1, 1000, 500);
   std::vector<std::shared_ptr<Channel>> channels;
+  channels.reserve(kJobs);
   for (int i = 0; i < kJobs; ++i) channels.push_back(world.OpenChannel(world.fronts[0].ingress));
   world.Run(seconds(1));
   std::function<void(const Client::Answer&)> resend = [&](const Client::Answer& answer) {
--- a/review/rig-3/net.h
+++ b/review/rig-3/net.h
@@ -2,7 +2,9 @@
 #ifndef REVIEW_RIG_3_NET_H_
 #define REVIEW_RIG_3_NET_H_
 
+#ifndef ASIO_STANDALONE
 #define ASIO_STANDALONE
+#endif
 #include <asio.hpp>
 #include <chrono>
 #include <cstdint>
--- a/review/rig-3/world.cc
+++ b/review/rig-3/world.cc
@@ -321,7 +321,7 @@
 Response Executor::Begin(const Json& body) {
   const std::string task = body.at("task");
   const std::uint32_t run = body.at("run");
-  const Response done{.body = Json{{"clock_ms", ClockMs()}, {"born", born_ms_}}.dump()};
+  Response done{.body = Json{{"clock_ms", ClockMs()}, {"born", born_ms_}}.dump()};
   if (running_.contains({task, run})) return done;
   if (body.at("until_ms").get<std::int64_t>() <= ClockMs()) return Refuse("late");
   ExtendLease(body);
@@ -449,6 +449,7 @@
   setenv("ZINNIAMUX_EVACUATE_MS", "", 1);
   if (role_ == "dispatcher") setenv("ZINNIAMUX_SPREAD_FACTOR", "1.5", 1);
   std::vector<char*> words_of_command;
+  words_of_command.reserve(arguments.size() + 1);
   for (std::string& argument : arguments) words_of_command.push_back(argument.data());
   words_of_command.push_back(nullptr);
   execv(words_of_command[0], words_of_command.data());
