dispatcher: hold requests that a cut may have held up

Callers saw a task run on two executors at a time, for the 20 ms that a stop takes. A front was cut off for 4 s. Callers gave up, closed their connections without a reset and sent their jobs to another front.

Cause: a request does not tell when it was sent, the end of a connection that is read together with a request was ignored, and one that is read after it came too late.

Change: the socket notes the end of what a client sends, and the gateway refuses jobs whose request was read with it (503, caller_left). StaleRequestDetector tells which requests may be from before the end of a silence; their jobs are ordered 250 ms later, or refused at once if they would be late then.

The simulated world has callers that close their connections without a reset.

--- a/src/adapters/guarded_socket.h
+++ b/src/adapters/guarded_socket.h
@@ -34,16 +34,17 @@
     }
     const auto executor = asio::get_associated_executor(handler, get_executor());
     ResetAwareSocket::async_read_some(
-        buffer,
-        asio::bind_executor(executor, [input = input_, handler = std::forward<Handler>(handler)](
-                                          asio::error_code error, std::size_t length) {
-          if (input == nullptr) return handler(error, length);
-          if (input->dropped()) error = asio::error::connection_aborted;
-          const InputScope scope(*input);
-          if (!error) input->OnRead(length);
-          handler(error, length);
-          input->OnParsed();
-        }));
+        buffer, asio::bind_executor(
+                    executor, [this, input = input_, handler = std::forward<Handler>(handler)](
+                                  asio::error_code error, std::size_t length) {
+                      if (input == nullptr) return handler(error, length);
+                      if (input->dropped()) error = asio::error::connection_aborted;
+                      if (client_closed()) input->OnClientClosed();
+                      const InputScope scope(*input);
+                      if (!error) input->OnRead(length);
+                      handler(error, length);
+                      input->OnParsed();
+                    }));
     if (input_ != nullptr && input_->dropped()) {
       asio::error_code ignored;
       cancel(ignored);
--- a/src/adapters/http_message.h
+++ b/src/adapters/http_message.h
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "core/clock.h"
+
 namespace zinniamux::adapters {
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
@@ -20,6 +22,11 @@
   std::string query;
   HttpHeaders headers;
   std::string body;
+  // Known for connections of an InputGuard only: the client had closed the connection, or its
+  // sending side, when the request was read.
+  bool client_closed = false;
+  // The same: when the connection was opened, or when the last request before this one was read.
+  core::TimePoint connection_used_at;
 };
 
 struct HttpResponse {
--- a/src/adapters/input_guard.cc
+++ b/src/adapters/input_guard.cc
@@ -71,7 +71,7 @@
 // --- One connection
 
 ConnectionInput::ConnectionInput(InputGuard& guard, std::uint64_t id, std::string listener)
-    : guard_(guard), id_(id), listener_(std::move(listener)) {}
+    : guard_(guard), id_(id), listener_(std::move(listener)), used_at_(guard.clock_.now()) {}
 
 ConnectionInput* ConnectionInput::Current() { return current_input; }
 
@@ -150,6 +150,10 @@
   ReportOutput();
 }
 
+core::TimePoint ConnectionInput::ExchangeUsedAt() {
+  return std::exchange(used_at_, guard_.clock_.now());
+}
+
 void ConnectionInput::OnClosed() {
   socket_ = nullptr;
   close_ = nullptr;
--- a/src/adapters/input_guard.h
+++ b/src/adapters/input_guard.h
@@ -62,6 +62,8 @@
   // Before what follows the write is handled.
   void OnWritten();
   void OnAnswered();
+  // The client sends nothing after what was read.
+  void OnClientClosed() { client_closed_ = true; }
   void OnClosed();
 
   void OnHeadPart(std::size_t bytes) { held_bytes_ += bytes; }
@@ -78,6 +80,9 @@
   void Drop(RefusalCause cause);
   // The socket reports an error to its next read or write.
   bool dropped() const { return dropped_; }
+  bool client_closed() const { return client_closed_; }
+  // When the connection was opened, or when this was called last: with each complete request.
+  core::TimePoint ExchangeUsedAt();
 
   std::uint64_t id() const { return id_; }
   const std::string& listener() const { return listener_; }
@@ -109,6 +114,8 @@
   bool output_changed_ = false;
   bool refused_ = false;
   bool dropped_ = false;
+  bool client_closed_ = false;
+  core::TimePoint used_at_;
 };
 
 // Marks the connection whose input is parsed.
--- a/src/adapters/loop_http_server.cc
+++ b/src/adapters/loop_http_server.cc
@@ -89,16 +89,21 @@
                                             .max_body_size(options.max_body_bytes))
               .connection_state_listener(listener_)
               .request_handler([this, handler = std::move(options.handler)](auto request) {
-                handler(
-                    request->connection_id(), FromRestinio(*request),
-                    [answer = std::make_shared<PendingResponse>(*request),
-                     input = listener_->InputOf(request->connection_id())](HttpResponse response) {
-                      if (input == nullptr) return answer->Send(std::move(response));
-                      input->OnAnswered();
-                      // The next request may have arrived already.
-                      const InputScope scope(*input);
-                      answer->Send(std::move(response));
-                    });
+                const auto input = listener_->InputOf(request->connection_id());
+                HttpRequest message = FromRestinio(*request);
+                if (input != nullptr) {
+                  message.client_closed = input->client_closed();
+                  message.connection_used_at = input->ExchangeUsedAt();
+                }
+                handler(request->connection_id(), std::move(message),
+                        [answer = std::make_shared<PendingResponse>(*request),
+                         input](HttpResponse response) {
+                          if (input == nullptr) return answer->Send(std::move(response));
+                          input->OnAnswered();
+                          // The next request may have arrived already.
+                          const InputScope scope(*input);
+                          answer->Send(std::move(response));
+                        });
                 return restinio::request_accepted();
               });
         }) {
--- a/src/core/job_request.h
+++ b/src/core/job_request.h
@@ -49,6 +49,9 @@
   std::chrono::milliseconds slack{0};
   // When it arrived at this dispatcher; if unset, the scheduler uses the time of OnJob.
   TimePoint arrived;
+  // When its connection was opened, or when the last request before it was read there; if unset,
+  // the scheduler uses the time of OnJob. See StaleRequestDetector.
+  TimePoint connection_used_at;
   // When the caller stops waiting.
   TimePoint deadline;
 };
--- a/src/core/job_scheduler.cc
+++ b/src/core/job_scheduler.cc
@@ -22,6 +22,7 @@
       placement_random_(options.placement_seed),
       locality_(options.locality),
       work_(options.work),
+      stale_requests_(options.budget.isolation_limit()),
       last_input_(started_) {}
 
 // --- Admission
@@ -76,6 +77,11 @@
   if (request.deadline < clock_.now() + CriticalPath(request) / kReachableDivisor) {
     return JobReason::kDeadline;
   }
+  const TimePoint held_until = HoldEndOf(request);
+  if (held_until != TimePoint() &&
+      held_until >= wait_policy_.LatestStart(request, CriticalPath(request), ReceivedAt(request))) {
+    return JobReason::kIsolated;
+  }
   if (InStartupGrace()) return std::nullopt;
   if (!HasExecutors(request.service)) return JobReason::kNoExecutors;
   if (!CanEverRun(request)) return JobReason::kNeverRunnable;
@@ -100,6 +106,7 @@
   if (!supervisors_.empty() && now - last_input_ > options_.budget.isolation_limit()) {
     const TimePoint began = IsSettling() ? isolation_->began : last_input_;
     isolation_ = Isolation{.began = began, .ended = now};
+    stale_requests_.OnIsolation(began, now);
     actions_.emplace_back(IsolationEnded{.length = now - last_input_});
   }
   last_input_ = now;
@@ -116,7 +123,10 @@
 
 bool JobScheduler::OnJob(JobRequest request) {
   NoteInput();
-  if (jobs_.contains(request.id)) return false;
+  if (const auto known = jobs_.find(request.id); known != jobs_.end()) {
+    if (HoldEndOf(request) == TimePoint()) Release(known->second);
+    return false;
+  }
   if (const std::optional<JobReason> reason = ReasonToRefuse(request)) {
     Refuse(request, *reason, Duration(0));
     return true;
@@ -125,6 +135,20 @@
   return true;
 }
 
+TimePoint JobScheduler::HoldEndOf(const JobRequest& request) const {
+  const TimePoint now = clock_.now();
+  const bool is_known = request.connection_used_at != TimePoint();
+  if (!is_known || !stale_requests_.MayBeStale(request.connection_used_at, now)) return {};
+  return now + options_.budget.close_limit();
+}
+
+void JobScheduler::Release(Job& job) {
+  if (job.held_until == TimePoint()) return;
+  job.held_until = {};
+  should_retry_waiting_ = true;
+  SupersedeElsewhere(job);
+}
+
 void JobScheduler::Accept(JobRequest request) {
   const std::string id = request.id;
   if (late_admission_.enabled()) late_admission_.OnArrival(clock_.now());
@@ -132,10 +156,15 @@
   job.work_bytes = WorkBudget::CostOf(request);
   work_.Add(job.work_bytes);
   job.arrived_after = input_handled_.value_or(clock_.now());
-  job.received = request.arrived == TimePoint() ? clock_.now() : request.arrived;
+  job.received = ReceivedAt(request);
   const Duration critical_path = CriticalPath(request);
-  job.start_by = wait_policy_.StartBy(request, critical_path, job.received);
+  job.held_until = HoldEndOf(request);
+  job.was_held = job.held_until != TimePoint();
   job.latest_start = wait_policy_.LatestStart(request, critical_path, job.received);
+  // The hold is no wait for room.
+  job.start_by =
+      wait_policy_.StartBy(request, critical_path, std::max(job.received, job.held_until));
+  job.start_by = std::min(job.start_by, job.latest_start);
   job.objective = job.received + wait_policy_.Objective(request, critical_path);
   for (const JobStep& step : request.steps) {
     Step state;
@@ -144,7 +173,7 @@
     job.steps.push_back(std::move(state));
   }
   job.request = std::move(request);
-  SupersedeElsewhere(job);
+  if (job.held_until == TimePoint()) SupersedeElsewhere(job);
   UnblockSteps(job);
 }
 
@@ -394,7 +423,7 @@
     // The job may be answered, which removes it from the queue.
     Job& job = *queued.job;
     queued.is_waiting = true;
-    if (job.awaits_earlier_copy) continue;
+    if (job.awaits_earlier_copy || job.held_until != TimePoint()) continue;
     if (clock_.now() > LatestOrder(job)) {
       RefuseOrAbandon(job, JobReason::kIsolated);
       continue;
@@ -849,7 +878,8 @@
                    .expected_wait = expected_wait,
                    .failed_runs = job.failed_runs,
                    .refused_starts = job.refused_starts,
-                   .held_late = job.is_late};
+                   .held_late = job.is_late,
+                   .held_stale = job.was_held};
   action.waited = (job.first_ordered == TimePoint() ? now : job.first_ordered) - job.received;
   if (result == JobResult::kRefused) {
     action.answer.retry_after = RetryAfter(job.request.id, expected_wait);
@@ -1055,6 +1085,9 @@
   const TimePoint now = clock_.now();
   if (orders_paused_until_ && *orders_paused_until_ <= now) orders_paused_until_.reset();
   SettleIsolation();
+  for (auto& [id, job] : jobs_) {
+    if (job.held_until != TimePoint() && job.held_until <= now) Release(job);
+  }
   ObserveRoom();
   std::vector<std::string> late;
   for (const auto& [id, job] : jobs_) {
--- a/src/core/job_scheduler.h
+++ b/src/core/job_scheduler.h
@@ -32,6 +32,7 @@
 #include "core/run.h"
 #include "core/run_end_budget.h"
 #include "core/run_time_estimator.h"
+#include "core/stale_request_detector.h"
 #include "core/view_trust.h"
 #include "core/wait_policy.h"
 #include "core/work_budget.h"
@@ -89,6 +90,8 @@
   std::uint32_t refused_starts = 0;
   // The job was held for a late answer.
   bool held_late = false;
+  // It was held because its request may have been stale.
+  bool held_stale = false;
   // It was refused because it needs more room than others while room is short.
   bool displaced = false;
 };
@@ -120,6 +123,8 @@
 //   waits only for jobs that are named.
 // - A job that a supervisor ran for another dispatcher when it arrived is ordered only after all
 //   supervisors have reported that they do not run it any more, or are certain not to.
+// - A job whose request may be stale (see StaleRequestDetector) is ordered only after
+//   `budget.close_limit()`, in which the end of its connection comes if its caller has left.
 // - After an isolation, nothing is ordered until the input that came in it is handled. Jobs that
 //   may have arrived before its end are given up then: their callers may have sent them elsewhere,
 //   and the closed connections may still be on their way.
@@ -170,6 +175,8 @@
 
   JobScheduler(const Options& options, const Clock& clock);
 
+  // A caller's request was read, whatever it asks for. Called before OnJob.
+  void OnCallerRequest() { stale_requests_.OnRequest(clock_.now()); }
   // Returns false if a job with that id is in progress; its answer is for the new caller, too.
   bool OnJob(JobRequest request);
   // The answer of a recently answered job.
@@ -299,6 +306,10 @@
     TimePoint named_until;
     // Its caller has left another dispatcher, whose runs of the job have not ended.
     bool awaits_earlier_copy = false;
+    // Its request may be stale: it is not ordered until OnTimer releases it after this time. Unset
+    // otherwise.
+    TimePoint held_until;
+    bool was_held = false;
     // It cannot be in time any more and is held for a late answer. Then `start_by` and
     // `latest_start` are the limits of LateAdmission.
     bool is_late = false;
@@ -391,7 +402,14 @@
   bool IsSettling() const { return isolation_ && isolation_->is_settling; }
   // Gives up the jobs from before an isolation once all input that came in it is handled.
   void SettleIsolation();
+  TimePoint ReceivedAt(const JobRequest& request) const {
+    return request.arrived == TimePoint() ? clock_.now() : request.arrived;
+  }
+  // When the job of a request that is read now may be ordered; unset for at once.
+  TimePoint HoldEndOf(const JobRequest& request) const;
   void Accept(JobRequest request);
+  // Ends the hold of a job whose request is not stale.
+  void Release(Job& job);
   std::optional<JobReason> ReasonToRefuse(const JobRequest& request) const;
   // Runs in the lists of supervisors whose jobs are answered.
   std::size_t UnreportedRuns() const;
@@ -539,6 +557,7 @@
   std::size_t new_order_bytes_ = 0;
   // Set after a stall.
   std::optional<TimePoint> orders_paused_until_;
+  StaleRequestDetector stale_requests_;
   // When callers or supervisors last sent something; before that, when the process started.
   TimePoint last_input_;
   std::optional<TimePoint> input_handled_;
--- a/src/core/run_end_budget.h
+++ b/src/core/run_end_budget.h
@@ -79,6 +79,10 @@
     return repeat_limit() + kHeartbeat + kDelivery * 2;
   }
 
+  // The end of a connection comes within this time after a request that a cut has held up, also if
+  // it is lost once: TCP sends it again after 200 ms.
+  std::chrono::milliseconds close_limit() const { return kMinResend + kDelivery; }
+
   // Executors may carry out a call without an answer up to this much later.
   static constexpr std::chrono::milliseconds kLateExecution{13'000};
   // Time between two messages of a connection without other traffic.
@@ -89,6 +93,7 @@
 
   // For a message on an undisturbed path, and for a timer to be handled.
   static constexpr std::chrono::milliseconds kDelivery{50};
+  static constexpr std::chrono::milliseconds kMinResend{200};
   // Stop calls are repeated for this long.
   static constexpr std::chrono::milliseconds kStopRetries{300};
   static constexpr std::chrono::milliseconds kOrderExpiry{400};
--- /dev/null
+++ b/src/core/stale_request_detector.cc
@@ -0,0 +1,53 @@
+// Pauses between requests, and the time after a silence.
+#include "core/stale_request_detector.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace zinniamux::core {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// A pause this many times as long as the usual one is a silence. If requests come independently of
+// each other at 10 a second, one of some 60,000 follows such a pause.
+constexpr int kSilenceFactor = 2;
+// Fewer requests do not show what is usual.
+constexpr std::size_t kMinRequests = 20;
+constexpr std::chrono::seconds kPauseMemory{60};
+// TCP sends a lost segment again after this time at least, and doubles it with each attempt: what
+// was sent first in a silence comes within the length of the silence and this time after its end.
+constexpr milliseconds kMinResend{200};
+
+}  // namespace
+
+void StaleRequestDetector::OnRequest(TimePoint now) {
+  const TimePoint last = std::exchange(last_request_, now);
+  if (++requests_ == 1) return;
+  const Duration pause = now - last;
+  if (pause * kSilenceFactor <= min_silence_) return;
+  const bool is_silence =
+      requests_ > kMinRequests && pause > min_silence_ && pause > UsualPause(now) * kSilenceFactor;
+  pauses_.push_back({.ended = now, .length = pause});
+  if (is_silence) AddSilence(last, now);
+}
+
+Duration StaleRequestDetector::UsualPause(TimePoint now) {
+  while (!pauses_.empty() && pauses_.front().ended + kPauseMemory < now) pauses_.pop_front();
+  std::array<Duration, 3> longest{};
+  for (const Pause& pause : pauses_) {
+    if (pause.length <= longest.back()) continue;
+    longest.back() = pause.length;
+    std::sort(longest.begin(), longest.end(), std::greater<>());
+  }
+  return longest.back();
+}
+
+void StaleRequestDetector::AddSilence(TimePoint began, TimePoint ended) {
+  silence_ended_ = ended;
+  stale_until_ = std::max(stale_until_, ended + (ended - began) + kMinResend);
+}
+
+}  // namespace zinniamux::core
--- a/src/zinniamuxd/caller_gateway.cc
+++ b/src/zinniamuxd/caller_gateway.cc
@@ -70,6 +70,7 @@
 
 void CallerGateway::OnRequest(ConnectionId connection, const adapters::HttpRequest& request,
                               HttpResponder responder, core::TimePoint arrived) {
+  scheduler_.OnCallerRequest();
   if (configuration_) {
     return HandleRequest(
         {.connection = connection, .request = request, .responder = responder, .arrived = arrived});
@@ -164,6 +165,11 @@
   if (const auto earlier_reply = scheduler_.Remembered(id)) {
     return Reply(responder, platform::ComposeAnswer(*earlier_reply));
   }
+  if (request.client_closed) {
+    // It may have sent the job elsewhere. If it only stops sending, it gets a truthful answer.
+    return Reject(responder, platform::ComposeRefusal("caller_left", kDefaultRetryAfter),
+                  "caller_left", id, "the caller has closed its connection");
+  }
   if (const core::Result<void> size = core::WorkBudget::CheckSize(job->request); !size) {
     NoteMemoryRefusal(kTooLarge);
     return Reject(responder, platform::ComposeInvalid(size.error().message), "request_invalid", id,
@@ -181,6 +187,7 @@
   submitted.stretch = queue.stretch;
   submitted.slack = queue.slack;
   submitted.arrived = context.arrived;
+  submitted.connection_used_at = request.connection_used_at;
   submitted.deadline = context.arrived + caller_timeout;
   callers_by_job_[id].push_back({.connection = context.connection, .responder = responder});
   jobs_by_connection_[context.connection].insert(id);
@@ -245,9 +252,14 @@
               {"refused_starts", answer.refused_starts},
               {"retry_after_ms", reply.retry_after.count()},
               {"held_late", answer.held_late},
+              {"held_stale", answer.held_stale},
               {"displaced", answer.displaced}});
   if (reply.reason == core::JobReason::kNoMemory) NoteMemoryRefusal(NameOf(reply.reason));
   if (answer.displaced) metrics_.Add("jobs_displaced_total", 1, {{"queue", answer.queue}});
+  if (answer.held_stale) {
+    metrics_.Add("stale_jobs_total", 1,
+                 {{"queue", answer.queue}, {"result", NameOf(reply.result)}});
+  }
   if (answer.held_late) {
     metrics_.Add("late_jobs_total", 1, {{"queue", answer.queue}, {"result", NameOf(reply.result)}});
   }
--- a/tests/property/silence_property_test.cc
+++ b/tests/property/silence_property_test.cc
@@ -469,3 +469,64 @@
   const std::string problems = ProblemsOf(world);
   cr_expect(problems.empty(), "%s", problems.c_str());
 }
+
+namespace {
+
+// Callers who close their connections after a while, and send their jobs again later.
+struct LeavingCallers {
+  LeaseWorld::CloseArrival close_arrival = LeaseWorld::CloseArrival::kSameRead;
+  // The dispatcher is cut off from its supervisors, too.
+  bool isolates = true;
+  // The beginnings and lengths of the cuts, from 6 s on.
+  std::vector<std::pair<milliseconds, milliseconds>> cuts;
+};
+
+// What breaks a rule while 10 jobs a second come to each dispatcher.
+std::string ProblemsWith(const LeavingCallers& callers, std::uint64_t seed) {
+  constexpr milliseconds kPeriod{33};
+  constexpr std::size_t kJobs = 300;
+  constexpr milliseconds kPatience{1500};
+  LeaseWorld::Options options{.seed = seed};
+  options.caller_patience = kPatience;
+  options.close_arrival = callers.close_arrival;
+  LeaseWorld world(options);
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    AddLongJob(world, {.number = i,
+                       .arrives = kWarmUp + static_cast<std::int64_t>(i) * kPeriod,
+                       .run_time = seconds(1)});
+  }
+  for (const auto& [begin, length] : callers.cuts) {
+    if (callers.isolates) {
+      IsolateDispatcher(world, seconds(6) + begin, length, length);
+    } else {
+      world.CutCallers(0, seconds(6) + begin, length, length);
+    }
+  }
+  world.Run(seconds(40));
+  return ProblemsOf(world);
+}
+
+}  // namespace
+
+// Guards against requests that a cut has held up and that are ordered beside their second copies:
+// their callers have left, and the ends of their connections are read after them.
+Test(silence, runs_tasks_once_if_requests_arrive_after_their_callers_have_left) {
+  using enum LeaseWorld::CloseArrival;
+  const std::vector<std::vector<std::pair<milliseconds, milliseconds>>> cuts{
+      {{milliseconds(0), milliseconds(2500)}},
+      {{milliseconds(0), milliseconds(4000)}},
+      {{milliseconds(0), milliseconds(2700)}, {milliseconds(3000), milliseconds(1400)}}};
+  for (const auto arrival : {kSameRead, kNextRead, kRoundTrip, kAfterLoss}) {
+    for (const bool isolates : {true, false}) {
+      for (const auto& each : cuts) {
+        for (const std::uint64_t seed : {1, 2}) {
+          const std::string problems =
+              ProblemsWith({.close_arrival = arrival, .isolates = isolates, .cuts = each}, seed);
+          cr_expect(problems.empty(), "seed %lu, arrival %d, %s, %zu cuts, the first of %ld ms: %s",
+                    seed, static_cast<int>(arrival), isolates ? "isolated" : "callers alone",
+                    each.size(), each.front().second.count(), problems.c_str());
+        }
+      }
+    }
+  }
+}
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -1,11 +1,11 @@
 // The event loop of the simulated world, its messages and its faults.
-#include "support/lease_world.h"
-
 #include <algorithm>
 #include <tuple>
 #include <utility>
 #include <variant>
 
+#include "support/lease_world.h"
+
 namespace zinniamux::testing {
 
 using core::Duration;
@@ -22,6 +22,8 @@
 constexpr milliseconds kReconnectDelay{100};
 // TCP sends lost data again some time after the path is back.
 constexpr milliseconds kResendDelay{100};
+// The time until it sends lost data again; it doubles with each attempt.
+constexpr milliseconds kMinResendTime{200};
 // `retransmit_ms` of the deployment.
 constexpr milliseconds kCallerResendDelay{1300};
 constexpr double kShareDoneAtOnce = 0.5;
@@ -809,34 +811,62 @@
   const TimePoint cut_until = dispatchers_[to]->callers_cut_until;
   caller.is_held = cut_until > clock_.now();
   Trace(id, "copy " + std::to_string(caller.copy + 1) + " is sent to " + NameOf(to));
-  DeliverCopy(id, to, ++caller.copy, caller.is_held);
+  const std::size_t copy = ++caller.copy;
+  if (options_.caller_patience > Duration(0)) {
+    After(options_.caller_patience, [this, id, copy] { LeaveConnection(id, copy); });
+  }
+  DeliverCopy(id, to, copy, caller.is_held, clock_.now());
+}
+
+Duration LeaseWorld::ResendTime(Duration earliest) const {
+  if (options_.caller_patience == Duration(0)) return earliest + kResendDelay;
+  Duration time = kMinResendTime;
+  while (time < earliest) time = time * 2 + kMinResendTime;
+  return time;
 }
 
 void LeaseWorld::DeliverCopy(const std::string& id, std::size_t dispatcher, std::size_t copy,
-                             bool is_held) {
+                             bool is_held, TimePoint sent) {
   const Dispatcher& to = *dispatchers_[dispatcher];
   const std::uint64_t process = to.incarnation;
   if (is_held && to.callers_cut_until > clock_.now()) {
-    return After(to.callers_cut_until - clock_.now() + kResendDelay,
-                 [this, id, dispatcher, copy, process] {
-                   if (dispatchers_[dispatcher]->incarnation != process) return;
-                   DeliverCopy(id, dispatcher, copy, true);
-                 });
+    const Duration waited = clock_.now() - sent;
+    const Duration arrives = ResendTime(to.callers_cut_until - sent);
+    return After(arrives - waited, [this, id, dispatcher, copy, process, sent] {
+      if (dispatchers_[dispatcher]->incarnation != process) return;
+      DeliverCopy(id, dispatcher, copy, true, sent);
+    });
   }
-  Deliver(to.frozen_until, Duration(0), [this, id, dispatcher, copy, process] {
-    HandleInTurn(dispatcher, options_.message_cost, [this, id, dispatcher, copy, process] {
-      if (dispatchers_[dispatcher]->incarnation == process) ReadCopy(id, dispatcher, copy);
+  Deliver(to.frozen_until, Duration(0), [this, id, dispatcher, copy, process, sent] {
+    HandleInTurn(dispatcher, options_.message_cost, [this, id, dispatcher, copy, process, sent] {
+      if (dispatchers_[dispatcher]->incarnation == process) ReadCopy(id, dispatcher, copy, sent);
     });
   });
 }
 
-void LeaseWorld::ReadCopy(const std::string& id, std::size_t dispatcher, std::size_t copy) {
+Duration LeaseWorld::CloseDelay() const {
+  if (options_.close_arrival == CloseArrival::kRoundTrip) return options_.link_delay * 2;
+  if (options_.close_arrival == CloseArrival::kAfterLoss) {
+    return kMinResendTime + options_.link_delay * 2;
+  }
+  return Duration(0);
+}
+
+void LeaseWorld::ReadCopy(const std::string& id, std::size_t dispatcher, std::size_t copy,
+                          TimePoint sent) {
   Dispatcher& by = *dispatchers_[dispatcher];
   Caller& caller = callers_.at(id);
   const bool is_open = caller.copy == copy && caller.is_waiting;
   if (!is_open && options_.drop_unread_copies && IsKnownClosed(caller, copy)) {
     return Trace(id, "copy " + std::to_string(copy) + " is dropped by " + NameOf(dispatcher));
   }
+  by.scheduler->OnCallerRequest();
+  if (caller.left_copies.contains(copy)) {
+    if (options_.close_arrival == CloseArrival::kSameRead) {
+      return Trace(id, "copy " + std::to_string(copy) + " is refused by " + NameOf(dispatcher));
+    }
+    After(CloseDelay(), [this, id, dispatcher, copy] { SendClose(id, dispatcher, copy); });
+  }
   Trace(id, "copy " + std::to_string(copy) + " is read by " + NameOf(dispatcher));
   if (is_open) caller.is_read = true;
   if (const auto reply = by.scheduler->Remembered(id)) return NoteReply(id, copy, *reply);
@@ -844,6 +874,7 @@
   core::JobRequest request = job.request;
   request.deadline = DeadlineOf(job);
   request.arrived = clock_.now() - by.backlog.delay(clock_.now());
+  if (options_.drop_unread_copies) request.connection_used_at = sent;
   by.waiting[id].insert(copy);
   by.scheduler->OnJob(std::move(request));
   by.scheduler->Place();
@@ -913,6 +944,22 @@
   SendAgain(id, caller.is_read || is_cut ? Duration(kCallerResendDelay) : Duration(0));
 }
 
+void LeaseWorld::LeaveConnection(const std::string& id, std::size_t copy) {
+  Caller& caller = callers_.at(id);
+  if (caller.copy != copy || !caller.is_waiting) return;
+  Trace(id,
+        "copy " + std::to_string(copy) + " is given up, " + (caller.is_read ? "read" : "not read"));
+  caller.is_waiting = false;
+  if (caller.is_read) {
+    caller.closes[copy] = clock_.now();
+    SendClose(id, caller.dispatcher, copy);
+  } else {
+    caller.closes[copy] = TimePoint::max();
+    caller.left_copies.insert(copy);
+  }
+  SendAgain(id, kCallerResendDelay);
+}
+
 void LeaseWorld::SendAgain(const std::string& id, Duration delay) {
   if (clock_.now() + delay >= DeadlineOf(work_.at(id))) {
     records_.at(id).given_up = true;
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -60,6 +60,16 @@
 // otherwise. Every random choice comes from one seed.
 class LeaseWorld {
  public:
+  // When the end of a connection comes, after a request that a cut has held up.
+  enum class CloseArrival {
+    // Read together with it.
+    kSameRead,
+    // Read in the next turn of the event loop.
+    kNextRead,
+    kRoundTrip,
+    // It is lost once, and TCP sends it again.
+    kAfterLoss,
+  };
   struct Options {
     std::uint64_t seed = 1;
     std::size_t dispatchers = 3;
@@ -84,14 +94,19 @@
     // The dispatchers' shares of a core. Messages wait until those before them are handled. Empty:
     // nothing takes processor time.
     std::vector<double> processor_shares;
-    // Whether dispatchers drop what they have not read when its connection is reset, as the daemon
-    // does. Without it, the first copy of a job may be placed although its caller has sent it
-    // again.
+    // Whether dispatchers drop what they have not read when its connection is reset, and know how
+    // old a connection is, as the daemon does. Without it, the first copy of a job may be placed
+    // although its caller has sent it again.
     bool drop_unread_copies = true;
     // Time of a whole core that a closed connection of a caller takes. Dispatchers then handle at
     // most `closes_per_turn` of them at a time, and timers and messages in between, as asio does.
     core::Duration close_cost{0};
     std::size_t closes_per_turn = 128;
+    // Callers close their connection after this time, without a reset, and send their job again
+    // later. Requests that a cut holds up then come when TCP sends them again, and the ends of
+    // their connections behind them. 0: callers wait until the job's deadline.
+    core::Duration caller_patience{0};
+    CloseArrival close_arrival = CloseArrival::kSameRead;
     // Nothing may start in an evacuated zone later than this after its row was written.
     core::Duration evacuate = std::chrono::milliseconds(5000);
     // So many dispatchers are of an earlier version, which knows of no evacuated zones.
@@ -213,6 +228,8 @@
     bool is_read = false;
     // The copy was sent while the dispatcher was cut off.
     bool is_held = false;
+    // Copies that were on their way when the caller closed their connections, without a reset.
+    std::set<std::size_t> left_copies;
     // When the closed connections of copies reach their dispatcher.
     std::map<std::size_t, core::TimePoint> closes;
   };
@@ -266,8 +283,13 @@
                   const core::SchedulerAction& action);
   void SendCopy(const std::string& id);
   // `is_held`: the copy was sent in a cut, and waits for the end of cuts that begin meanwhile.
-  void DeliverCopy(const std::string& id, std::size_t dispatcher, std::size_t copy, bool is_held);
-  void ReadCopy(const std::string& id, std::size_t dispatcher, std::size_t copy);
+  // `sent`: on a connection that was opened then or before.
+  void DeliverCopy(const std::string& id, std::size_t dispatcher, std::size_t copy, bool is_held,
+                   core::TimePoint sent);
+  void ReadCopy(const std::string& id, std::size_t dispatcher, std::size_t copy,
+                core::TimePoint sent);
+  // The end of the connection of a copy that was read comes after this time.
+  core::Duration CloseDelay() const;
   // Whether a copy that the dispatcher reads now is known there to have no caller any more.
   bool IsKnownClosed(const Caller& caller, std::size_t copy) const;
   void SendClose(const std::string& id, std::size_t dispatcher, std::size_t copy);
@@ -275,6 +297,10 @@
   void HandleCloses(std::size_t dispatcher);
   void OnCallerClosed(const std::string& id, std::size_t dispatcher, std::size_t copy);
   void BreakConnection(const std::string& id);
+  // Its caller has waited in vain for the answer to this copy.
+  void LeaveConnection(const std::string& id, std::size_t copy);
+  // How long after its first sending a copy arrives, if nothing passes until then.
+  core::Duration ResendTime(core::Duration earliest) const;
   void SendAgain(const std::string& id, core::Duration delay);
   core::TimePoint DeadlineOf(const SimulatedJob& job) const;
   void CallExecutor(std::size_t index, const core::CallStart& call);
--- a/tests/unit/caller_gateway_test.cc
+++ b/tests/unit/caller_gateway_test.cc
@@ -36,13 +36,14 @@
   }
 
   // Submits a job that arrived at `arrived`, and places it.
-  void Submit(const std::string& path, TimePoint arrived) {
+  void Submit(const std::string& path, TimePoint arrived, bool client_closed = false) {
     gateway.OnRequest(
         1,
         {.method = "POST",
          .path = path,
          .headers = {{"Host", "h"}},
-         .body = R"({"best_effort":true,"steps":[{"count":1,"cpu":100,"estimate_ms":100}]})"},
+         .body = R"({"best_effort":true,"steps":[{"count":1,"cpu":100,"estimate_ms":100}]})",
+         .client_closed = client_closed},
         [this](const HttpResponse& response) { statuses.push_back(response.status); }, arrived);
     scheduler.Place();
     for (auto& action : scheduler.TakeActions()) {
@@ -71,6 +72,20 @@
                       .slack = milliseconds(60)}}};
 }
 
+// Configures the queue and an executor with room.
+void Serve(Fixture& fixture) {
+  fixture.gateway.SetConfiguration(Configuration());
+  fixture.clock.Advance(seconds(2));
+  fixture.scheduler.OnAgentAttached("a", "zone", 1, {});
+  const Resources room{.cpu_milli = 4000, .memory_mb = 1000};
+  fixture.scheduler.OnReport("a", {.executor_id = "executor-a",
+                                   .service = "s",
+                                   .accepting = true,
+                                   .capacity = room,
+                                   .free = room,
+                                   .pace = 1});
+}
+
 }  // namespace
 
 // Guards against requests that are refused, or answered without a configuration, in the
@@ -143,16 +158,7 @@
 // counted the time that a job may take from when it read the request.
 Test(caller_gateway, refuses_at_once_a_job_that_was_read_too_late) {
   Fixture fixture;
-  fixture.gateway.SetConfiguration(Configuration());
-  fixture.clock.Advance(seconds(2));
-  fixture.scheduler.OnAgentAttached("a", "zone", 1, {});
-  const Resources room{.cpu_milli = 4000, .memory_mb = 1000};
-  fixture.scheduler.OnReport("a", {.executor_id = "executor-a",
-                                   .service = "s",
-                                   .accepting = true,
-                                   .capacity = room,
-                                   .free = room,
-                                   .pace = 1});
+  Serve(fixture);
   fixture.Submit("/a/0000000000000001", fixture.clock.now());
   cr_assert_eq(fixture.orders, 1);
   // 1.6 x 100 ms + 60 ms after the arrival, the answer is late.
@@ -161,3 +167,19 @@
   cr_assert_eq(fixture.statuses.size(), 1);
   cr_assert_eq(fixture.statuses.at(0), 503);
 }
+
+// Guards against a task of a caller who has closed its connection and sent the job elsewhere. One
+// that only stops sending gets a refusal.
+Test(caller_gateway, refuses_a_job_whose_caller_has_closed_its_connection) {
+  Fixture fixture;
+  Serve(fixture);
+  fixture.Submit("/a/0000000000000001", fixture.clock.now(), true);
+  cr_assert_eq(fixture.orders, 0);
+  cr_assert_eq(fixture.statuses.size(), 1);
+  cr_assert_eq(fixture.statuses.at(0), 503);
+  // The caller of an earlier copy stays.
+  fixture.Submit("/a/0000000000000002", fixture.clock.now());
+  fixture.Submit("/a/0000000000000002", fixture.clock.now(), true);
+  cr_assert_eq(fixture.orders, 1);
+  cr_assert_eq(fixture.gateway.waiting_caller_count(), 1);
+}
--- a/tests/unit/input_guard_test.cc
+++ b/tests/unit/input_guard_test.cc
@@ -276,3 +276,44 @@
   fixture.Send(client, "y");
   cr_assert(fixture.RunUntilRequests(1));
 }
+
+// Guards against jobs of callers who have closed their connection: the request was handled as a new
+// one, and its end was read a turn later. The second request ends where a read buffer of 4 KiB
+// does.
+Test(input_guard, tells_that_the_client_had_closed_when_its_request_was_read) {
+  constexpr std::size_t kReadBytes = 4096;
+  const std::string head = "POST /job HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n";
+  const std::string end = "\r\n{}";
+  const std::string padding =
+      "X-Padding: " + std::string(kReadBytes - head.size() - end.size() - 13, 'x') + "\r\n";
+  for (const std::string& request : {head + "\r\n{}", head + padding + end}) {
+    for (const bool closes : {false, true}) {
+      Fixture fixture({});
+      asio::ip::tcp::socket client = fixture.Connect();
+      client.non_blocking(false);
+      asio::write(client, asio::buffer(request));
+      if (closes) client.shutdown(asio::ip::tcp::socket::shutdown_send);
+      cr_assert(fixture.RunUntilRequests(1));
+      cr_assert_eq(fixture.requests()[0].client_closed, closes);
+    }
+  }
+}
+
+// Guards against a wait for connections that are in use: each request tells when the one before it
+// was read.
+Test(input_guard, tells_when_a_connection_was_last_used) {
+  const std::string request = "POST /job HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}";
+  Fixture fixture({});
+  const auto opened = fixture.clock().now();
+  asio::ip::tcp::socket client = fixture.Connect();
+  fixture.clock().Advance(std::chrono::seconds(1));
+  const auto first = fixture.clock().now();
+  fixture.Send(client, request);
+  cr_assert(fixture.RunUntilRequests(1));
+  fixture.responder(0)({});
+  fixture.clock().Advance(std::chrono::seconds(1));
+  fixture.Send(client, request);
+  cr_assert(fixture.RunUntilRequests(2));
+  cr_assert(fixture.requests()[0].connection_used_at == opened);
+  cr_assert(fixture.requests()[1].connection_used_at == first);
+}
--- a/tests/unit/job_scheduler_test.cc
+++ b/tests/unit/job_scheduler_test.cc
@@ -1259,3 +1259,71 @@
   cr_assert_eq(started_jobs().size(), 1);
   cr_assert_eq(scheduler.job_count(), 2);
 }
+
+namespace {
+
+// A dispatcher that has heard nothing for 4 s, and then a supervisor.
+struct AfterIsolation : Fixture {
+  AfterIsolation() {
+    opened = clock.now();
+    clock.Advance(seconds(4));
+    Report("a", 4000);
+    Report("b", 4000);
+    scheduler.OnTimer();
+    clock.Advance(milliseconds(100));
+  }
+
+  // A job of 1 s, on a connection that was last used then.
+  JobRequest MakeLongJob(const std::string& id, zinniamux::core::TimePoint used_at) const {
+    JobRequest job = MakeJob(id, 1);
+    job.steps[0].estimate = seconds(1);
+    job.deadline = clock.now() + seconds(5);
+    job.connection_used_at = used_at;
+    return job;
+  }
+
+  zinniamux::core::TimePoint opened;
+};
+
+}  // namespace
+
+// Guards against a request that a cut has held up, and whose end of the connection comes after it:
+// its task started beside the one of the second copy.
+Test(job_scheduler, orders_a_stale_request_only_after_the_end_of_its_connection_would_have_come) {
+  AfterIsolation fixture;
+  fixture.Submit(fixture.MakeLongJob("left", fixture.opened));
+  fixture.Submit(fixture.MakeLongJob("stays", fixture.opened));
+  cr_assert(fixture.starts.empty());
+  fixture.PassTime(milliseconds(200), "a");
+  cr_assert(fixture.starts.empty());
+  fixture.scheduler.OnCancel("left");
+  fixture.PassTime(milliseconds(100), "a");
+  cr_assert_eq(fixture.starts.size(), 1);
+  cr_assert_eq(fixture.starts[0].job_id, "stays");
+}
+
+// Guards against a wait for callers that are certainly there: on a new connection, or on one that
+// was used since, or who have sent the job again.
+Test(job_scheduler, orders_requests_at_once_that_are_not_stale) {
+  AfterIsolation fixture;
+  fixture.Submit(fixture.MakeLongJob("new", fixture.clock.now()));
+  cr_assert_eq(fixture.starts.size(), 1);
+  fixture.Submit(fixture.MakeLongJob("again", fixture.opened));
+  cr_assert_eq(fixture.starts.size(), 1);
+  fixture.Submit(fixture.MakeLongJob("again", fixture.clock.now()));
+  cr_assert_eq(fixture.starts.size(), 2);
+}
+
+// Guards against a caller who waits for a refusal that is certain: the job would be late after the
+// hold.
+Test(job_scheduler, refuses_at_once_a_stale_request_that_is_too_short_to_be_held) {
+  AfterIsolation fixture;
+  JobRequest job = fixture.MakeJob("short", 1);
+  job.connection_used_at = fixture.opened;
+  fixture.Submit(std::move(job));
+  cr_assert(fixture.starts.empty());
+  cr_assert_eq(fixture.answers.size(), 1);
+  cr_assert(fixture.answers[0].answer.result == JobResult::kRefused);
+  cr_assert(fixture.answers[0].answer.reason == JobReason::kIsolated);
+  cr_assert(fixture.answers[0].answer.retry_after > milliseconds(0));
+}
