supervisor: keep a dispatcher that refuses connections

Callers saw tasks run on two executors at a time, for up to 150 ms and by reading up to the end of a lease.

Cause: a supervisor took a refused connection for the end of the dispatcher's process, and forgot its name and the ends of runs that waited for it. Its next hello listed no runs, so the living dispatcher counted them as lapsed and ordered them elsewhere, while their stops were unanswered.

Change: a refused connection still stops the runs at once, as fast as before for a dispatcher that died. They remain those of the dispatcher until the executor has ended them or another incarnation answers, and hello, updates and reports name them. Its orders that waited for room are refused as not started, and may be placed elsewhere.

--- a/src/core/run_supervisor.cc
+++ b/src/core/run_supervisor.cc
@@ -24,6 +24,8 @@
       return "ordered";
     case StopReason::kOwnerGone:
       return "owner_gone";
+    case StopReason::kOwnerRefuses:
+      return "owner_refuses";
     case StopReason::kOwnerSilent:
       return "owner_silent";
     case StopReason::kStartUnanswered:
@@ -151,11 +153,17 @@
 }
 
 void RunSupervisor::OnOwnerLost(const std::string& owner) {
-  LoseOwner(owner, StopReason::kOwnerGone);
+  LoseOwner(owner, StopReason::kOwnerGone, RunOutcome::kWithdrawn);
 }
 
-void RunSupervisor::LoseOwner(const std::string& owner, StopReason reason) {
-  RefuseOrders(queue_.TakeOwnedBy(owner), RunOutcome::kWithdrawn);
+void RunSupervisor::OnOwnerRefuses(const std::string& owner) {
+  // If it lives, it may order them elsewhere.
+  LoseOwner(owner, StopReason::kOwnerRefuses, RunOutcome::kNotAccepting);
+}
+
+void RunSupervisor::LoseOwner(const std::string& owner, StopReason reason,
+                              RunOutcome order_outcome) {
+  RefuseOrders(queue_.TakeOwnedBy(owner), order_outcome);
   for (auto& [id, run] : runs_) {
     if (run.owner == owner) BeginStop(id, run, reason, RunOutcome::kStopped);
   }
@@ -796,7 +804,9 @@
   for (const auto& [owner, heard] : owner_input_handled_) {
     if (now - heard > options_.budget.silence()) silent_owners.push_back(owner);
   }
-  for (const std::string& owner : silent_owners) LoseOwner(owner, StopReason::kOwnerSilent);
+  for (const std::string& owner : silent_owners) {
+    LoseOwner(owner, StopReason::kOwnerSilent, RunOutcome::kWithdrawn);
+  }
   superseded_jobs_.OnTimer(now);
   if (!executor_) return;
   ReportPaceChange();
--- a/src/core/run_supervisor.h
+++ b/src/core/run_supervisor.h
@@ -99,6 +99,8 @@
   kOrdered,
   // Its owner's process is known to have ended.
   kOwnerGone,
+  // Its owner's port refuses connections: its process has ended, or will be back in a moment.
+  kOwnerRefuses,
   // Its owner is not known to have handled its input for `RunEndBudget::silence`.
   kOwnerSilent,
   // Its start call was not answered.
@@ -249,6 +251,9 @@
   void OnOwnerHeard(const std::string& owner, TimePoint input_handled);
   // The owner's process is known to be gone.
   void OnOwnerLost(const std::string& owner);
+  // The owner's port refuses connections. Stops its runs as if the process were gone, so that they
+  // end as soon if it is. They remain the owner's until the executor has ended them.
+  void OnOwnerRefuses(const std::string& owner);
   // The owner has received the job from its caller, who expects nothing of other dispatchers any
   // more. Ends their runs and orders of the job.
   void OnJobSuperseded(const std::string& owner, const std::string& job_id);
@@ -385,7 +390,8 @@
   // Refuses an order that no memory is charged for.
   void RefuseOrder(const std::string& owner, const RunId& id, RunOutcome outcome);
   void SendStart(Run& run);
-  void LoseOwner(const std::string& owner, StopReason reason);
+  // `order_outcome`: of its orders that wait for room.
+  void LoseOwner(const std::string& owner, StopReason reason, RunOutcome order_outcome);
   void BeginStop(const RunId& id, Run& run, StopReason reason, RunOutcome outcome_if_not_started);
   void SendStop(const RunId& id, Run& run);
   // Repeats stops without an answer, unless the executor is silent: polls tell when it is back.
--- a/src/zinniamuxd/dispatcher_link.cc
+++ b/src/zinniamuxd/dispatcher_link.cc
@@ -55,13 +55,12 @@
   connecting_ = false;
   timer_.cancel();
   if (error) {
-    // No process listens on the port any more, so the previous owner has ended.
-    if (error == asio::error::connection_refused && !owner_.empty()) {
-      handlers_.on_owner_lost(std::exchange(owner_, ""));
-      outgoing_.Clear();
-    }
+    // The owner's process may have ended. If it lives, its next hello needs what it has here.
+    const bool is_refused = error == asio::error::connection_refused && !owner_.empty();
+    if (is_refused && !std::exchange(refused_, true)) handlers_.on_owner_refuses(owner_);
     return ScheduleReconnect();
   }
+  refused_ = false;
   reconnect_delay_ = options_.initial_reconnect_delay;
   frames_sent_ = 0;
   last_received_at_ = clock_.now();
--- a/src/zinniamuxd/dispatcher_link.h
+++ b/src/zinniamuxd/dispatcher_link.h
@@ -43,8 +43,11 @@
     // Adds the executor report and the configuration version to a heartbeat.
     std::function<void(const DispatcherLink& link, runs::AgentFrame& frame)> fill_heartbeat;
     std::function<void(const std::string& owner, const runs::EntryFrame& frame)> on_frame;
-    // The dispatcher process `owner` is known to have ended.
+    // The dispatcher process `owner` is known to have ended: another one answers at its address.
     std::function<void(const std::string& owner)> on_owner_lost;
+    // The port of `owner` refuses connections. Its process may have ended, or may live and be back
+    // in a moment. Called once until the next connection.
+    std::function<void(const std::string& owner)> on_owner_refuses;
     std::function<void(const std::string& entry_id, bool connected, const std::string& reason)>
         on_connection_changed;
   };
@@ -58,7 +61,8 @@
   void OnTimer();
 
   const core::EntryAddress& address() const { return address_; }
-  // The dispatcher process at the other end, as MakeOwnerId forms it; empty before its welcome.
+  // The dispatcher process that was last at the other end, as MakeOwnerId forms it; empty before
+  // the first welcome.
   const std::string& owner() const { return owner_; }
   bool connected() const { return connection_ != nullptr; }
   // Another dispatcher has answered at the address, so the link does not connect any more.
@@ -123,6 +127,8 @@
   // Updates that the dispatcher may not have handled, by frame. Empty while disconnected.
   std::deque<SentUpdates> unconfirmed_;
   bool connecting_ = false;
+  // on_owner_refuses was called since the last connection.
+  bool refused_ = false;
   // A welcome has arrived on the present connection.
   bool welcomed_ = false;
   bool misdirected_ = false;
--- a/src/zinniamuxd/supervisor_daemon.cc
+++ b/src/zinniamuxd/supervisor_daemon.cc
@@ -264,6 +264,12 @@
                 run_supervisor_.OnOwnerLost(owner);
                 RunActions();
               },
+          .on_owner_refuses =
+              [this](const std::string& owner) {
+                log_.Write(LogLevel::kWarning, "dispatcher_refuses", {{"dispatcher", owner}});
+                run_supervisor_.OnOwnerRefuses(owner);
+                RunActions();
+              },
           .on_connection_changed =
               [this](const std::string& dispatcher, bool connected, const std::string& reason) {
                 log_.Write(connected ? LogLevel::kInfo : LogLevel::kWarning,
--- a/tests/support/lease_world.cc
+++ b/tests/support/lease_world.cc
@@ -1,11 +1,11 @@
 // The event loop of the simulated world, its messages and its faults.
+#include "support/lease_world.h"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
 #include <variant>
 
-#include "support/lease_world.h"
-
 namespace zinniamux::testing {
 
 using core::Duration;
@@ -44,6 +44,7 @@
 struct LeaseWorld::Link {
   bool connected = false;
   TimePoint cut_until;
+  TimePoint refused_until;
   TimePoint dispatcher_heard;
   TimePoint supervisor_heard;
   // Orders taken by the supervisor.
@@ -319,7 +320,7 @@
   Link& link = LinkOf(dispatcher, supervisor);
   Supervisor& agent = *supervisors_[supervisor];
   const bool reachable = link.cut_until <= clock_.now() && agent.core &&
-                         agent.frozen_until <= clock_.now() &&
+                         link.refused_until <= clock_.now() && agent.frozen_until <= clock_.now() &&
                          dispatchers_[dispatcher]->frozen_until <= clock_.now();
   if (!reachable) return;
   link.connected = true;
@@ -635,8 +636,10 @@
   Supervisor& supervisor = *supervisors_[index];
   const std::uint64_t incarnation = supervisor.incarnation;
   const bool is_refused = IsDown(index);
-  const bool lost = LosesAnswer(index) || is_refused;
-  Deliver(executors_cut_until_[index], lost ? DelayOfLostCall(index) : options_.executor_delay,
+  const bool is_late = !is_refused && !IsCut(index) && IsLate(late_calls_.stops);
+  const bool lost = is_late || LosesAnswer(index) || is_refused;
+  const Duration carried_out = lost ? DelayOfLostCall(index) : options_.executor_delay;
+  Deliver(executors_cut_until_[index], is_late ? DelayOfLateCall() : carried_out,
           [this, index, call, is_refused] {
             if (is_refused) return;
             AtExecutor(index, Duration(0), [this, index, call] { executors_[index]->Stop(call); });
@@ -1137,19 +1140,7 @@
     killed.closes.clear();
     killed.waiting.clear();
     StartDispatcher(dispatcher);
-    for (std::size_t s = 0; s < supervisors_.size(); ++s) {
-      Link& link = LinkOf(dispatcher, s);
-      link.connected = false;
-      ++link.generation;
-      if (supervisors_[s]->core) supervisors_[s]->audience->Remove(NameOf(dispatcher));
-      // Its port refuses the next connection.
-      Deliver(supervisors_[s]->frozen_until, kReconnectDelay,
-              [this, dispatcher, s, owner = link.owner] {
-                const Link& to = LinkOf(dispatcher, s);
-                const bool is_cut = to.cut_until > clock_.now();
-                if (!is_cut && !to.connected && to.owner == owner) LoseOwner(dispatcher, s);
-              });
-    }
+    for (std::size_t s = 0; s < supervisors_.size(); ++s) ResetLink(dispatcher, s);
     for (const auto& [id, caller] : callers_) {
       if (caller.is_waiting && caller.dispatcher == dispatcher) BreakConnection(id);
     }
@@ -1160,6 +1151,33 @@
   });
 }
 
+void LeaseWorld::RefuseConnections(std::size_t dispatcher, Duration at, Duration length) {
+  At(at, [this, dispatcher, length] {
+    for (std::size_t s = 0; s < supervisors_.size(); ++s) {
+      Extend(LinkOf(dispatcher, s).refused_until, length);
+      dispatchers_[dispatcher]->scheduler->OnAgentDetached("agent-" + std::to_string(s));
+      ResetLink(dispatcher, s);
+    }
+  });
+}
+
+void LeaseWorld::ResetLink(std::size_t dispatcher, std::size_t supervisor) {
+  Link& link = LinkOf(dispatcher, supervisor);
+  link.connected = false;
+  ++link.generation;
+  Supervisor& agent = *supervisors_[supervisor];
+  if (agent.core) agent.audience->Remove(NameOf(dispatcher));
+  Deliver(supervisors_[supervisor]->frozen_until, kReconnectDelay,
+          [this, dispatcher, supervisor, owner = link.owner] {
+            const Link& to = LinkOf(dispatcher, supervisor);
+            const bool is_cut = to.cut_until > clock_.now();
+            if (is_cut || to.connected || to.owner != owner || owner.empty()) return;
+            if (!supervisors_[supervisor]->core) return;
+            supervisors_[supervisor]->core->OnOwnerRefuses(owner);
+            CarryOutSupervisor(supervisor);
+          });
+}
+
 void LeaseWorld::ResetCallers(std::size_t dispatcher, Duration at, double share) {
   At(at, [this, dispatcher, share] {
     for (const auto& [id, caller] : callers_) {
--- a/tests/support/lease_world.h
+++ b/tests/support/lease_world.h
@@ -140,6 +140,8 @@
   // after `at`: in the middle of a placement pass. What it has ordered before is sent afterwards.
   void FreezeDispatcherInPass(std::size_t dispatcher, core::Duration at, core::Duration length,
                               std::size_t clock_reads);
+  // Resets the dispatcher's connections to supervisors, and refuses new ones. Its process lives.
+  void RefuseConnections(std::size_t dispatcher, core::Duration at, core::Duration length);
   // Ends the dispatcher's process. A new one takes its place.
   void KillDispatcher(std::size_t dispatcher, core::Duration at, core::Duration down);
   // Breaks the connections of this share of the callers that wait for the dispatcher.
@@ -162,6 +164,7 @@
   struct LateCalls {
     double starts = 0;
     double holds = 0;
+    double stops = 0;
   };
   // These calls stay without an answer. Executors carry them out seconds later, also while they are
   // cut off, and count the lease from then.
@@ -264,7 +267,10 @@
               bool is_held, std::function<void()> action);
   // The process of the dispatcher, as supervisors know it.
   std::string OwnerOf(std::size_t dispatcher) const;
+  // Another process answers at the dispatcher's address.
   void LoseOwner(std::size_t dispatcher, std::size_t supervisor);
+  // Ends the connection, and has the supervisor find that the next one is refused.
+  void ResetLink(std::size_t dispatcher, std::size_t supervisor);
   void SendReport(std::size_t supervisor, std::size_t dispatcher);
   void SendReports(std::size_t supervisor);
   // Schedules a report of a change to the close dispatchers.
--- a/tests/unit/dispatcher_link_test.cc
+++ b/tests/unit/dispatcher_link_test.cc
@@ -45,6 +45,8 @@
   std::optional<SupervisorRegistry> registry;
   // "ID: REASON" of each connection that ended.
   std::vector<std::string> disconnections;
+  std::vector<std::string> lost_owners;
+  std::vector<std::string> refusing_owners;
   std::vector<std::shared_ptr<DispatcherLink>> links;
 
   Fixture() {
@@ -82,7 +84,9 @@
             .on_frame = [this](
                             const std::string& /*owner*/,
                             const zinniamux::runs::EntryFrame& frame) { frames.push_back(frame); },
-            .on_owner_lost = [](const auto&...) {},
+            .on_owner_lost = [this](const std::string& owner) { lost_owners.push_back(owner); },
+            .on_owner_refuses =
+                [this](const std::string& owner) { refusing_owners.push_back(owner); },
             .on_connection_changed =
                 [this](const std::string& id, bool connected, const std::string& reason) {
                   if (!connected) disconnections.push_back(id + ": " + reason);
@@ -109,16 +113,23 @@
   // The frames of each connection.
   std::vector<std::vector<AgentFrame>> received;
 
-  StandIn(asio::io_context& io, std::uint16_t port)
-      : loop(io), acceptor(io, {asio::ip::make_address("127.0.0.1"), port}) {
-    Accept();
-  }
+  StandIn(asio::io_context& io, std::uint16_t port) : loop(io), acceptor(io) { Listen(port); }
   ~StandIn() {
     acceptor.close();
     if (connection) connection->Close();
     loop.poll();
   }
 
+  void Listen(std::uint16_t port) {
+    acceptor = asio::ip::tcp::acceptor(loop, {asio::ip::make_address("127.0.0.1"), port});
+    Accept();
+  }
+  // Ends the connection, and refuses others until the next Listen.
+  void Refuse() {
+    acceptor.close();
+    connection->Close();
+  }
+
   void Accept() {
     acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
       if (error) return;
@@ -136,10 +147,10 @@
     });
   }
 
-  void SendWelcome(std::uint64_t frames_handled) const {
+  void SendWelcome(std::uint64_t frames_handled, std::uint64_t incarnation = 1) const {
     EntryFrame frame;
     frame.mutable_welcome()->set_entry_id("d-1");
-    frame.mutable_welcome()->set_incarnation(1);
+    frame.mutable_welcome()->set_incarnation(incarnation);
     frame.set_frames_handled(frames_handled);
     connection->Send(frame.SerializeAsString());
   }
@@ -296,3 +307,26 @@
   cr_assert(f.RunUntil([&] { return f.frames.size() > before; }));
   cr_assert_eq(f.frames.back().frames_handled(), 2);
 }
+
+// Guards against a supervisor that takes refused connections for the end of a dispatcher's process:
+// its next hello named no runs, and the dispatcher ordered them elsewhere while they went on.
+Test(dispatcher_link, keeps_what_it_has_of_a_dispatcher_that_refuses_connections) {
+  StandInFixture f(1);
+  f.dispatcher.Refuse();
+  cr_assert(f.RunUntil([&f] { return !f.refusing_owners.empty(); }));
+  f.link->mutable_outgoing().add_updates()->mutable_run()->set_job_id("later");
+  f.link->Flush();
+  cr_assert_eq(f.link->owner(), "d-1@1");
+  f.dispatcher.Listen(f.stand_in_port);
+  cr_assert(f.RunUntil([&f] { return f.CountFrames(2) > 0; }));
+  const AgentFrame& hello = f.dispatcher.received.back().front();
+  cr_assert_eq(hello.updates_size(), 2);
+  cr_assert_eq(hello.updates(0).run().job_id(), "job");
+  cr_assert_eq(hello.updates(1).run().job_id(), "later");
+  cr_assert_eq(f.refusing_owners, std::vector<std::string>{"d-1@1"});
+  cr_assert(f.lost_owners.empty());
+  // Another time.
+  f.dispatcher.SendWelcome(1);
+  f.dispatcher.Refuse();
+  cr_assert(f.RunUntil([&f] { return f.refusing_owners.size() == 2; }));
+}
--- a/tests/unit/run_supervisor_test.cc
+++ b/tests/unit/run_supervisor_test.cc
@@ -1321,3 +1321,34 @@
   cr_expect_eq(cost('\1') - cost('x'), 10'000);
   cr_expect_eq(cost('"') - cost('x'), 2'000);
 }
+
+// Guards against runs that a supervisor forgets because their dispatcher's port refuses
+// connections: it may live, and has to hear of each run until the executor has ended it.
+Test(run_supervisor, holds_the_runs_of_a_dispatcher_that_refuses_connections_until_they_end) {
+  Fixture fixture;
+  fixture.StartRun(0);
+  fixture.OrderRun(1, 3500);
+  fixture.clock.Advance(milliseconds(400));
+  fixture.supervisor.OnOwnerRefuses(kOwner);
+  fixture.TakeActions();
+  cr_assert_eq(fixture.ActionsOf<CallStop>().size(), 1);
+  // The order that waited for room may be placed elsewhere at once.
+  auto updates = fixture.ActionsOf<RunUpdate>();
+  cr_assert_eq(updates.size(), 1);
+  cr_assert(updates[0].outcome == RunOutcome::kNotAccepting);
+  // Its stop stays without an answer, and the dispatcher refuses once more.
+  fixture.supervisor.OnStopAnswer(MakeRunId(0), false);
+  fixture.supervisor.OnOwnerRefuses(kOwner);
+  fixture.supervisor.OnOwnerHeard(kOwner, fixture.clock.now());
+  fixture.TakeActions();
+  cr_assert(fixture.ActionsOf<RunUpdate>().empty());
+  cr_assert_eq(fixture.supervisor.RunsOf(kOwner).size(), 1);
+  cr_assert_eq(fixture.supervisor.JobsOfOthers("another").size(), 1);
+  fixture.supervisor.OnStopAnswer(MakeRunId(0), true);
+  fixture.AnswerHold(
+      {.ended = {{.number = 1, .id = MakeRunId(0), .outcome = RunOutcome::kStopped}}});
+  updates = fixture.ActionsOf<RunUpdate>();
+  cr_assert_eq(updates.size(), 1);
+  cr_assert(updates[0].outcome == RunOutcome::kStopped);
+  cr_assert(fixture.supervisor.RunsOf(kOwner).empty());
+}
