supervisor: tell a new dispatcher process no ends of the earlier one's runs

After a restart, a dispatcher could take a run that it had just ordered for ended, and order its task elsewhere beside it.

Cause: ends of runs that were sent before the welcome of a new process, and not confirmed by it, were sent again on the next connection. The process numbers its runs from 1 again, so they may name one of its own.

Change: a welcome of another process drops the ends that are meant for the earlier one.

Before: dispatcher_link/drops_the_updates_for_an_earlier_process_once_another_answers fails.

--- a/src/zinniamuxd/dispatcher_link.cc
+++ b/src/zinniamuxd/dispatcher_link.cc
@@ -93,7 +93,7 @@
   if (frame.has_welcome()) {
     const std::string owner =
         MakeOwnerId(frame.welcome().entry_id(), frame.welcome().incarnation());
-    if (!owner_.empty() && owner_ != owner) handlers_.on_owner_lost(owner_);
+    if (!owner_.empty() && owner_ != owner) EndOwner();
     owner_ = owner;
     welcomed_ = true;
     if (frame.welcome().entry_id() != address_.entry_id) {
@@ -105,6 +105,14 @@
   handlers_.on_frame(owner_, frame);
 }
 
+void DispatcherLink::EndOwner() {
+  // The new process numbers its runs from 1 again, so it would take these ends for those of its
+  // own.
+  unconfirmed_.clear();
+  outgoing_.clear_updates();
+  handlers_.on_owner_lost(owner_);
+}
+
 void DispatcherLink::OnClosed(const std::string& reason) {
   CloseConnection(reason);
   ScheduleReconnect();
--- a/src/zinniamuxd/dispatcher_link.h
+++ b/src/zinniamuxd/dispatcher_link.h
@@ -91,6 +91,8 @@
   void OnConnectResult(const asio::error_code& error);
   void ScheduleReconnect();
   void OnFrame(std::string_view bytes);
+  // Another process answers at the address.
+  void EndOwner();
   void OnClosed(const std::string& reason);
   void CloseConnection(const std::string& reason);
   void SendOutgoing();
--- a/tests/unit/dispatcher_link_test.cc
+++ b/tests/unit/dispatcher_link_test.cc
@@ -330,3 +330,19 @@
   f.dispatcher.Refuse();
   cr_assert(f.RunUntil([&f] { return f.refusing_owners.size() == 2; }));
 }
+
+// Guards against ends of runs that an earlier process of a dispatcher has ordered: the next one
+// numbers its runs from 1 again, and would take a run of its own for ended.
+Test(dispatcher_link, drops_the_updates_for_an_earlier_process_once_another_answers) {
+  StandInFixture f(1);
+  // Another process answers, which the supervisor does not know before the welcome.
+  f.BreakConnection();
+  f.link->mutable_outgoing().add_updates()->mutable_run()->set_job_id("later");
+  f.link->Flush();
+  cr_assert(f.RunUntil([&f] { return f.CountFrames(2) == 2; }));
+  f.dispatcher.SendWelcome(1, 2);
+  cr_assert(f.RunUntil([&f] { return !f.lost_owners.empty(); }));
+  cr_assert_eq(f.lost_owners, std::vector<std::string>{"d-1@1"});
+  cr_assert_eq(f.link->owner(), "d-1@2");
+  cr_assert_eq(f.BreakConnection().updates_size(), 0);
+}
