--- a/model/dispatcher_model.cc
+++ b/model/dispatcher_model.cc
@@ -12,6 +12,9 @@
 constexpr std::uint8_t kRunSkip = 4;
 // Nothing is ordered beyond, so that there are finitely many states.
 constexpr std::uint8_t kMaxRun = 12;
+constexpr Steps kLongestSilence = 100;
+// TCP sends again after 200 ms at least. One more for the step in which the silence ends.
+constexpr Steps kMinResend = 4;
 
 }  // namespace
 
@@ -30,6 +33,11 @@
   }
   state_.input_age = Older(state_.input_age, limits.silence);
   state_.isolation_age = Older(state_.isolation_age, limits.silence);
+  state_.stale_left = Less(state_.stale_left);
+  state_.hold_left = Less(state_.hold_left);
+  if (index_ == 0 && world_.request_left != 0) {
+    state_.silent_for = Older(state_.silent_for, kLongestSilence);
+  }
   for (Steps& heard : state_.heard) heard = Older(heard, limits.lost_after);
   for (Link& link : world_.links[index_]) {
     link.frame_age = Older(link.frame_age, limits.run_end);
@@ -54,7 +62,7 @@
   }
   const bool is_paused = state_.is_paused != 0 && options_.rules.contains(Rule::kStallPause);
   state_.is_paused = 0;
-  if (state_.job == JobState::kReady && !is_paused) {
+  if (state_.job == JobState::kReady && !is_paused && state_.hold_left == 0) {
     if (state_.isolation_age != kNever) {
       EndJob("refuses its job after an isolation");
     } else {
@@ -71,6 +79,13 @@
 
 bool DispatcherModel::ReadRequest() {
   if (state_.job != JobState::kUnread) return false;
+  const bool was_held = index_ == 0 && world_.request_left != 0;
+  if (was_held && (!world_.IsConnected(index_) || world_.request_left > 1)) return false;
+  if (was_held) {
+    world_.request_left = 0;
+    // The closed connection comes behind it, or after a loss. Sooner ones are events.
+    if (world_.close_left == kNever) world_.close_left = kMinResend + 1;
+  }
   if (HasClosed() && options_.rules.contains(Rule::kDropUnread)) {
     world_.close_left = 0;
     EndJob("drops the unread request");
@@ -84,6 +99,9 @@
   }
   Note([&] { return std::string("reads the request"); });
   NoteInput();
+  if (was_held && state_.stale_left > 0 && options_.rules.contains(Rule::kHoldStale)) {
+    state_.hold_left = options_.limits.close;
+  }
   state_.job = JobState::kReady;
   state_.isolation_age = kNever;
   return true;
@@ -95,12 +113,17 @@
     Note([&] { return std::string("was isolated"); });
     state_.isolation_age = state_.input_age;
   }
+  if (state_.silent_for > options_.limits.isolation) {
+    state_.stale_left = static_cast<Steps>(state_.silent_for + kMinResend + 1);
+  }
+  state_.silent_for = 0;
   state_.input_age = 0;
 }
 
 bool DispatcherModel::IsHeld(std::size_t supervisor) const {
   if (state_.target != supervisor) return false;
   const SupervisorState& holder = world_.supervisors[supervisor];
+  if (holder.is_forgotten != 0) return false;
   if (holder.state != RunState::kNone && holder.owner == index_ && holder.run == state_.run) {
     return true;
   }
@@ -119,6 +142,8 @@
       return "learns that run " + std::to_string(state_.run) + " has ended or was refused";
     });
     state_.job = JobState::kReady;
+    // The core may choose any supervisor.
+    if (peer.is_forgotten != 0) state_.prefers_other = 1 - state_.prefers_other;
     // The core takes the next number. Here, refusals would use up the numbers.
     if (refusal == Refusal::kNotStarted) --state_.run;
     if (refusal == Refusal::kNotStarted || refusal == Refusal::kUnhealthy) {
--- a/model/options.cc
+++ b/model/options.cc
@@ -13,12 +13,13 @@
 namespace {
 
 constexpr std::array<std::string_view, kRuleCount> kRuleNames{
-    "drop-unread", "lease-cap",   "handled-input", "isolation",
-    "fencing",     "stall-pause", "isolated-input"};
+    "drop-unread", "lease-cap",      "handled-input", "isolation", "fencing",
+    "stall-pause", "isolated-input", "hold-stale",    "keep-owner"};
 constexpr std::array<std::string_view, kFaultCount> kFaultNames{
     "freeze-supervisor", "freeze-dispatcher", "cut-dispatcher",   "cut-executor",
     "lose-answers",      "delay-start",       "restart-executor", "break-connection",
-    "start-first",       "late-close",        "old-request"};
+    "hold-request",      "refuse-connection", "start-first",      "late-close",
+    "old-request"};
 
 template <typename Element, std::size_t kCount>
 std::optional<Element> Find(const std::array<std::string_view, kCount>& names,
@@ -83,6 +84,7 @@
                 .order_expiry = Up(budget->order_expiry()),
                 .stall = Up(budget->stall_limit()),
                 .isolation = Up(budget->isolation_limit()),
+                .close = Down(budget->close_limit()),
                 .min_start_lease = Down(supervisor.min_start_lease),
                 .start_answer = Up(supervisor.max_start_limit),
                 .executor_silence = Up(supervisor.min_silence)};
--- a/model/options.h
+++ b/model/options.h
@@ -31,8 +31,13 @@
   // During an isolation, and after it until the jobs from before it are given up, frames say that
   // input was handled up to its begin.
   kIsolatedInput,
+  // After a silence, nothing is ordered for a request from before its end until the closed
+  // connection of its caller would have come.
+  kHoldStale,
+  // A supervisor whose connection a dispatcher refuses goes on naming its runs to it.
+  kKeepOwner,
 };
-inline constexpr std::size_t kRuleCount = 7;
+inline constexpr std::size_t kRuleCount = 9;
 
 enum class Fault : std::uint8_t {
   kFreezeSupervisor,
@@ -48,6 +53,11 @@
   // An executor starts again under its id; its supervisor's next call reaches it.
   kRestartExecutor,
   kBreakCaller,
+  // The request is sent while dispatcher 0 is cut off. It comes up to as long after the end of the
+  // cut, and the closed connection with it, or after one loss at the latest.
+  kHoldRequest,
+  // Dispatcher 0 refuses the connection of a supervisor for a moment.
+  kRefuseConnection,
   // A delayed start is carried out in a new lifetime before the supervisor's first call.
   kStartFirst,
   // After a cut that is too short for the dispatcher to notice an isolation, the closed connection
@@ -58,7 +68,7 @@
   // after an isolation. Not counted. Without it, such requests are dropped.
   kOldRequest,
 };
-inline constexpr std::size_t kFaultCount = 11;
+inline constexpr std::size_t kFaultCount = 13;
 
 std::string_view NameOf(Rule rule);
 std::string_view NameOf(Fault fault);
@@ -115,6 +125,8 @@
   Steps order_expiry = 0;
   Steps stall = 0;
   Steps isolation = 0;
+  // How long a request that may be stale is held.
+  Steps close = 0;
   // RunSupervisor::Options.
   Steps min_start_lease = 0;
   Steps start_answer = 0;
--- a/model/state.h
+++ b/model/state.h
@@ -79,6 +79,12 @@
   Steps isolation_age = kNever;
   // Since each supervisor was heard.
   std::array<Steps, kSides> heard{};
+  // For how long nothing has come. Counted while a request is held up.
+  Steps silent_for = 0;
+  // For how long requests may be stale.
+  Steps stale_left = 0;
+  // For how long nothing is ordered for the request that was read.
+  Steps hold_left = 0;
 };
 
 struct SupervisorState {
@@ -100,6 +106,8 @@
   std::uint8_t lifetime = 0;
   // A run whose start got no answer.
   std::uint8_t revoked_run = 0;
+  // It does not name its run to its dispatcher any more.
+  std::uint8_t is_forgotten = 0;
 };
 
 struct ExecutorState {
@@ -141,6 +149,10 @@
   // kNever while a cut holds it back.
   Steps close_left = 0;
   std::uint8_t is_cut = 0;
+  // The request that a cut has held up reaches dispatcher 0 in less than this many steps; 0 if
+  // there is none, kNever while the cut lasts.
+  Steps request_left = 0;
+  Steps since_sent = 0;
   std::uint8_t faults_left = 0;
 
   bool RunsTwice() const {
--- a/model/supervisor_model.cc
+++ b/model/supervisor_model.cc
@@ -205,6 +205,15 @@
   }
 }
 
+void SupervisorModel::OnOwnerRefuses(std::size_t owner) {
+  Link& link = world_.links[owner][index_];
+  if (link.order == OrderState::kQueued) link.EndOrder(Refusal::kNotStarted);
+  state_.heard[owner] = kNever;
+  if (state_.state == RunState::kNone || state_.owner != owner) return;
+  BeginStop("dispatcher refuses connections");
+  if (!options_.rules.contains(Rule::kKeepOwner)) state_.is_forgotten = 1;
+}
+
 void SupervisorModel::BeginStop(std::string_view reason) {
   if (state_.state != RunState::kStarting && state_.state != RunState::kRunning) return;
   Note([&] {
@@ -226,6 +235,7 @@
   state_.run = 0;
   state_.state_age = 0;
   state_.must_end = 0;
+  state_.is_forgotten = 0;
 }
 
 void SupervisorModel::CallStop() {
--- a/model/supervisor_model.h
+++ b/model/supervisor_model.h
@@ -23,6 +23,8 @@
   void Advance();
   // Handles what has arrived, and its timers.
   void Handle();
+  // The dispatcher refuses its connection.
+  void OnOwnerRefuses(std::size_t owner);
 
  private:
   bool has_cap() const { return options_.rules.contains(Rule::kLeaseCap); }
--- a/model/world_model.cc
+++ b/model/world_model.cc
@@ -15,6 +15,7 @@
 
 // TCP sends again after 200 ms at least.
 constexpr Steps kMinCloseDelay = 4;
+constexpr Steps kLongestSent = 100;
 
 bool IsFault(Kind kind) { return static_cast<std::size_t>(kind) < kFaultCount; }
 
@@ -75,7 +76,16 @@
         state.delayed.run != 0 || state.delays_start[0] != 0 || state.delays_start[1] != 0;
     if (!has_delayed && MayStart(state, side)) add_fault(Fault::kDelayStart, side);
     add_fault(Fault::kRestartExecutor, side);
+    const bool is_connected = state.is_cut == 0 && !supervisor_is_frozen && !dispatcher_is_frozen;
+    if (is_connected && state.supervisors[side].owner == 0) {
+      add_fault(Fault::kRefuseConnection, side);
+    }
+  }
+  if (state.is_cut != 0 && state.dispatchers[0].job == JobState::kUnread &&
+      state.request_left == 0 && state.caller == CallerState::kWaiting) {
+    add_fault(Fault::kHoldRequest, 0);
   }
+  if (state.request_left > 1 && state.request_left != kNever) add(Kind::kRequestArrives, 0);
   if (state.is_cut != 0) {
     add(Kind::kHealDispatcher, 0);
   } else {
@@ -98,7 +108,7 @@
   if (journal != nullptr) journal->Add("* " + Describe(event));
   if (IsFault(event.kind)) {
     --state.faults_left;
-    return ApplyFault(static_cast<Fault>(event.kind), event.side, state);
+    return ApplyFault(static_cast<Fault>(event.kind), event.side, state, journal);
   }
   switch (event.kind) {
     case Kind::kWakeSupervisor:
@@ -113,6 +123,10 @@
     }
     case Kind::kHealDispatcher:
       state.is_cut = 0;
+      if (state.request_left == kNever) {
+        state.request_left = static_cast<Steps>(1 + std::max(kMinCloseDelay, state.since_sent));
+        break;
+      }
       // TCP doubles the time between its attempts, so the next one comes within the time that has
       // passed since the first.
       if (state.close_left == kNever) {
@@ -130,6 +144,9 @@
     case Kind::kCloseArrives:
       state.close_left = 1;
       break;
+    case Kind::kRequestArrives:
+      state.request_left = 1;
+      break;
     case Kind::kDelayedStart:
       CarryOutStart(state);
       break;
@@ -138,7 +155,7 @@
   }
 }
 
-void WorldModel::ApplyFault(Fault fault, std::uint8_t side, State& state) const {
+void WorldModel::ApplyFault(Fault fault, std::uint8_t side, State& state, Journal* journal) const {
   switch (fault) {
     case Fault::kFreezeSupervisor:
       state.supervisors[side].is_frozen = 1;
@@ -149,6 +166,7 @@
     case Fault::kCutDispatcher:
       state.is_cut = 1;
       if (state.close_left != 0 && !IsResetUnread(state)) state.close_left = kNever;
+      if (state.request_left != 0) state.request_left = kNever;
       break;
     case Fault::kCutExecutor:
       state.executors[side].path = PathState::kCallsLost;
@@ -165,6 +183,13 @@
     case Fault::kBreakCaller:
       BreakCaller(state);
       break;
+    case Fault::kHoldRequest:
+      state.request_left = kNever;
+      state.since_sent = 0;
+      break;
+    case Fault::kRefuseConnection:
+      SupervisorModel(options_, side, state, journal).OnOwnerRefuses(0);
+      break;
     case Fault::kStartFirst:
       CarryOutStart(state);
       break;
@@ -176,6 +201,11 @@
 
 void WorldModel::BreakCaller(State& state) const {
   state.caller = CallerState::kBroken;
+  // Its closed connection comes behind the request, and it does not know whether that was read.
+  if (state.request_left != 0) {
+    state.close_left = kNever;
+    return;
+  }
   state.close_left = state.is_cut != 0 ? kNever : Steps{1};
   // A caller whose connection was reset before its request was read sends it again at once.
   if (state.dispatchers[0].job == JobState::kUnread && state.is_cut == 0) SendAgain(state);
@@ -206,6 +236,8 @@
   }
   state.delayed.lease = Less(state.delayed.lease);
   if (state.close_left > 1 && state.close_left != kNever) --state.close_left;
+  if (state.request_left > 1 && state.request_left != kNever) --state.request_left;
+  if (state.request_left != 0) state.since_sent = Older(state.since_sent, kLongestSent);
   if (state.caller == CallerState::kBroken && ++state.since_break >= options_.limits.retransmit) {
     if (journal != nullptr) journal->Add("the caller sends its job to dispatcher 1");
     SendAgain(state);
@@ -233,6 +265,10 @@
   // Before it has a job, an isolation means nothing to it.
   if (state.dispatchers[1].job == JobState::kNone) state.dispatchers[1].input_age = 0;
   if (state.dispatchers[0].job == JobState::kOver) state.close_left = 0;
+  if (state.request_left == 0) state.since_sent = 0;
+  if (state.request_left == 0) state.dispatchers[0].silent_for = 0;
+  if (state.dispatchers[0].job != JobState::kUnread) state.dispatchers[0].stale_left = 0;
+  if (state.dispatchers[0].job != JobState::kReady) state.dispatchers[0].hold_left = 0;
   if (state.caller == CallerState::kSentAgain && state.close_left == 0) state.since_break = 0;
   for (SupervisorState& supervisor : state.supervisors) {
     if (state.delayed.run == 0) supervisor.revoked_run = 0;
@@ -258,6 +294,10 @@
       return "executor " + side + " restarts under its id";
     case Kind::kBreakCaller:
       return "the caller's connection breaks";
+    case Kind::kHoldRequest:
+      return "the request is sent in the cut";
+    case Kind::kRefuseConnection:
+      return "dispatcher 0 refuses the connection of supervisor " + side;
     case Kind::kStartFirst:
       return "the delayed start is carried out by executor " + side + " before any other call";
     case Kind::kLateClose:
@@ -273,6 +313,8 @@
       return "executor " + side + " is connected again";
     case Kind::kCloseArrives:
       return "the closed connection reaches dispatcher 0";
+    case Kind::kRequestArrives:
+      return "the request reaches dispatcher 0";
     case Kind::kDelayedStart:
       return "the delayed start reaches executor " + side;
   }
--- a/model/world_model.h
+++ b/model/world_model.h
@@ -13,9 +13,10 @@
 // before their silence limit, runs that end on their own, failed runs and jobs that come a second
 // time to the same dispatcher (so the ends of an earlier submission do not occur), callers that
 // send again what was answered or cancel, room on executors and the queue for it, clocks that run
-// fast, requests of other callers while a dispatcher is cut off, more than one delayed start at a
-// time, delayed hold and stop calls, time within a step (placement passes, the order in which a
-// process reads its connections), and processes that are known to have gone.
+// fast, requests of other callers while a dispatcher is cut off, silences of callers alone, more
+// than one delayed start at a time, delayed hold and stop calls, time within a step (placement
+// passes, the order in which a process reads its connections), and processes that are known to have
+// gone.
 #ifndef ZINNIAMUX_MODEL_WORLD_MODEL_H_
 #define ZINNIAMUX_MODEL_WORLD_MODEL_H_
 
@@ -40,6 +41,8 @@
     kDelayStart,
     kRestartExecutor,
     kBreakCaller,
+    kHoldRequest,
+    kRefuseConnection,
     kStartFirst,
     // Never events.
     kLateClose,
@@ -50,6 +53,7 @@
     kHealDispatcher,
     kHealExecutor,
     kCloseArrives,
+    kRequestArrives,
     kDelayedStart,
   };
   Kind kind = Kind::kFreezeSupervisor;
@@ -69,7 +73,7 @@
   bool Advance(State& state, Journal* journal) const;
 
  private:
-  void ApplyFault(Fault fault, std::uint8_t side, State& state) const;
+  void ApplyFault(Fault fault, std::uint8_t side, State& state, Journal* journal) const;
   void BreakCaller(State& state) const;
   void CarryOutStart(State& state) const;
   void SendAgain(State& state) const;
--- a/tests/unit/lease_model_test.cc
+++ b/tests/unit/lease_model_test.cc
@@ -95,6 +95,20 @@
   CheckNeeded(Rule::kFencing, options, kHorizon, "the delayed start reaches executor 0");
 }
 
+// Guards against review/11: a request that a cut has held up is read after its caller has left.
+Test(lease_model, needs_requests_from_a_silence_to_be_held) {
+  Options options = OptionsWith({Fault::kCutDispatcher, Fault::kHoldRequest, Fault::kBreakCaller});
+  options.max_faults = 3;
+  CheckNeeded(Rule::kHoldStale, options, kHorizon, "the request is sent in the cut");
+}
+
+// Guards against review/13: a supervisor names no runs any more to a dispatcher that has refused
+// its connection.
+Test(lease_model, needs_runs_to_be_named_after_a_refused_connection) {
+  CheckNeeded(Rule::kKeepOwner, OptionsWith({Fault::kRefuseConnection, Fault::kCutExecutor}),
+              kHorizon, "dispatcher 0 refuses the connection of supervisor 0");
+}
+
 // Guards against limits that the model rounds in silence, or cannot count.
 Test(lease_model, refuses_times_that_steps_do_not_divide) {
   cr_assert(Limits::For({}).has_value());
