dispatcher: hold requests from before two silences in a row

Cause: that time counted from the beginning of the second silence. TCP counts its intervals from the first sending.

Change: a silence that begins while requests may be stale is taken for one with those before it.

--- a/src/core/stale_request_detector.cc
+++ b/src/core/stale_request_detector.cc
@@ -46,6 +46,9 @@
 }
 
 void StaleRequestDetector::AddSilence(TimePoint began, TimePoint ended) {
+  // What was sent in an earlier silence may not have come before this one.
+  if (began < stale_until_) began = std::min(began, silence_began_);
+  silence_began_ = began;
   silence_ended_ = ended;
   stale_until_ = std::max(stale_until_, ended + (ended - began) + kMinResend);
 }
--- a/src/core/stale_request_detector.h
+++ b/src/core/stale_request_detector.h
@@ -51,6 +51,8 @@
   TimePoint last_request_;
   // Pauses of the last minute that are long enough to matter.
   std::deque<Pause> pauses_;
+  // Of the last silence, or of the first of several that followed each other.
+  TimePoint silence_began_;
   TimePoint silence_ended_;
   TimePoint stale_until_;
 };
--- a/tests/property/silence_property_test.cc
+++ b/tests/property/silence_property_test.cc
@@ -263,16 +263,37 @@
   std::string trace;
 };
 
-// `callers_alone`: dispatchers are cut off from their callers without being cut off from all
-// supervisors.
-Outcome Play(std::uint64_t seed, bool callers_alone, const std::string& traced_job = "") {
+struct Variant {
+  // Dispatchers are cut off from their callers without being cut off from all supervisors.
+  bool callers_alone = false;
+  // Dispatchers also refuse connections of supervisors, and callers close their connections after a
+  // while without a reset. Drawn apart, so that the other faults of a seed stay the same.
+  bool refuses = false;
+};
+
+// One to three refusals.
+void DrawRefusals(LeaseWorld& world, std::mt19937_64& random) {
+  for (std::size_t left = 1 + random() % 3; left > 0; --left) {
+    const std::size_t dispatcher = random() % kDispatchers;
+    const Duration at = kWarmUp + milliseconds(500 + random() % 3000);
+    world.RefuseConnections(dispatcher, at, milliseconds(50 + random() % 400));
+  }
+}
+
+Outcome Play(std::uint64_t seed, const Variant& variant, const std::string& traced_job = "") {
   std::mt19937_64 random(seed);
+  std::mt19937_64 random_refusals(~seed);
   LeaseWorld::Options options = DrawOptions(seed, random);
   options.traced_job = traced_job;
+  if (variant.refuses) {
+    options.caller_patience = milliseconds(500 + random_refusals() % 1500);
+    options.close_arrival = static_cast<LeaseWorld::CloseArrival>(random_refusals() % 4);
+  }
   LeaseWorld world(options);
   AddTrace(world, {.seed = seed, .begin = kWarmUp, .length = milliseconds(3500), .load = 0.9});
-  FaultDrawing drawing(world, random, callers_alone);
+  FaultDrawing drawing(world, random, variant.callers_alone);
   drawing.DrawAll();
+  if (variant.refuses) DrawRefusals(world, random_refusals);
   world.Run(seconds(24));
   Outcome outcome{.problems = ProblemsOf(world), .faults = drawing.description()};
   for (const std::string& line : world.trace()) outcome.trace += "  " + line + "\n";
@@ -287,11 +308,11 @@
 }
 
 // The problems with the faults drawn and what happened to the first job concerned.
-std::string Report(std::uint64_t seed, bool callers_alone) {
-  const Outcome outcome = Play(seed, callers_alone);
+std::string Report(std::uint64_t seed, const Variant& variant) {
+  const Outcome outcome = Play(seed, variant);
   if (outcome.problems.empty()) return "";
   const std::string job = JobOf(outcome.problems);
-  return outcome.problems + outcome.faults + job + ":\n" + Play(seed, callers_alone, job).trace;
+  return outcome.problems + outcome.faults + job + ":\n" + Play(seed, variant, job).trace;
 }
 
 }  // namespace
@@ -305,7 +326,22 @@
   const bool callers_alone = NumberFromEnvironment("ZINNIAMUX_SILENCE_CALLERS_ALONE", 0) != 0;
   std::size_t broken = 0;
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
-    const std::string report = Report(seed, callers_alone);
+    const std::string report = Report(seed, {.callers_alone = callers_alone});
+    if (report.empty()) continue;
+    ++broken;
+    cr_log_error("seed %lu: %s", seed, report.c_str());
+  }
+  cr_assert(broken == 0, "%zu of %lu seeds break a rule", broken, count);
+}
+
+// Guards against the same while dispatchers refuse connections, and while callers leave without a
+// reset.
+Test(silence, runs_tasks_once_if_connections_are_refused_and_callers_leave) {
+  const std::uint64_t first = NumberFromEnvironment("ZINNIAMUX_SILENCE_FIRST_SEED", 1);
+  const std::uint64_t count = NumberFromEnvironment("ZINNIAMUX_SILENCE_SEEDS", kSeedsByDefault);
+  std::size_t broken = 0;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    const std::string report = Report(seed, {.refuses = true});
     if (report.empty()) continue;
     ++broken;
     cr_log_error("seed %lu: %s", seed, report.c_str());
@@ -317,7 +353,7 @@
 // executor has ended: the next incarnation may carry it out while the task runs elsewhere.
 Test(silence, runs_tasks_once_if_an_unanswered_start_is_carried_out_after_a_restart) {
   for (const std::uint64_t seed : {30098, 30152}) {
-    const std::string report = Report(seed, false);
+    const std::string report = Report(seed, {});
     cr_expect(report.empty(), "seed %lu: %s", seed, report.c_str());
   }
 }
@@ -326,7 +362,7 @@
 // and the dispatcher orders the task again before the successor has reached the executor.
 Test(silence, runs_tasks_once_if_an_unanswered_start_outlives_its_supervisor) {
   constexpr std::uint64_t kSeed = 30323;
-  const std::string report = Report(kSeed, false);
+  const std::string report = Report(kSeed, {});
   cr_expect(report.empty(), "seed %lu: %s", kSeed, report.c_str());
 }
 
@@ -334,7 +370,7 @@
 // next incarnation of the executor does not know that it was stopped.
 Test(silence, starts_no_refused_job_if_an_unanswered_start_is_carried_out_after_a_restart) {
   constexpr std::uint64_t kSeed = 30304;
-  const std::string report = Report(kSeed, false);
+  const std::string report = Report(kSeed, {});
   cr_expect(report.empty(), "seed %lu: %s", kSeed, report.c_str());
 }
 
@@ -343,7 +379,7 @@
 // the second copy did not wait.
 Test(silence, runs_tasks_once_if_a_lost_run_is_over_after_its_caller_left_unnoticed) {
   for (const std::uint64_t seed : {187, 191, 298, 31059, 31106, 31281}) {
-    const std::string report = Report(seed, true);
+    const std::string report = Report(seed, {.callers_alone = true});
     cr_expect(report.empty(), "seed %lu: %s", seed, report.c_str());
   }
 }
@@ -352,7 +388,7 @@
 // dispatcher that was cut off from its callers alone.
 Test(silence, runs_tasks_once_if_an_order_is_late_and_its_caller_left_unnoticed) {
   constexpr std::uint64_t kSeed = 31568;
-  const std::string report = Report(kSeed, true);
+  const std::string report = Report(kSeed, {.callers_alone = true});
   cr_expect(report.empty(), "seed %lu: %s", kSeed, report.c_str());
 }
 
--- a/tests/unit/stale_request_detector_test.cc
+++ b/tests/unit/stale_request_detector_test.cc
@@ -44,8 +44,8 @@
   cr_assert_not(fixture.MayBeStale(before));
 }
 
-// Guards against a second cut that hides behind the first one, and against a short silence that
-// ends the suspicion from a long one.
+// Guards against a second cut that hides behind the first one, and against a request that was sent
+// in the first one and comes after the second: TCP counts its intervals from the sending.
 Test(stale_request_detector, suspects_after_silences_in_a_row) {
   Fixture fixture;
   fixture.Request(100, milliseconds(50));
@@ -55,8 +55,11 @@
   const TimePoint between = fixture.clock.now();
   fixture.Request(1, milliseconds(700));
   cr_assert(fixture.MayBeStale(between));
-  fixture.Request(30, milliseconds(50));
+  // 4.2 s from the beginning of the first one to the end of the second.
+  fixture.Request(85, milliseconds(50));
   cr_assert(fixture.MayBeStale(before));
+  fixture.Request(5, milliseconds(50));
+  cr_assert_not(fixture.MayBeStale(before));
 }
 
 // Guards against a wait that every request pays where requests come seldom, or in bursts.
